feat(types): settle the workspace and the shared types

Cause: the parts of the system are to be built side by side and must fit. Ruled out: message types in the wire crate, since the state machines of the library speak them and must not depend on sockets; a macro_rules macro for the derives, since rustfmt does not format items inside a macro's braces.

--- /dev/null
+++ b/knapweedrill/src/contract/configuration/team.rs
@@ -0,0 +1,16 @@
+//! A team.
+
+use knapweedrill_derive::message;
+
+use crate::common::TeamName;
+
+/// A team: a customer with a guaranteed share of each service.
+#[message]
+pub struct Team {
+    /// The name that jobs refer to.
+    pub name: TeamName,
+    /// The part of a service's slot time that the team gets whenever it has work, in per cent.
+    pub share_percent: u32,
+    /// The most of a service's slot time that the team may use, in per cent.
+    pub cap_percent: u32,
+}
--- /dev/null
+++ b/knapweedrill/src/event/ring.rs
@@ -0,0 +1,43 @@
+//! A bounded memory of events.
+
+use std::collections::VecDeque;
+
+use super::Event;
+
+/// Keeps the latest events of a process.
+#[derive(Debug)]
+pub struct EventRing {
+    events: VecDeque<Event>,
+    capacity_count: usize,
+    dropped_count: u64,
+}
+
+impl EventRing {
+    /// Creates a ring that keeps `capacity_count` events.
+    pub fn new(capacity_count: usize) -> Self {
+        Self {
+            events: VecDeque::new(),
+            capacity_count,
+            dropped_count: 0,
+        }
+    }
+
+    /// Adds an event, dropping the oldest if the ring is full.
+    pub fn push(&mut self, event: Event) {
+        if self.events.len() == self.capacity_count {
+            self.events.pop_front();
+            self.dropped_count += 1;
+        }
+        self.events.push_back(event);
+    }
+
+    /// Returns the events, the oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Event> {
+        self.events.iter()
+    }
+
+    /// Returns how many events were dropped.
+    pub fn dropped_count(&self) -> u64 {
+        self.dropped_count
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/failure_domain/mod.rs
@@ -0,0 +1,4 @@
+//! Failure domains: parts of the platform that fail together.
+
+/// The name of a failure domain.
+pub type FailureDomainName = String;
--- /dev/null
+++ b/knapweedrill/src/link/mod.rs
@@ -0,0 +1,1 @@
+//! Links between processes: sessions, fencing and reconciliation.
--- /dev/null
+++ b/knapweedrill/src/minion/mod.rs
@@ -0,0 +1,5 @@
+//! Minions: the back ends that run tasks.
+
+mod announcement;
+
+pub use announcement::{Announcement, MinionState};
--- /dev/null
+++ b/knapweedrill/tests/owner_token.rs
@@ -0,0 +1,37 @@
+//! An owner token has one text, and names of jobs never collide.
+
+use knapweedrill::contract::{OwnerToken, roster_digest};
+use test_case::test_case;
+
+fn token() -> OwnerToken {
+    OwnerToken {
+        incarnation: 0xab,
+        generation: 7,
+        roster: 1,
+    }
+}
+
+#[test]
+fn text_is_parsed_back() {
+    assert_eq!(token().to_string().parse(), Ok(token()));
+}
+
+#[test_case(""; "empty")]
+#[test_case("00000000000000AB-7-0000000000000001"; "upper case")]
+#[test_case("ab-7-1"; "no leading zeros")]
+#[test_case("00000000000000ab-07-0000000000000001"; "leading zero in the generation")]
+#[test_case("00000000000000ab-7-0000000000000001-"; "a fourth part")]
+fn other_text_is_refused(text: &str) {
+    assert!(text.parse::<OwnerToken>().is_err());
+}
+
+#[test]
+fn team_and_key_are_kept_apart() {
+    assert_ne!(token().job_id("ab", "c"), token().job_id("a", "bc"));
+}
+
+#[test]
+fn roster_digest_ignores_order_and_doubles() {
+    assert_eq!(roster_digest([1, 2, 3]), roster_digest([3, 1, 2, 2]));
+    assert_ne!(roster_digest([1, 2, 3]), roster_digest([1, 2]));
+}
--- /dev/null
+++ b/knapweedrill_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The caller's client of knapweedrill, for others to embed.
--- /dev/null
+++ b/knapweedrill_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool `knapweedrill`.
+
+fn main() {}
--- /dev/null
+++ b/knapweedrill_daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon `knapweedrilld`.
+
+fn main() {}
--- /dev/null
+++ b/knapweedrill_lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, load tool and failure tests for knapweedrill.
+
+fn main() {}
--- /dev/null
+++ b/knapweedrill_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Codec, framing and link threads between the processes of knapweedrill.
