--- /dev/null
+++ b/knapweedrill/src/entry/action.rs
@@ -0,0 +1,60 @@
+//! What an entry wants done.
+
+use knapweedrill_derive::{key, value};
+
+use super::CallerResponse;
+use crate::common::{Incarnation, RequestId};
+use crate::event::EventKind;
+use crate::message::Message;
+
+/// What an entry wants done.
+#[value]
+pub enum EntryAction {
+    /// Answer a caller.
+    Respond {
+        /// The number of the request.
+        request: RequestId,
+        /// The answer.
+        response: CallerResponse,
+    },
+    /// Send a message to another process.
+    Send {
+        /// The process.
+        peer: Incarnation,
+        /// The message.
+        message: Message,
+    },
+    /// Put an event on the time line.
+    Record(EventKind),
+    /// Count something.
+    Count(EntryCounter),
+    /// Nothing is left to do; the process may end.
+    Stopped,
+}
+
+/// What an entry counts.
+#[key]
+pub enum EntryCounter {
+    /// Jobs accepted.
+    JobAccepted,
+    /// Submissions that attached to a job.
+    JobAttached,
+    /// Jobs that ended complete.
+    JobCompleted,
+    /// Jobs that ended failed.
+    JobFailed,
+    /// Jobs that were not run.
+    JobNotRun,
+    /// Requests passed on to another entry.
+    Relayed,
+    /// Attempts handed to sidecars.
+    HandedOut,
+    /// Attempts that sidecars refused.
+    NotStarted,
+    /// Reports about a task that the entry no longer or never waited for; dropped.
+    ReportDropped,
+    /// Credits that no task was waiting for; returned.
+    CreditReturned,
+    /// Messages that the sender's role does not send; dropped.
+    Unexpected,
+}
--- a/knapweedrill/src/entry/caller.rs
+++ b/knapweedrill/src/entry/caller.rs
@@ -4,9 +4,10 @@
 
 use knapweedrill_derive::message;
 
-use crate::common::{ClientKey, TeamName};
+use crate::common::{ClientKey, JobId, TeamName};
 use crate::contract::OwnerToken;
-use crate::job::{JobSpec, Outcome};
+use crate::job::{Failure, JobSpec, Outcome, Refusal};
+use crate::message::KeptState;
 
 /// What a caller asks about a job.
 #[message]
@@ -67,3 +68,62 @@
         message: String,
     },
 }
+
+impl CallerRequest {
+    /// Returns the token that the request carries.
+    pub fn token(&self) -> OwnerToken {
+        match self {
+            Self::Submit { token, .. } | Self::Status { token, .. } | Self::Cancel { token, .. } => {
+                *token
+            }
+        }
+    }
+
+    /// Returns the identifier of the job that the request is about.
+    pub fn job_id(&self) -> JobId {
+        match self {
+            Self::Submit {
+                token, key, spec, ..
+            } => token.job_id(&spec.team, key),
+            Self::Status {
+                token, team, key, ..
+            }
+            | Self::Cancel { token, team, key } => token.job_id(team, key),
+        }
+    }
+}
+
+impl CallerResponse {
+    /// Returns the response that tells a failure.
+    pub fn failed(failure: Failure) -> Self {
+        Self::Ended {
+            outcome: Outcome::Failed { failure },
+        }
+    }
+
+    /// Returns the response that tells that nothing was run.
+    pub fn not_run(refusal: Refusal, retry_after: Option<Duration>) -> Self {
+        Self::Ended {
+            outcome: Outcome::NotRun {
+                refusal,
+                retry_after,
+            },
+        }
+    }
+}
+
+impl From<KeptState> for CallerResponse {
+    fn from(state: KeptState) -> Self {
+        match state {
+            KeptState::Complete { results } => Self::Ended {
+                outcome: Outcome::Complete { results },
+            },
+            KeptState::CompleteEvicted => Self::failed(Failure::AnswerExpired),
+            KeptState::Failed { failure } => Self::failed(failure),
+            KeptState::NotRun {
+                refusal,
+                retry_after,
+            } => Self::not_run(refusal, retry_after),
+        }
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/entry/core.rs
@@ -0,0 +1,355 @@
+//! The state machine of an entry.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Instant;
+
+use crate::common::{Incarnation, JobId, ServiceName};
+use crate::contract::{Configuration, ConfigurationVersion, OwnerToken};
+use crate::message::{Message, Role, RosterNotice, SlotReport};
+use crate::minion::{Announcement, MinionState};
+
+use super::dispatch::ServiceWork;
+use super::hand_over::Stopping;
+use super::key_table::KeyTable;
+use super::live_job::LiveJob;
+use super::relay::Relays;
+use super::sidecar_view::SidecarView;
+use super::timers::Timers;
+use super::token_mint::TokenMint;
+use super::{
+    CallerRequest, CallerResponse, EntryAction, EntryCounter, EntryEvent, EntrySettings, Requester,
+};
+
+/// The state machine of an entry.
+///
+/// It owns the jobs that came under its tokens: it alone hands out their tasks, gathers their
+/// results and knows their outcome.
+pub struct Entry {
+    pub(super) incarnation: Incarnation,
+    pub(super) settings: EntrySettings,
+    pub(super) version: Option<ConfigurationVersion>,
+    pub(super) configuration: Configuration,
+    pub(super) mint: TokenMint,
+    pub(super) keys: KeyTable,
+    pub(super) jobs: HashMap<JobId, LiveJob>,
+    pub(super) services: BTreeMap<ServiceName, ServiceWork>,
+    pub(super) sidecars: BTreeMap<Incarnation, SidecarView>,
+    pub(super) entries: BTreeSet<Incarnation>,
+    pub(super) relays: Relays,
+    pub(super) timers: Timers,
+    pub(super) stopping: Option<Stopping>,
+}
+
+impl Entry {
+    /// Creates an entry that knows no configuration and no sidecar.
+    pub fn new(incarnation: Incarnation, settings: EntrySettings, now: Instant) -> Self {
+        let keys = KeyTable::new(settings.answer_bytes, settings.key_count);
+        Self {
+            incarnation,
+            settings,
+            version: None,
+            configuration: Configuration::default(),
+            mint: TokenMint::new(incarnation, now),
+            keys,
+            jobs: HashMap::new(),
+            services: BTreeMap::new(),
+            sidecars: BTreeMap::new(),
+            entries: BTreeSet::new(),
+            relays: Relays::default(),
+            timers: Timers::default(),
+            stopping: None,
+        }
+    }
+
+    /// Takes in one event.
+    ///
+    /// The embedding process calls [`Entry::flush`] after the events at hand.
+    pub fn handle(&mut self, event: EntryEvent, now: Instant, actions: &mut Vec<EntryAction>) {
+        match event {
+            EntryEvent::Request { requester, request } => {
+                self.request(requester, request, now, actions);
+            }
+            EntryEvent::Hangup { requester } => self.hang_up(requester),
+            EntryEvent::PeerUp { peer, role } => self.peer_up(peer, role, now, actions),
+            EntryEvent::PeerDown { peer } => self.peer_down(peer, now, actions),
+            EntryEvent::Message { peer, message } => self.receive(peer, message, now, actions),
+            EntryEvent::Minion {
+                announcement,
+                report,
+            } => self.hear_minion(announcement, report, now, actions),
+            EntryEvent::MinionLost { sidecar } => self.lose_minion(sidecar, now, actions),
+            EntryEvent::EntryBeat {
+                entry,
+                answers_for,
+                is_stopping,
+            } => self.hear_entry(entry, answers_for, is_stopping),
+            EntryEvent::Configured {
+                version,
+                configuration,
+            } => self.configure(version, configuration, now),
+            EntryEvent::Tick => self.tick(now, actions),
+            EntryEvent::Stop => self.stop(now),
+        }
+    }
+
+    /// Hands out what can be handed out, and tells sidecars what waits.
+    pub fn flush(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        self.dispatch(now, actions);
+        self.tell_demands(now, actions);
+        self.advance_stop(now, actions);
+    }
+
+    /// Returns the token for new jobs, unless the entry takes none.
+    pub fn owner_token(&self) -> Option<OwnerToken> {
+        let takes_jobs = self.version.is_some() && self.stopping.is_none();
+        takes_jobs.then(|| self.mint.current())
+    }
+
+    /// Returns whether the entry takes new jobs.
+    pub fn is_ready(&self) -> bool {
+        self.owner_token().is_some()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
+    /// Returns the stopped entries whose tokens this entry answers for.
+    pub fn answers_for(&self) -> Vec<Incarnation> {
+        self.relays.adopted_owners()
+    }
+
+    /// Returns how many jobs are live.
+    pub fn live_job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns how many keys are kept.
+    pub fn key_count(&self) -> usize {
+        self.keys.key_count()
+    }
+
+    /// Returns how many bytes of answers are kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.keys.answer_bytes()
+    }
+
+    fn request(
+        &mut self,
+        requester: Requester,
+        request: CallerRequest,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if request.token().incarnation == self.incarnation {
+            self.own_request(requester, request, now, actions);
+        } else {
+            self.foreign_request(requester, request, now, actions);
+        }
+    }
+
+    fn receive(
+        &mut self,
+        peer: Incarnation,
+        message: Message,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match message {
+            Message::Slots { report, credits } => {
+                self.take_credits(peer, report, credits, now, actions);
+            }
+            Message::Reports {
+                tasks,
+                report,
+                credits,
+            } => {
+                self.take_reports(peer, tasks, now, actions);
+                self.take_credits(peer, report, credits, now, actions);
+            }
+            Message::Verdicts(verdicts) => self.take_verdicts(peer, verdicts, now, actions),
+            Message::Fenced(report) => self.take_fence(report, now, actions),
+            Message::Relay(relay) => {
+                let requester = Requester::Entry {
+                    entry: peer,
+                    request: relay.request,
+                };
+                self.relayed_request(requester, relay.body, now, actions);
+            }
+            Message::RelayAnswer(answer) => self.take_relay_answer(answer, actions),
+            Message::Roster(notice) => self.relays.learn_roster(notice),
+            Message::HandOver(part) => self.take_over(peer, part, now, actions),
+            Message::HandOverTaken { from, part } => self.hand_over_taken(from, part, actions),
+            Message::AnswersFor { stopped } => self.relays.learn_successor(stopped, peer),
+            _ => actions.push(EntryAction::Count(EntryCounter::Unexpected)),
+        }
+    }
+
+    fn peer_up(
+        &mut self,
+        peer: Incarnation,
+        role: Role,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match role {
+            Role::Entry => {
+                self.entries.insert(peer);
+                actions.push(EntryAction::Send {
+                    peer,
+                    message: Message::Roster(self.roster_notice()),
+                });
+                self.owner_found(peer, now, actions);
+            }
+            Role::Sidecar => self.sidecar_up(peer, now, actions),
+        }
+    }
+
+    fn peer_down(&mut self, peer: Incarnation, now: Instant, actions: &mut Vec<EntryAction>) {
+        if self.entries.remove(&peer) {
+            self.entry_down(peer, now, actions);
+        }
+        if let Some(view) = self.sidecars.get_mut(&peer) {
+            view.session_closed(now);
+        }
+    }
+
+    fn sidecar_up(&mut self, peer: Incarnation, now: Instant, actions: &mut Vec<EntryAction>) {
+        let Some(view) = self.sidecars.get_mut(&peer) else {
+            return;
+        };
+        view.session_opened();
+        let tasks = view.tasks_in_doubt();
+        if !tasks.is_empty() {
+            actions.push(EntryAction::Send {
+                peer,
+                message: Message::Reconcile(tasks),
+            });
+        }
+        self.update_roster(peer, now, actions);
+    }
+
+    fn hear_minion(
+        &mut self,
+        announcement: Announcement,
+        report: SlotReport,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let sidecar = announcement.sidecar;
+        let view = self
+            .sidecars
+            .entry(sidecar)
+            .or_insert_with(|| SidecarView::new(announcement.clone(), report));
+        view.is_heard = true;
+        view.announcement = announcement;
+        // A datagram may be older than what the link has brought.
+        if view.is_up && report.starts_seen_count >= view.report.starts_seen_count {
+            view.report = report;
+        }
+        self.update_roster(sidecar, now, actions);
+    }
+
+    fn lose_minion(
+        &mut self,
+        sidecar: Incarnation,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if let Some(view) = self.sidecars.get_mut(&sidecar) {
+            view.is_heard = false;
+        }
+        self.update_roster(sidecar, now, actions);
+    }
+
+    /// Takes a sidecar into use or out of it, so that new tokens name the right set.
+    pub(super) fn update_roster(
+        &mut self,
+        sidecar: Incarnation,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(view) = self.sidecars.get(&sidecar) else {
+            return;
+        };
+        let is_changed = if view.is_usable() {
+            self.mint.join(sidecar, now)
+        } else if view.announcement.state == MinionState::Serving && view.is_heard {
+            // A broken session alone is mended within moments; the roster stays.
+            false
+        } else {
+            self.mint.leave(sidecar, now)
+        };
+        if is_changed {
+            self.tell_roster(actions);
+        }
+    }
+
+    fn tell_roster(&mut self, actions: &mut Vec<EntryAction>) {
+        let notice = self.roster_notice();
+        self.relays.learn_roster(notice.clone());
+        for entry in &self.entries {
+            actions.push(EntryAction::Send {
+                peer: *entry,
+                message: Message::Roster(notice.clone()),
+            });
+        }
+    }
+
+    fn roster_notice(&self) -> RosterNotice {
+        RosterNotice {
+            owner: self.incarnation,
+            digest: self.mint.current().roster,
+            sidecars: self.mint.sidecars().collect(),
+        }
+    }
+
+    fn hear_entry(&mut self, entry: Incarnation, answers_for: Vec<Incarnation>, is_stopping: bool) {
+        for stopped in answers_for {
+            self.relays.learn_successor(stopped, entry);
+        }
+        self.relays.note_stopping(entry, is_stopping);
+    }
+
+    fn configure(
+        &mut self,
+        version: ConfigurationVersion,
+        configuration: Configuration,
+        now: Instant,
+    ) {
+        self.version = Some(version);
+        self.configuration = configuration;
+        self.configure_services(now);
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        self.mint.rotate(self.settings.generation, now);
+        self.keys.expire(self.settings.kept_keys, now);
+        self.mint.forget(self.settings.kept_keys, now);
+        self.run_timers(now, actions);
+        self.lose_overdue_sidecars(now, actions);
+        self.advance_relays(now, actions);
+    }
+
+    /// Answers a requester, wherever it is.
+    pub(super) fn respond(
+        &self,
+        requester: Requester,
+        response: CallerResponse,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match requester {
+            Requester::Caller { request } => {
+                actions.push(EntryAction::Respond { request, response });
+            }
+            Requester::Entry { entry, request } => actions.push(EntryAction::Send {
+                peer: entry,
+                message: Message::RelayAnswer(crate::message::RelayAnswer {
+                    request,
+                    body: response,
+                }),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/entry/relay.rs
@@ -0,0 +1,439 @@
+//! Requests about jobs that other entries own.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use knapweedrill_derive::value;
+use smallvec::SmallVec;
+
+use crate::common::{Incarnation, JobId, RequestId, RosterDigest};
+use crate::contract::{OwnerToken, roster_digest};
+use crate::event::EventKind;
+use crate::job::{Failure, Refusal};
+use crate::message::{FenceReport, KeptState, Message, RelayAnswer, RelayRequest, RosterNotice};
+
+use super::core::Entry;
+use super::key_table::{KeyTable, Lookup};
+use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, Requester};
+
+/// How long the verdict on a job of a lost owner is kept.
+const VERDICT_MEMORY: Duration = Duration::from_secs(300);
+
+/// The most rosters of other entries that are kept.
+const ROSTER_COUNT_MAX: usize = 1024;
+
+/// What an entry knows and does about jobs that other entries own.
+#[derive(Default)]
+pub(super) struct Relays {
+    next_request: RequestId,
+    /// Requests that are with another entry.
+    sent: BTreeMap<RequestId, SentRequest>,
+    /// Requests that wait for an owner to be found.
+    parked: Vec<ParkedRequest>,
+    /// Jobs of lost owners whose fate the sidecars are being asked for.
+    fences: HashMap<JobId, PendingFence>,
+    /// What the sidecars had to say.
+    verdicts: HashMap<JobId, FenceVerdict>,
+    /// The sidecars that the digests in tokens stand for, the oldest first.
+    rosters: Vec<RosterNotice>,
+    /// The entries that answer for stopped ones.
+    successors: HashMap<Incarnation, Incarnation>,
+    stopping: BTreeSet<Incarnation>,
+    /// The keys taken over from stopped entries.
+    pub(super) adopted: BTreeMap<Incarnation, KeyTable>,
+}
+
+#[value]
+struct SentRequest {
+    entry: Incarnation,
+    requester: Requester,
+    request: CallerRequest,
+}
+
+#[value]
+struct ParkedRequest {
+    requester: Requester,
+    request: CallerRequest,
+    since: Instant,
+}
+
+#[value]
+struct PendingFence {
+    awaited: BTreeSet<Incarnation>,
+    requesters: SmallVec<[Requester; 2]>,
+    until: Instant,
+}
+
+#[value]
+struct FenceVerdict {
+    state: KeptState,
+    reached_at: Instant,
+}
+
+impl Relays {
+    /// Notes which sidecars a digest stands for.
+    pub(super) fn learn_roster(&mut self, notice: RosterNotice) {
+        let is_true = roster_digest(notice.sidecars.iter().copied()) == notice.digest;
+        let is_known = self.rosters.iter().any(|known| known == &notice);
+        if !is_true || is_known {
+            return;
+        }
+        if self.rosters.len() == ROSTER_COUNT_MAX {
+            self.rosters.remove(0);
+        }
+        self.rosters.push(notice);
+    }
+
+    fn sidecars_of(&self, digest: RosterDigest) -> Option<BTreeSet<Incarnation>> {
+        self.rosters
+            .iter()
+            .find(|known| known.digest == digest)
+            .map(|known| known.sidecars.iter().copied().collect())
+    }
+
+    /// Notes which entry answers for a stopped one.
+    pub(super) fn learn_successor(&mut self, stopped: Incarnation, successor: Incarnation) {
+        self.successors.insert(stopped, successor);
+    }
+
+    pub(super) fn note_stopping(&mut self, entry: Incarnation, is_stopping: bool) {
+        if is_stopping {
+            self.stopping.insert(entry);
+        } else {
+            self.stopping.remove(&entry);
+        }
+    }
+
+    pub(super) fn is_stopping(&self, entry: Incarnation) -> bool {
+        self.stopping.contains(&entry)
+    }
+
+    pub(super) fn adopted_owners(&self) -> Vec<Incarnation> {
+        self.adopted.keys().copied().collect()
+    }
+
+    pub(super) fn hang_up(&mut self, requester: Requester) {
+        self.sent.retain(|_, sent| sent.requester != requester);
+        self.parked.retain(|parked| parked.requester != requester);
+    }
+
+    /// Returns whether no request of a caller of this entry is still under way.
+    pub(super) fn is_idle(&self) -> bool {
+        self.sent.is_empty() && self.parked.is_empty() && self.fences.is_empty()
+    }
+}
+
+impl Entry {
+    /// Deals with a request of a caller about another entry's job.
+    pub(super) fn foreign_request(
+        &mut self,
+        requester: Requester,
+        request: CallerRequest,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let owner = request.token().incarnation;
+        if let Some(response) = self.adopted_response(&request) {
+            self.respond(requester, response, actions);
+            return;
+        }
+        if let Some(verdict) = self.relays.verdicts.get(&request.job_id()) {
+            self.respond(requester, verdict.state.clone().into(), actions);
+            return;
+        }
+        match self.answering_entry(owner) {
+            Some(entry) => self.relay(entry, requester, request, actions),
+            None => self.relays.parked.push(ParkedRequest {
+                requester,
+                request,
+                since: now,
+            }),
+        }
+    }
+
+    /// Deals with a request that another entry passed on.
+    pub(super) fn relayed_request(
+        &mut self,
+        requester: Requester,
+        request: CallerRequest,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if request.token().incarnation == self.incarnation {
+            self.own_request(requester, request, now, actions);
+            return;
+        }
+        let response = self
+            .adopted_response(&request)
+            .unwrap_or(CallerResponse::failed(Failure::OwnerLost));
+        self.respond(requester, response, actions);
+    }
+
+    /// Answers from the keys that were taken over from a stopped entry.
+    fn adopted_response(&self, request: &CallerRequest) -> Option<CallerResponse> {
+        let token = request.token();
+        let keys = self.relays.adopted.get(&token.incarnation)?;
+        Some(match keys.lookup(token.generation, request.job_id()) {
+            Lookup::Expired => CallerResponse::failed(Failure::KeyExpired),
+            Lookup::Live { .. } => CallerResponse::failed(Failure::OwnerLost),
+            Lookup::Ended {
+                content_hash,
+                state,
+            } => match request {
+                CallerRequest::Submit { spec, .. } if spec.content_hash() != content_hash => {
+                    CallerResponse::failed(Failure::KeyReused)
+                }
+                _ => state.clone().into(),
+            },
+            // The stopped entry handed all its keys over, so it never took this one.
+            Lookup::New => match request {
+                CallerRequest::Submit { .. } => {
+                    CallerResponse::not_run(Refusal::TokenNeeded, Some(Duration::ZERO))
+                }
+                _ => CallerResponse::Unknown,
+            },
+        })
+    }
+
+    /// Returns the entry that can answer for an owner's tokens, if it can be reached.
+    fn answering_entry(&self, owner: Incarnation) -> Option<Incarnation> {
+        if self.entries.contains(&owner) {
+            return Some(owner);
+        }
+        let successor = self.relays.successors.get(&owner)?;
+        self.entries.contains(successor).then_some(*successor)
+    }
+
+    fn relay(
+        &mut self,
+        entry: Incarnation,
+        requester: Requester,
+        request: CallerRequest,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let number = self.relays.next_request;
+        self.relays.next_request += 1;
+        actions.push(EntryAction::Count(EntryCounter::Relayed));
+        actions.push(EntryAction::Record(EventKind::JobRelayed {
+            job: request.job_id(),
+            owner: request.token().incarnation,
+        }));
+        actions.push(EntryAction::Send {
+            peer: entry,
+            message: Message::Relay(RelayRequest {
+                request: number,
+                body: request.clone(),
+            }),
+        });
+        self.relays.sent.insert(
+            number,
+            SentRequest {
+                entry,
+                requester,
+                request,
+            },
+        );
+    }
+
+    pub(super) fn take_relay_answer(
+        &mut self,
+        answer: RelayAnswer,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match self.relays.sent.remove(&answer.request) {
+            Some(sent) => self.respond(sent.requester, answer.body, actions),
+            None => actions.push(EntryAction::Count(EntryCounter::ReportDropped)),
+        }
+    }
+
+    /// Passes on what waited for an entry that has now been found.
+    pub(super) fn owner_found(
+        &mut self,
+        _entry: Incarnation,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        self.retry_parked(now, actions);
+    }
+
+    fn retry_parked(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        for parked in std::mem::take(&mut self.relays.parked) {
+            let owner = parked.request.token().incarnation;
+            let is_answerable =
+                self.answering_entry(owner).is_some() || self.relays.adopted.contains_key(&owner);
+            if is_answerable {
+                self.foreign_request(parked.requester, parked.request, now, actions);
+            } else {
+                self.relays.parked.push(parked);
+            }
+        }
+    }
+
+    /// Looks for another way for the requests that were with an entry that is gone.
+    pub(super) fn entry_down(
+        &mut self,
+        entry: Incarnation,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let (lost, kept) = std::mem::take(&mut self.relays.sent)
+            .into_iter()
+            .partition(|(_, sent)| sent.entry == entry);
+        self.relays.sent = kept;
+        let lost: BTreeMap<RequestId, SentRequest> = lost;
+        for sent in lost.into_values() {
+            self.foreign_request(sent.requester, sent.request, now, actions);
+        }
+    }
+
+    /// Gives up waiting for owners and sidecars that do not answer.
+    pub(super) fn advance_relays(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        self.retry_parked(now, actions);
+        self.resolve_parked(now, actions);
+        self.end_overdue_fences(now, actions);
+        self.relays
+            .verdicts
+            .retain(|_, verdict| now.duration_since(verdict.reached_at) < VERDICT_MEMORY);
+    }
+
+    fn resolve_parked(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        let grace = self.settings.owner_grace;
+        let (overdue, parked): (Vec<_>, Vec<_>) = std::mem::take(&mut self.relays.parked)
+            .into_iter()
+            .partition(|parked| now.duration_since(parked.since) >= grace);
+        self.relays.parked = parked;
+        for parked in overdue {
+            self.resolve_lost_owner(parked.requester, &parked.request, now, actions);
+        }
+    }
+
+    /// Settles a request whose owner is out of reach.
+    fn resolve_lost_owner(
+        &mut self,
+        requester: Requester,
+        request: &CallerRequest,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match request {
+            CallerRequest::Submit { token, .. } => {
+                self.fence_job(requester, *token, request.job_id(), now, actions);
+            }
+            CallerRequest::Status { .. } | CallerRequest::Cancel { .. } => {
+                self.respond(requester, CallerResponse::Unknown, actions);
+            }
+        }
+    }
+
+    /// Asks every sidecar that may ever have started a task of the job.
+    fn fence_job(
+        &mut self,
+        requester: Requester,
+        token: OwnerToken,
+        job: JobId,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if let Some(fence) = self.relays.fences.get_mut(&job) {
+            fence.requesters.push(requester);
+            return;
+        }
+        let sidecars = self.relays.sidecars_of(token.roster);
+        let reachable = sidecars.filter(|sidecars| {
+            sidecars
+                .iter()
+                .all(|sidecar| self.sidecars.get(sidecar).is_some_and(|view| view.is_up))
+        });
+        let Some(awaited) = reachable else {
+            self.respond(
+                requester,
+                CallerResponse::failed(Failure::OwnerLost),
+                actions,
+            );
+            return;
+        };
+        for sidecar in &awaited {
+            actions.push(EntryAction::Send {
+                peer: *sidecar,
+                message: Message::Fence { token, job },
+            });
+        }
+        let fence = PendingFence {
+            awaited,
+            requesters: SmallVec::from_iter([requester]),
+            until: now + self.settings.fence_timeout,
+        };
+        self.relays.fences.insert(job, fence);
+        self.end_fence_if_settled(job, now, actions);
+    }
+
+    pub(super) fn take_fence(
+        &mut self,
+        report: FenceReport,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(fence) = self.relays.fences.get_mut(&report.job) else {
+            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+            return;
+        };
+        if report.may_have_started {
+            let failure = Failure::OwnerLost;
+            self.end_fence(report.job, KeptState::Failed { failure }, now, actions);
+            return;
+        }
+        fence.awaited.remove(&report.sidecar);
+        self.end_fence_if_settled(report.job, now, actions);
+    }
+
+    fn end_fence_if_settled(&mut self, job: JobId, now: Instant, actions: &mut Vec<EntryAction>) {
+        let is_settled = self
+            .relays
+            .fences
+            .get(&job)
+            .is_some_and(|fence| fence.awaited.is_empty());
+        if is_settled {
+            let state = KeptState::NotRun {
+                refusal: Refusal::OwnerLost,
+                retry_after: Some(Duration::ZERO),
+            };
+            self.end_fence(job, state, now, actions);
+        }
+    }
+
+    fn end_overdue_fences(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        let overdue: Vec<JobId> = self
+            .relays
+            .fences
+            .iter()
+            .filter(|(_, fence)| fence.until <= now)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in overdue {
+            let failure = Failure::OwnerLost;
+            self.end_fence(job, KeptState::Failed { failure }, now, actions);
+        }
+    }
+
+    fn end_fence(
+        &mut self,
+        job: JobId,
+        state: KeptState,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(fence) = self.relays.fences.remove(&job) else {
+            return;
+        };
+        for requester in fence.requesters {
+            self.respond(requester, state.clone().into(), actions);
+        }
+        self.relays.verdicts.insert(
+            job,
+            FenceVerdict {
+                state,
+                reached_at: now,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/entry/sidecar_view.rs
@@ -0,0 +1,98 @@
+//! What an entry knows of a sidecar.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use knapweedrill_derive::value;
+
+use crate::common::{Attempt, Generation};
+use crate::job::TaskId;
+use crate::message::{Demand, SlotReport, TaskInDoubt};
+use crate::minion::{Announcement, MinionState};
+
+/// What an entry knows of a sidecar and its minion.
+#[value]
+pub(super) struct SidecarView {
+    pub(super) announcement: Announcement,
+    pub(super) report: SlotReport,
+    /// Whether a link session is up.
+    pub(super) is_up: bool,
+    /// Since when no session has been up.
+    pub(super) down_since: Option<Instant>,
+    /// Whether heartbeats arrive.
+    pub(super) is_heard: bool,
+    /// How many starts were sent on the current session.
+    pub(super) starts_sent_count: u64,
+    /// The attempts that are with the sidecar.
+    pub(super) out: HashMap<TaskId, OutTask>,
+    /// What the sidecar was last told to be waiting.
+    pub(super) told_demands: Vec<Demand>,
+    /// When it was told.
+    pub(super) told_at: Option<Instant>,
+}
+
+/// An attempt that is with a sidecar.
+#[value]
+#[derive(Copy)]
+pub(super) struct OutTask {
+    pub(super) attempt: Attempt,
+    pub(super) generation: Generation,
+}
+
+impl SidecarView {
+    pub(super) fn new(announcement: Announcement, report: SlotReport) -> Self {
+        Self {
+            announcement,
+            report,
+            is_up: false,
+            down_since: None,
+            is_heard: true,
+            starts_sent_count: 0,
+            out: HashMap::new(),
+            told_demands: Vec::new(),
+            told_at: None,
+        }
+    }
+
+    /// Returns whether the sidecar takes new tasks.
+    pub(super) fn is_usable(&self) -> bool {
+        self.is_up && self.is_heard && self.announcement.state == MinionState::Serving
+    }
+
+    /// Returns how many slots are free, less the starts that the report does not cover yet.
+    pub(super) fn free_count(&self) -> u32 {
+        let unseen = self
+            .starts_sent_count
+            .saturating_sub(self.report.starts_seen_count);
+        let unseen = u32::try_from(unseen).unwrap_or(u32::MAX);
+        self.report.free_count.saturating_sub(unseen)
+    }
+
+    /// Notes that a session opened.
+    pub(super) fn session_opened(&mut self) {
+        self.is_up = true;
+        self.down_since = None;
+        self.starts_sent_count = 0;
+        self.report.starts_seen_count = 0;
+        self.told_demands.clear();
+        self.told_at = None;
+    }
+
+    /// Notes that the session closed.
+    pub(super) fn session_closed(&mut self, now: Instant) {
+        self.is_up = false;
+        self.down_since = Some(now);
+    }
+
+    /// Returns the attempts whose fate is open after a session broke.
+    pub(super) fn tasks_in_doubt(&self) -> Vec<TaskInDoubt> {
+        self.out
+            .iter()
+            .map(|(task, out)| TaskInDoubt {
+                task: *task,
+                generation: out.generation,
+                attempt: out.attempt,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/entry/tasks.rs
@@ -0,0 +1,245 @@
+//! What becomes of the tasks that were handed out.
+
+use std::time::{Duration, Instant};
+
+use crate::common::{Attempt, Incarnation, TaskIndex};
+use crate::job::{Failure, TaskFailure, TaskId, TaskOutcome};
+use crate::message::{KeptState, NotStarted, TaskReport, TaskVerdict, Verdict};
+
+use super::core::Entry;
+use super::live_job::LiveTaskState;
+use super::timers::Timer;
+use super::{EntryAction, EntryCounter};
+
+impl Entry {
+    pub(super) fn take_reports(
+        &mut self,
+        sidecar: Incarnation,
+        reports: Vec<TaskReport>,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for report in reports {
+            match report {
+                TaskReport::Ended {
+                    task,
+                    attempt,
+                    outcome,
+                    run_time,
+                } => self.task_ended(sidecar, task, attempt, outcome, run_time, now, actions),
+                TaskReport::NotStarted {
+                    task,
+                    attempt,
+                    reason,
+                } => self.task_not_started(sidecar, task, attempt, reason, now, actions),
+            }
+        }
+    }
+
+    pub(super) fn take_verdicts(
+        &mut self,
+        sidecar: Incarnation,
+        verdicts: Vec<TaskVerdict>,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for TaskVerdict {
+            task,
+            attempt,
+            verdict,
+        } in verdicts
+        {
+            match verdict {
+                Verdict::Running => {}
+                Verdict::Ended { outcome, run_time } => {
+                    self.task_ended(sidecar, task, attempt, outcome, run_time, now, actions);
+                }
+                Verdict::NeverStarted => {
+                    let reason = NotStarted::NoSlot;
+                    self.task_not_started(sidecar, task, attempt, reason, now, actions);
+                }
+                Verdict::Forgotten => self.task_lost(sidecar, task, attempt, now, actions),
+            }
+        }
+    }
+
+    /// Takes a task off the sidecar's list, and returns whether it is one the job waits for.
+    fn take_back(
+        &mut self,
+        sidecar: Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+        actions: &mut Vec<EntryAction>,
+    ) -> bool {
+        let was_out = self.sidecars.get_mut(&sidecar).is_some_and(|view| {
+            let is_same = view
+                .out
+                .get(&task)
+                .is_some_and(|out| out.attempt == attempt);
+            if is_same {
+                view.out.remove(&task);
+            }
+            is_same
+        });
+        let is_awaited = was_out && task.owner == self.incarnation && self.is_out(task, attempt);
+        if is_awaited && let Some(live) = self.jobs.get_mut(&task.job) {
+            live.out_count -= 1;
+        }
+        if !is_awaited {
+            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+        }
+        is_awaited
+    }
+
+    fn is_out(&mut self, task: TaskId, attempt: Attempt) -> bool {
+        self.jobs
+            .get_mut(&task.job)
+            .and_then(|live| live.task_mut(task.index))
+            .is_some_and(|live| {
+                live.attempt == attempt && matches!(live.state, LiveTaskState::Out { .. })
+            })
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn task_ended(
+        &mut self,
+        sidecar: Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+        outcome: TaskOutcome,
+        run_time: Duration,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if !self.take_back(sidecar, task, attempt, actions) {
+            return;
+        }
+        self.learn(sidecar, task, &outcome, run_time, now);
+        match outcome {
+            TaskOutcome::Done { result } => self.task_done(task, result, now, actions),
+            TaskOutcome::Failed { failure } => {
+                let failure = job_failure(failure, task.index);
+                self.end_job(task.job, KeptState::Failed { failure }, now, actions);
+            }
+        }
+    }
+
+    fn task_done(
+        &mut self,
+        task: TaskId,
+        result: Vec<u8>,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(live) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        live.may_have_started = true;
+        live.ended_count += 1;
+        if let Some(live_task) = live.task_mut(task.index) {
+            live_task.state = LiveTaskState::Done { result };
+        }
+        if live.is_complete() {
+            let results = live.take_results();
+            self.end_job(task.job, KeptState::Complete { results }, now, actions);
+        }
+    }
+
+    fn task_not_started(
+        &mut self,
+        sidecar: Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+        reason: NotStarted,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if !self.take_back(sidecar, task, attempt, actions) {
+            return;
+        }
+        actions.push(EntryAction::Count(EntryCounter::NotStarted));
+        match reason {
+            NotStarted::NoSlot | NotStarted::NoMinion | NotStarted::Cancelled => {
+                self.requeue(task, now);
+            }
+            NotStarted::JobFenced => {
+                // Another entry has settled the job's fate without this one.
+                let failure = Failure::OwnerLost;
+                self.end_job(task.job, KeptState::Failed { failure }, now, actions);
+            }
+        }
+    }
+
+    fn task_lost(
+        &mut self,
+        sidecar: Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if !self.take_back(sidecar, task, attempt, actions) {
+            return;
+        }
+        if let Some(live) = self.jobs.get_mut(&task.job) {
+            live.may_have_started = true;
+        }
+        let failure = Failure::TaskLost { index: task.index };
+        self.end_job(task.job, KeptState::Failed { failure }, now, actions);
+    }
+
+    /// Gives up the tasks of sidecars that have been out of reach for too long.
+    pub(super) fn lose_overdue_sidecars(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        let grace = self.settings.sidecar_grace;
+        let lost: Vec<Incarnation> = self
+            .sidecars
+            .iter()
+            .filter(|(_, view)| {
+                view.down_since
+                    .is_some_and(|since| now.duration_since(since) > grace)
+            })
+            .map(|(sidecar, _)| *sidecar)
+            .collect();
+        for sidecar in lost {
+            self.lose_sidecar(sidecar, now, actions);
+        }
+    }
+
+    fn lose_sidecar(
+        &mut self,
+        sidecar: Incarnation,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(view) = self.sidecars.get(&sidecar) else {
+            return;
+        };
+        let is_heard = view.is_heard;
+        for doubt in view.tasks_in_doubt() {
+            self.task_lost(sidecar, doubt.task, doubt.attempt, now, actions);
+        }
+        if !is_heard {
+            self.sidecars.remove(&sidecar);
+            self.forget_sidecar(sidecar);
+        }
+    }
+
+    /// Does what is due.
+    pub(super) fn run_timers(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Deadline { job } => self.end_overdue_job(job, now, actions),
+                Timer::Wait { job, requester } => self.end_wait(job, requester, now, actions),
+            }
+        }
+    }
+}
+
+fn job_failure(failure: TaskFailure, index: TaskIndex) -> Failure {
+    match failure {
+        TaskFailure::Timeout => Failure::DeadlineExceeded,
+        TaskFailure::Cancelled => Failure::Cancelled,
+        TaskFailure::MinionError => Failure::TaskFailed { index },
+        TaskFailure::ConnectionLost => Failure::TaskLost { index },
+    }
+}
--- a/knapweedrill/src/job/spec.rs
+++ b/knapweedrill/src/job/spec.rs
@@ -24,3 +24,23 @@
     /// The tasks.
     pub tasks: Vec<TaskSpec>,
 }
+
+impl JobSpec {
+    /// Returns a hash of the content, which tells a resubmission from a reuse of its key.
+    pub fn content_hash(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hash_part(&mut hasher, self.team.as_bytes());
+        hash_part(&mut hasher, self.kind.as_bytes());
+        for task in &self.tasks {
+            hash_part(&mut hasher, &task.payload);
+        }
+        let mut hash = [0; 8];
+        hash.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(hash)
+    }
+}
+
+fn hash_part(hasher: &mut blake3::Hasher, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
--- a/knapweedrill/src/message/demand.rs
+++ b/knapweedrill/src/message/demand.rs
@@ -41,4 +41,6 @@
     pub free_count: u32,
     /// The measured speed in per cent of that of a minion of speed 1; 0 while unknown.
     pub speed_percent: u32,
+    /// How many starts of the receiver the sidecar has taken in on the current session.
+    pub starts_seen_count: u64,
 }
--- a/knapweedrill/src/message/frame.rs
+++ b/knapweedrill/src/message/frame.rs
@@ -36,7 +36,12 @@
     /// Entry to sidecar: all that the entry would run on the minion, replacing what it said before.
     Demands(Vec<Demand>),
     /// Entry to sidecar: starts tasks.
-    Start(Vec<Start>),
+    Start {
+        /// The tasks.
+        tasks: Vec<Start>,
+        /// What `Demands` would say, if it has changed.
+        demands: Option<Vec<Demand>>,
+    },
     /// Entry to sidecar: stops what runs of a job and drops what waits.
     Cancel(JobId),
     /// Entry to sidecar: asks for tasks whose fate a broken session left open.
--- a/knapweedrill/src/message/mod.rs
+++ b/knapweedrill/src/message/mod.rs
@@ -15,5 +15,5 @@
 pub use frame::{Frame, Message, PROTOCOL_VERSION};
 pub use hello::{Hello, Role};
 pub use relay::{HandOver, KeptKey, KeptState, RelayAnswer, RelayRequest, RosterNotice};
-pub use start::{Start, TaskReport};
+pub use start::{NotStarted, Start, TaskReport};
 pub use verdict::{FenceReport, TaskInDoubt, TaskVerdict, Verdict};
--- a/knapweedrill/src/message/relay.rs
+++ b/knapweedrill/src/message/relay.rs
@@ -4,8 +4,7 @@
 
 use knapweedrill_derive::message;
 
-use crate::common::{ClientKey, Incarnation, JobId, RequestId, RosterDigest, TeamName};
-use crate::contract::OwnerToken;
+use crate::common::{Generation, Incarnation, JobId, RequestId, RosterDigest};
 use crate::entry::{CallerRequest, CallerResponse};
 use crate::job::{Failure, Refusal};
 
@@ -54,12 +53,8 @@
 /// A key that an owner keeps, with the answer to its job.
 #[message]
 pub struct KeptKey {
-    /// The token under which the key was used.
-    pub token: OwnerToken,
-    /// The team.
-    pub team: TeamName,
-    /// The key.
-    pub key: ClientKey,
+    /// The token's generation.
+    pub generation: Generation,
     /// The identifier of the job.
     pub job: JobId,
     /// The hash of the job's content, which tells a resubmission from a reuse of the key.
--- a/knapweedrill/src/message/start.rs
+++ b/knapweedrill/src/message/start.rs
@@ -53,5 +53,22 @@
         task: TaskId,
         /// The attempt that was fenced.
         attempt: Attempt,
+        /// Why it was not started.
+        reason: NotStarted,
     },
 }
+
+/// Why a sidecar did not start an attempt.
+#[message]
+#[derive(Copy, Hash)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotStarted {
+    /// No slot was free.
+    NoSlot,
+    /// The minion takes no new work, or cannot be reached.
+    NoMinion,
+    /// The job is fenced: no sidecar will start anything of it any more.
+    JobFenced,
+    /// The owner cancelled the job.
+    Cancelled,
+}
--- a/knapweedrill/src/message/verdict.rs
+++ b/knapweedrill/src/message/verdict.rs
@@ -4,7 +4,7 @@
 
 use knapweedrill_derive::message;
 
-use crate::common::{Attempt, Incarnation, JobId};
+use crate::common::{Attempt, Generation, Incarnation, JobId};
 use crate::job::{TaskId, TaskOutcome};
 
 /// A task that was handed out on a session that broke.
@@ -13,6 +13,8 @@
 pub struct TaskInDoubt {
     /// The task.
     pub task: TaskId,
+    /// Which of the owner's tokens the job came under.
+    pub generation: Generation,
     /// The attempt that is in doubt.
     pub attempt: Attempt,
 }
