feat(wire): carry frames over TCP and datagrams over UDP

Frames are postcard behind a u32 length, bounded at 16 MiB, the first of a connection at 4 KiB. The read buffer grows with what arrives, not with the length that is claimed. A malformed frame closes its connection and is counted; a malformed datagram is dropped and counted. Each connection has a reader and a writer thread; the writer hands all that waits to the kernel in one call. A full queue closes the link, since a session must not lose a single frame. Inbound connections and dials under way are bounded.

--- a/knapweedrill_wire/src/lib.rs
+++ b/knapweedrill_wire/src/lib.rs
@@ -1,1 +1,20 @@
 //! Codec, framing and link threads between the processes of knapweedrill.
+//!
+//! [`Links`] carries frames over TCP and [`Datagrams`] carries heartbeats over UDP. Neither knows
+//! what the messages mean: sessions and membership are decided by the state machines of the
+//! library `knapweedrill`.
+
+mod codec;
+mod counters;
+mod datagrams;
+mod links;
+
+pub use codec::{
+    CodecError, DATAGRAM_LENGTH_MAX_BYTES, FIRST_FRAME_LENGTH_MAX_BYTES, FRAME_HEADER_BYTES,
+    FRAME_LENGTH_MAX_BYTES, decode_datagram, decode_frame, encode_datagram, encode_frame,
+    read_frame,
+};
+pub use counters::{DatagramCounts, LinkCounts};
+pub use datagrams::Datagrams;
+pub use knapweedrill::link::LinkNumber;
+pub use links::{LinkEvent, LinkSettings, Links};
