--- /dev/null
+++ b/knapweedrill_lab/src/command/minion.rs
@@ -0,0 +1,67 @@
+//! The subcommand `minion`.
+
+use std::net::SocketAddr;
+
+use eyre::{Result, WrapErr, ensure, eyre};
+use knapweedrill_lab::stand_in::minion::{MinionOptions, MinionStandIn};
+use lexopt::{Arg, ValueExt};
+
+use super::termination;
+
+#[derive(Debug, Default)]
+struct Arguments {
+    listen: Option<SocketAddr>,
+    sidecar: Option<SocketAddr>,
+    service: Option<String>,
+    slots: Option<u32>,
+    speed_percent: Option<u32>,
+}
+
+/// Serves as a minion until the process is asked to end.
+///
+/// # Errors
+///
+/// Returns an error if the arguments are wrong or the address can't be bound.
+pub(super) fn run(parser: lexopt::Parser) -> Result<()> {
+    let options = parse(parser)?.into_options()?;
+    let _minion = MinionStandIn::start(options).wrap_err("the minion can't listen")?;
+    Ok(termination::wait()?)
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Arguments> {
+    let mut arguments = Arguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("listen") => arguments.listen = Some(parser.value()?.parse()?),
+            Arg::Long("sidecar") => arguments.sidecar = Some(parser.value()?.parse()?),
+            Arg::Long("service") => arguments.service = Some(parser.value()?.string()?),
+            Arg::Long("slots") => arguments.slots = Some(parser.value()?.parse()?),
+            Arg::Long("speed-percent") => arguments.speed_percent = Some(parser.value()?.parse()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(arguments)
+}
+
+impl Arguments {
+    fn into_options(self) -> Result<MinionOptions> {
+        let listen = self
+            .listen
+            .ok_or_else(|| eyre!("--listen ADDRESS is missing"))?;
+        let sidecar = self
+            .sidecar
+            .ok_or_else(|| eyre!("--sidecar ADDRESS is missing"))?;
+        let service = self
+            .service
+            .ok_or_else(|| eyre!("--service NAME is missing"))?;
+        let mut options = MinionOptions::new(listen, sidecar, service);
+        if let Some(slots) = self.slots {
+            options = options.slots(slots);
+        }
+        if let Some(speed_percent) = self.speed_percent {
+            ensure!(speed_percent > 0, "--speed-percent must be above 0");
+            options = options.speed_percent(speed_percent);
+        }
+        Ok(options)
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -0,0 +1,35 @@
+//! The subcommands.
+
+mod log;
+mod minion;
+mod termination;
+
+use eyre::{Result, bail};
+use lexopt::Arg;
+
+const USAGE: &str = "\
+usage: knapweedrill-lab COMMAND
+
+commands:
+  log --listen ADDRESS [--retention-records N]
+      serves an append-only log
+  minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
+      serves as a minion beside a sidecar";
+
+/// Runs the subcommand that the arguments name.
+///
+/// # Errors
+///
+/// Returns an error if the arguments are wrong or the subcommand fails.
+pub(crate) fn run(mut parser: lexopt::Parser) -> Result<()> {
+    match parser.next()? {
+        Some(Arg::Value(name)) if name == "log" => log::run(parser),
+        Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
+        Some(Arg::Short('h') | Arg::Long("help")) => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        Some(other) => Err(other.unexpected().into()),
+        None => bail!("a command is missing\n{USAGE}"),
+    }
+}
--- a/knapweedrill_lab/src/main.rs
+++ b/knapweedrill_lab/src/main.rs
@@ -1,3 +1,15 @@
-//! Stand-ins, load tool and failure tests for knapweedrill.
+//! The program `knapweedrill-lab`: stand-ins for what surrounds the system.
 
-fn main() {}
+mod command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match command::run(lexopt::Parser::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("knapweedrill-lab: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
