--- a/knapweedrill/src/contract/mod.rs
+++ b/knapweedrill/src/contract/mod.rs
@@ -2,6 +2,7 @@
 
 mod class;
 mod configuration;
+mod fair_share;
 mod owner_token;
 mod roster;
 
@@ -9,5 +10,6 @@
 pub use configuration::{
     Configuration, ConfigurationRecord, ConfigurationVersion, Kind, Limits, Service, Team,
 };
+pub use fair_share::{FairShare, Flow, Rank};
 pub use owner_token::{OwnerToken, OwnerTokenError};
 pub use roster::roster_digest;
--- /dev/null
+++ b/knapweedrill/src/entry/queue/mod.rs
@@ -0,0 +1,204 @@
+//! What waits at one entry for one service.
+
+mod flow_queue;
+mod queued_job;
+mod queued_task;
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+use flow_queue::FlowQueue;
+use queued_job::JobTasks;
+
+use crate::common::{Generation, JobId};
+use crate::contract::Flow;
+use crate::job::TaskId;
+use crate::message::Demand;
+
+pub use queued_job::QueuedJob;
+pub use queued_task::QueuedTask;
+
+/// A task taken from the queue, with what a sidecar is told of its job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenTask {
+    /// The team and class.
+    pub flow: Flow,
+    /// Which of the entry's tokens the job came under.
+    pub generation: Generation,
+    /// The task.
+    pub task: QueuedTask,
+}
+
+/// The tasks that wait at one entry for one service, by team and class.
+///
+/// Among the jobs of one team and class the one with the least remaining work goes first, with
+/// aging; within a job the longest expected task goes first. Every operation on one task costs
+/// the logarithm of the number of jobs and tasks.
+#[derive(Debug)]
+pub struct TaskQueue {
+    epoch: Instant,
+    flows: BTreeMap<Flow, FlowQueue>,
+    /// The queued jobs; one whose tasks are all handed out stays until it is removed, so that a
+    /// task that comes back finds its place.
+    jobs: HashMap<JobId, JobTasks>,
+    served_number: u64,
+    task_count: u32,
+    payload_bytes: u64,
+    expected_work: Duration,
+}
+
+impl TaskQueue {
+    /// Creates an empty queue.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            epoch: now,
+            flows: BTreeMap::new(),
+            jobs: HashMap::new(),
+            served_number: 0,
+            task_count: 0,
+            payload_bytes: 0,
+            expected_work: Duration::ZERO,
+        }
+    }
+
+    /// Returns how many tasks wait.
+    pub fn task_count(&self) -> u32 {
+        self.task_count
+    }
+
+    /// Returns how many bytes of payload wait.
+    pub fn payload_bytes(&self) -> u64 {
+        self.payload_bytes
+    }
+
+    /// Returns how long all waiting tasks are expected to run on a minion of speed 1.
+    pub fn expected_work(&self) -> Duration {
+        self.expected_work
+    }
+
+    /// Queues a job; a job that is queued already is left as it is.
+    pub fn push_job(&mut self, job: QueuedJob, now: Instant) {
+        if self.jobs.contains_key(&job.job) {
+            return;
+        }
+        let mut tasks = JobTasks {
+            flow: job.flow.clone(),
+            generation: job.generation,
+            arrived: now.saturating_duration_since(self.epoch),
+            remaining: Duration::ZERO,
+            tasks: BinaryHeap::with_capacity(job.tasks.len()),
+        };
+        for task in job.tasks {
+            self.count_in(&task);
+            tasks.push(task);
+        }
+        self.flow_mut(&job.flow).enter(job.job, &tasks);
+        self.jobs.insert(job.job, tasks);
+    }
+
+    /// Takes the next task of a team and class whose job's generation is eligible.
+    pub fn take(
+        &mut self,
+        flow: &Flow,
+        is_eligible: impl Fn(Generation) -> bool,
+    ) -> Option<TakenTask> {
+        let job = self
+            .flows
+            .get(flow)?
+            .jobs()
+            .find(|job| is_eligible(self.jobs[job].generation))?;
+        self.take_of(job)
+    }
+
+    /// Takes the next task of the most urgent class, from the teams in turn.
+    pub fn take_any(&mut self, is_eligible: impl Fn(Generation) -> bool) -> Option<TakenTask> {
+        let flow = self
+            .flows
+            .iter()
+            .filter(|(_, queue)| queue.task_count(&is_eligible) > 0)
+            .min_by_key(|(flow, queue)| (flow.class, queue.served_number))
+            .map(|(flow, _)| flow.clone())?;
+        self.take(&flow, is_eligible)
+    }
+
+    fn take_of(&mut self, job: JobId) -> Option<TakenTask> {
+        let tasks = self.jobs.get_mut(&job)?;
+        let queue = self.flows.get_mut(&tasks.flow)?;
+        queue.leave(job, tasks);
+        let task = tasks.pop()?;
+        queue.enter(job, tasks);
+        self.served_number += 1;
+        queue.served_number = self.served_number;
+        let taken = TakenTask {
+            flow: tasks.flow.clone(),
+            generation: tasks.generation,
+            task,
+        };
+        self.count_out(&taken.task);
+        Some(taken)
+    }
+
+    /// Puts a task back that was fenced; its attempt counts one more.
+    ///
+    /// Returns whether the job is still queued; otherwise the task is dropped.
+    pub fn push_back(&mut self, mut task: QueuedTask) -> bool {
+        let job = task.task.job;
+        let Some(tasks) = self.jobs.get_mut(&job) else {
+            return false;
+        };
+        let queue = self.flows.entry(tasks.flow.clone()).or_default();
+        queue.leave(job, tasks);
+        task.attempt += 1;
+        let counted = (task.payload.len() as u64, task.expected);
+        tasks.push(task);
+        queue.enter(job, tasks);
+        self.task_count += 1;
+        self.payload_bytes += counted.0;
+        self.expected_work += counted.1;
+        true
+    }
+
+    /// Removes a job that has ended, and returns its tasks that were never handed out again.
+    pub fn remove_job(&mut self, job: JobId) -> Vec<TaskId> {
+        let Some(tasks) = self.jobs.remove(&job) else {
+            return Vec::new();
+        };
+        if let Some(queue) = self.flows.get_mut(&tasks.flow) {
+            queue.leave(job, &tasks);
+        }
+        self.task_count -= tasks.tasks.len() as u32;
+        self.payload_bytes -= tasks.payload_bytes();
+        self.expected_work = self.expected_work.saturating_sub(tasks.remaining);
+        tasks.tasks.iter().map(|task| task.0.task).collect()
+    }
+
+    /// Returns what the entry would run on a minion that may run the eligible generations.
+    pub fn demands(&self, is_eligible: impl Fn(Generation) -> bool) -> Vec<Demand> {
+        self.flows
+            .iter()
+            .map(|(flow, queue)| Demand {
+                team: flow.team.clone(),
+                class: flow.class,
+                task_count: queue.task_count(&is_eligible),
+                expected: queue.longest(),
+            })
+            .filter(|demand| demand.task_count > 0)
+            .collect()
+    }
+
+    fn flow_mut(&mut self, flow: &Flow) -> &mut FlowQueue {
+        self.flows.entry(flow.clone()).or_default()
+    }
+
+    fn count_in(&mut self, task: &QueuedTask) {
+        self.task_count += 1;
+        self.payload_bytes += task.payload.len() as u64;
+        self.expected_work += task.expected;
+    }
+
+    fn count_out(&mut self, task: &QueuedTask) {
+        self.task_count -= 1;
+        self.payload_bytes -= task.payload.len() as u64;
+        self.expected_work = self.expected_work.saturating_sub(task.expected);
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/sidecar/arbiter/demands.rs
@@ -0,0 +1,96 @@
+//! What the entries would run.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use crate::common::Incarnation;
+use crate::contract::Flow;
+use crate::message::Demand;
+
+/// The waiting tasks of one flow.
+#[derive(Debug, Default)]
+struct FlowDemand {
+    /// The tasks that wait at each entry and have no credit yet; never zero.
+    entries: BTreeMap<Incarnation, u32>,
+    /// The entry that was served last.
+    last_served: Option<Incarnation>,
+}
+
+/// What the entries would run, without what they have credits for.
+#[derive(Debug, Default)]
+pub(super) struct Demands {
+    flows: BTreeMap<Flow, FlowDemand>,
+}
+
+impl Demands {
+    /// Replaces all that `entry` demanded; `covered_count` tells its credits for a flow.
+    pub(super) fn replace(
+        &mut self,
+        entry: Incarnation,
+        demands: Vec<Demand>,
+        covered_count: impl Fn(&Flow) -> u32,
+    ) {
+        self.remove_entry(entry);
+        for demand in demands {
+            let flow = Flow::new(demand.team, demand.class);
+            let task_count = demand.task_count.saturating_sub(covered_count(&flow));
+            if task_count > 0 {
+                let flow_demand = self.flows.entry(flow).or_default();
+                flow_demand.entries.insert(entry, task_count);
+            }
+        }
+        self.flows
+            .retain(|_, flow_demand| !flow_demand.entries.is_empty());
+    }
+
+    /// Drops all that `entry` demanded.
+    pub(super) fn remove_entry(&mut self, entry: Incarnation) {
+        for flow_demand in self.flows.values_mut() {
+            flow_demand.entries.remove(&entry);
+        }
+    }
+
+    /// Returns the flows with waiting tasks.
+    pub(super) fn flows(&self) -> impl Iterator<Item = &Flow> {
+        self.flows
+            .iter()
+            .filter(|(_, flow_demand)| !flow_demand.entries.is_empty())
+            .map(|(flow, _)| flow)
+    }
+
+    /// Returns how many tasks of a flow wait at all entries.
+    pub(super) fn task_count(&self, flow: &Flow) -> u32 {
+        self.flows
+            .get(flow)
+            .map_or(0, |flow_demand| flow_demand.entries.values().sum())
+    }
+
+    /// Takes one task off what `entry` demands of a flow.
+    pub(super) fn take_from(&mut self, entry: Incarnation, flow: &Flow) {
+        let Some(flow_demand) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if let Some(task_count) = flow_demand.entries.get_mut(&entry) {
+            *task_count -= 1;
+            if *task_count == 0 {
+                flow_demand.entries.remove(&entry);
+            }
+        }
+    }
+
+    /// Takes one task of a flow, from the entries in turn.
+    pub(super) fn take(&mut self, flow: &Flow) -> Option<Incarnation> {
+        let flow_demand = self.flows.get_mut(flow)?;
+        let after = flow_demand
+            .last_served
+            .map_or(Bound::Unbounded, Bound::Excluded);
+        let (&entry, _) = flow_demand
+            .entries
+            .range((after, Bound::Unbounded))
+            .next()
+            .or_else(|| flow_demand.entries.first_key_value())?;
+        flow_demand.last_served = Some(entry);
+        self.take_from(entry, flow);
+        Some(entry)
+    }
+}
