--- a/knapweedrill/src/entry/caller.rs
+++ b/knapweedrill/src/entry/caller.rs
@@ -73,9 +73,9 @@
     /// Returns the token that the request carries.
     pub fn token(&self) -> OwnerToken {
         match self {
-            Self::Submit { token, .. } | Self::Status { token, .. } | Self::Cancel { token, .. } => {
-                *token
-            }
+            Self::Submit { token, .. }
+            | Self::Status { token, .. }
+            | Self::Cancel { token, .. } => *token,
         }
     }
 
--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -8,8 +8,8 @@
 use crate::message::{Message, Role, RosterNotice, SlotReport};
 use crate::minion::{Announcement, MinionState};
 
-use super::dispatch::ServiceWork;
-use super::hand_over::Stopping;
+use super::dispatch::{Batches, ServiceWork};
+use super::hand_over::{IncomingKeys, Stopping};
 use super::key_table::KeyTable;
 use super::live_job::LiveJob;
 use super::relay::Relays;
@@ -38,6 +38,10 @@
     pub(super) relays: Relays,
     pub(super) timers: Timers,
     pub(super) stopping: Option<Stopping>,
+    /// The keys that are being taken over.
+    pub(super) incoming: BTreeMap<Incarnation, IncomingKeys>,
+    /// Tasks on their way to sidecars.
+    pub(super) batches: Batches,
 }
 
 impl Entry {
@@ -58,6 +62,8 @@
             relays: Relays::default(),
             timers: Timers::default(),
             stopping: None,
+            incoming: BTreeMap::new(),
+            batches: Batches::new(),
         }
     }
 
@@ -251,12 +257,7 @@
         self.update_roster(sidecar, now, actions);
     }
 
-    fn lose_minion(
-        &mut self,
-        sidecar: Incarnation,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
+    fn lose_minion(&mut self, sidecar: Incarnation, now: Instant, actions: &mut Vec<EntryAction>) {
         if let Some(view) = self.sidecars.get_mut(&sidecar) {
             view.is_heard = false;
         }
@@ -330,6 +331,9 @@
         self.run_timers(now, actions);
         self.lose_overdue_sidecars(now, actions);
         self.advance_relays(now, actions);
+        for keys in self.relays.adopted.values_mut() {
+            keys.expire(self.settings.kept_keys, now);
+        }
     }
 
     /// Answers a requester, wherever it is.
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -196,12 +196,7 @@
         self.send_batches(now, actions);
     }
 
-    fn dispatch_service(
-        &mut self,
-        service: &str,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
+    fn dispatch_service(&mut self, service: &str, now: Instant, actions: &mut Vec<EntryAction>) {
         for sidecar in self.free_sidecars(service) {
             while self.free_count(sidecar) > 0 {
                 let Some(taken) = self.take_queued(sidecar, None) else {
--- a/knapweedrill/src/entry/hand_over.rs
+++ b/knapweedrill/src/entry/hand_over.rs
@@ -1,6 +1,5 @@
 //! The planned stop of an entry, and taking over the keys of one that stops.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
 use knapweedrill_derive::value;
@@ -10,9 +9,9 @@
 use crate::job::Failure;
 use crate::message::{HandOver, KeptKey, KeptState, Message};
 
+use super::EntryAction;
 use super::core::Entry;
 use super::key_table::KeyTable;
-use super::EntryAction;
 
 /// How many bytes of answers one part of the keys holds, roughly.
 const PART_BYTES: usize = 1 << 20;
@@ -64,9 +63,6 @@
                 self.fail_live_jobs(now, actions);
                 self.begin_hand_over(actions);
             }
-            StopPhase::HandingOver { successor, .. } if !self.entries.contains(successor) => {
-                self.begin_hand_over(actions);
-            }
             StopPhase::HandingOver {
                 part_count,
                 taken_count,
@@ -119,6 +115,16 @@
         });
     }
 
+    /// Starts the hand-over anew if its successor's session broke.
+    pub(super) fn restart_hand_over(&mut self, entry: Incarnation) {
+        let is_broken = self.stopping.as_ref().is_some_and(|stopping| {
+            matches!(stopping.phase, StopPhase::HandingOver { successor, .. } if successor == entry)
+        });
+        if is_broken {
+            self.set_phase(StopPhase::Finishing);
+        }
+    }
+
     fn successor(&self) -> Option<Incarnation> {
         self.entries
             .iter()
@@ -163,13 +169,19 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        let keys = self.incoming.entry(part.from).or_insert_with(|| {
-            KeyTable::new(self.settings.answer_bytes, self.settings.key_count)
-        });
-        keys.set_expired_up_to(part.expired_up_to);
-        for key in part.keys {
-            keys.insert(key.generation, key.job, key.content_hash, key.state, now);
+        if part.part == 0 {
+            let keys = KeyTable::new(self.settings.answer_bytes, self.settings.key_count);
+            self.incoming
+                .insert(part.from, IncomingKeys { keys, next_part: 0 });
         }
+        // A missing part would make a key look unused, so the parts are taken in order only.
+        let Some(incoming) = self.incoming.get_mut(&part.from) else {
+            return;
+        };
+        if incoming.next_part != part.part {
+            return;
+        }
+        incoming.take(&part, now);
         actions.push(EntryAction::Send {
             peer,
             message: Message::HandOverTaken {
@@ -184,7 +196,7 @@
 
     /// Answers for a stopped entry's tokens from now on, and tells the other entries.
     fn adopt(&mut self, stopped: Incarnation, actions: &mut Vec<EntryAction>) {
-        let Some(keys) = self.incoming.remove(&stopped) else {
+        let Some(IncomingKeys { keys, .. }) = self.incoming.remove(&stopped) else {
             return;
         };
         actions.push(EntryAction::Record(EventKind::KeysTakenOver {
@@ -207,7 +219,9 @@
     let mut part_bytes = 0;
     for key in keys {
         let key_bytes = size_bytes(&key);
-        let is_full = parts.last().is_some_and(|part| part.len() >= PART_KEY_COUNT)
+        let is_full = parts
+            .last()
+            .is_some_and(|part| part.len() >= PART_KEY_COUNT)
             || part_bytes + key_bytes > PART_BYTES;
         if is_full {
             parts.push(Vec::new());
@@ -228,5 +242,21 @@
     }
 }
 
-/// The keys that are being taken over from entries that stop.
-pub(super) type IncomingKeys = BTreeMap<Incarnation, KeyTable>;
+/// The keys that are being taken over from an entry that stops.
+#[value]
+pub(super) struct IncomingKeys {
+    keys: KeyTable,
+    next_part: u32,
+}
+
+impl IncomingKeys {
+    fn take(&mut self, part: &HandOver, now: Instant) {
+        self.next_part += 1;
+        self.keys.set_expired_up_to(part.expired_up_to);
+        for key in &part.keys {
+            let state = key.state.clone();
+            self.keys
+                .insert(key.generation, key.job, key.content_hash, state, now);
+        }
+    }
+}
--- a/knapweedrill/src/entry/live_job.rs
+++ b/knapweedrill/src/entry/live_job.rs
@@ -6,7 +6,9 @@
 use smallvec::SmallVec;
 
 use super::Requester;
-use crate::common::{Attempt, Generation, Incarnation, JobId, KindName, TaskIndex, TeamName};
+use crate::common::{
+    Attempt, Generation, Incarnation, JobId, KindName, ServiceName, TaskIndex, TeamName,
+};
 use crate::contract::Class;
 
 /// A job that has not ended, at the entry that owns it.
@@ -16,6 +18,7 @@
     pub(super) generation: Generation,
     pub(super) team: TeamName,
     pub(super) kind: KindName,
+    pub(super) service: ServiceName,
     pub(super) class: Class,
     pub(super) deadline_at: Instant,
     pub(super) tasks: Vec<LiveTask>,
@@ -30,9 +33,7 @@
 /// A task of a live job.
 #[value]
 pub(super) struct LiveTask {
-    pub(super) payload: Vec<u8>,
     pub(super) hint: Option<Duration>,
-    pub(super) expected: Duration,
     pub(super) attempt: Attempt,
     pub(super) state: LiveTaskState,
 }
@@ -107,9 +108,4 @@
         sidecars.dedup();
         sidecars
     }
-
-    /// Returns the payload bytes of the tasks that have not ended.
-    pub(super) fn payload_bytes(&self) -> usize {
-        self.tasks.iter().map(|task| task.payload.len()).sum()
-    }
 }
--- a/knapweedrill/src/entry/relay.rs
+++ b/knapweedrill/src/entry/relay.rs
@@ -276,6 +276,7 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
+        self.restart_hand_over(entry);
         let (lost, kept) = std::mem::take(&mut self.relays.sent)
             .into_iter()
             .partition(|(_, sent)| sent.entry == entry);
--- a/knapweedrill/src/entry/sidecar_view.rs
+++ b/knapweedrill/src/entry/sidecar_view.rs
@@ -5,7 +5,8 @@
 
 use knapweedrill_derive::value;
 
-use crate::common::{Attempt, Generation};
+use super::queue::QueuedTask;
+use crate::common::Generation;
 use crate::job::TaskId;
 use crate::message::{Demand, SlotReport, TaskInDoubt};
 use crate::minion::{Announcement, MinionState};
@@ -33,10 +34,10 @@
 
 /// An attempt that is with a sidecar.
 #[value]
-#[derive(Copy)]
 pub(super) struct OutTask {
-    pub(super) attempt: Attempt,
     pub(super) generation: Generation,
+    /// The task, to be queued again if it comes back fenced.
+    pub(super) queued: QueuedTask,
 }
 
 impl SidecarView {
@@ -68,6 +69,11 @@
         self.report.free_count.saturating_sub(unseen)
     }
 
+    /// Returns the speed in per cent of that of a minion of speed 1.
+    pub(super) fn speed_percent(&self) -> u32 {
+        self.report.speed_percent
+    }
+
     /// Notes that a session opened.
     pub(super) fn session_opened(&mut self) {
         self.is_up = true;
@@ -91,7 +97,7 @@
             .map(|(task, out)| TaskInDoubt {
                 task: *task,
                 generation: out.generation,
-                attempt: out.attempt,
+                attempt: out.queued.attempt,
             })
             .collect()
     }
--- a/knapweedrill/src/entry/submit.rs
+++ b/knapweedrill/src/entry/submit.rs
@@ -7,12 +7,13 @@
 use crate::common::{Generation, JobId};
 use crate::contract::OwnerToken;
 use crate::event::EventKind;
-use crate::job::{Failure, JobSpec, Refusal};
+use crate::job::{Failure, JobSpec, Refusal, TaskId};
 use crate::message::KeptState;
 
 use super::core::Entry;
 use super::key_table::Lookup;
 use super::live_job::{LiveJob, LiveTask, LiveTaskState, Waiter};
+use super::queue::QueuedTask;
 use super::timers::Timer;
 use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, Requester};
 
@@ -155,9 +156,10 @@
             token,
             task_count: u32::try_from(spec.tasks.len()).unwrap_or(u32::MAX),
         }));
+        let tasks = self.queued_tasks(job, &spec);
         let live = self.live_job(job, token.generation, spec, now);
         self.timers.set(live.deadline_at, Timer::Deadline { job });
-        self.enqueue(&live, now);
+        self.enqueue(&live, tasks, now);
         self.jobs.insert(job, live);
         self.attach(requester, job, wait, now, actions);
     }
@@ -245,13 +247,23 @@
             .map(|retry_after| (Refusal::Overloaded, Some(retry_after)))
     }
 
-    fn live_job(
-        &self,
-        job: JobId,
-        generation: Generation,
-        spec: JobSpec,
-        now: Instant,
-    ) -> LiveJob {
+    fn queued_tasks(&self, job: JobId, spec: &JobSpec) -> Vec<QueuedTask> {
+        (0..)
+            .zip(&spec.tasks)
+            .map(|(index, task)| QueuedTask {
+                task: TaskId {
+                    owner: self.incarnation,
+                    job,
+                    index,
+                },
+                attempt: 0,
+                expected: self.expected_run_time(&spec.kind, task.hint),
+                payload: task.payload.clone(),
+            })
+            .collect()
+    }
+
+    fn live_job(&self, job: JobId, generation: Generation, spec: JobSpec, now: Instant) -> LiveJob {
         let kind = self.configuration.kind(&spec.kind);
         let limits = &self.configuration.limits;
         let deadline = spec
@@ -265,10 +277,8 @@
             .unwrap_or_default();
         let tasks = spec
             .tasks
-            .into_iter()
+            .iter()
             .map(|task| LiveTask {
-                expected: self.expected_run_time(&spec.kind, task.hint),
-                payload: task.payload,
                 hint: task.hint,
                 attempt: 0,
                 state: LiveTaskState::Queued,
@@ -278,6 +288,7 @@
             job,
             generation,
             team: spec.team,
+            service: kind.map(|kind| kind.service.clone()).unwrap_or_default(),
             kind: spec.kind,
             class,
             deadline_at: now + deadline,
@@ -383,10 +394,9 @@
 
 fn note_end(job: JobId, state: &KeptState, actions: &mut Vec<EntryAction>) {
     let (counter, event) = match state {
-        KeptState::Complete { .. } | KeptState::CompleteEvicted => (
-            EntryCounter::JobCompleted,
-            EventKind::JobCompleted { job },
-        ),
+        KeptState::Complete { .. } | KeptState::CompleteEvicted => {
+            (EntryCounter::JobCompleted, EventKind::JobCompleted { job })
+        }
         KeptState::Failed { failure } => (
             EntryCounter::JobFailed,
             EventKind::JobFailed {
--- a/knapweedrill/src/entry/tasks.rs
+++ b/knapweedrill/src/entry/tasks.rs
@@ -8,6 +8,7 @@
 
 use super::core::Entry;
 use super::live_job::LiveTaskState;
+use super::queue::QueuedTask;
 use super::timers::Timer;
 use super::{EntryAction, EntryCounter};
 
@@ -63,32 +64,36 @@
         }
     }
 
-    /// Takes a task off the sidecar's list, and returns whether it is one the job waits for.
+    /// Takes a task off the sidecar's list, and returns it if its job waits for it.
     fn take_back(
         &mut self,
         sidecar: Incarnation,
         task: TaskId,
         attempt: Attempt,
         actions: &mut Vec<EntryAction>,
-    ) -> bool {
-        let was_out = self.sidecars.get_mut(&sidecar).is_some_and(|view| {
-            let is_same = view
-                .out
-                .get(&task)
-                .is_some_and(|out| out.attempt == attempt);
-            if is_same {
-                view.out.remove(&task);
-            }
-            is_same
-        });
-        let is_awaited = was_out && task.owner == self.incarnation && self.is_out(task, attempt);
-        if is_awaited && let Some(live) = self.jobs.get_mut(&task.job) {
+    ) -> Option<QueuedTask> {
+        let taken = self.take_off(sidecar, task, attempt);
+        if taken.is_none() || !self.is_out(task, attempt) {
+            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+            return None;
+        }
+        if let Some(live) = self.jobs.get_mut(&task.job) {
             live.out_count -= 1;
         }
-        if !is_awaited {
-            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+        taken
+    }
+
+    fn take_off(
+        &mut self,
+        sidecar: Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+    ) -> Option<QueuedTask> {
+        let out = &mut self.sidecars.get_mut(&sidecar)?.out;
+        if out.get(&task)?.queued.attempt != attempt {
+            return None;
         }
-        is_awaited
+        out.remove(&task).map(|out| out.queued)
     }
 
     fn is_out(&mut self, task: TaskId, attempt: Attempt) -> bool {
@@ -111,7 +116,7 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        if !self.take_back(sidecar, task, attempt, actions) {
+        if self.take_back(sidecar, task, attempt, actions).is_none() {
             return;
         }
         self.learn(sidecar, task, &outcome, run_time, now);
@@ -154,13 +159,13 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        if !self.take_back(sidecar, task, attempt, actions) {
+        let Some(queued) = self.take_back(sidecar, task, attempt, actions) else {
             return;
-        }
+        };
         actions.push(EntryAction::Count(EntryCounter::NotStarted));
         match reason {
             NotStarted::NoSlot | NotStarted::NoMinion | NotStarted::Cancelled => {
-                self.requeue(task, now);
+                self.requeue(queued);
             }
             NotStarted::JobFenced => {
                 // Another entry has settled the job's fate without this one.
@@ -178,7 +183,7 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        if !self.take_back(sidecar, task, attempt, actions) {
+        if self.take_back(sidecar, task, attempt, actions).is_none() {
             return;
         }
         if let Some(live) = self.jobs.get_mut(&task.job) {
@@ -205,12 +210,7 @@
         }
     }
 
-    fn lose_sidecar(
-        &mut self,
-        sidecar: Incarnation,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
+    fn lose_sidecar(&mut self, sidecar: Incarnation, now: Instant, actions: &mut Vec<EntryAction>) {
         let Some(view) = self.sidecars.get(&sidecar) else {
             return;
         };
--- a/knapweedrill/src/message/relay.rs
+++ b/knapweedrill/src/message/relay.rs
@@ -46,6 +46,8 @@
     pub part: u32,
     /// Whether it is the last part.
     pub is_last: bool,
+    /// The newest generation whose keys the stopping entry has dropped.
+    pub expired_up_to: Option<Generation>,
     /// The keys.
     pub keys: Vec<KeptKey>,
 }
--- a/knapweedrill/src/sidecar/core.rs
+++ b/knapweedrill/src/sidecar/core.rs
@@ -12,7 +12,7 @@
 };
 use crate::minion::MinionState;
 
-use super::arbiter::{Offer, SlotArbiter};
+use super::arbiter::{ArbiterSettings, Offer, SlotArbiter};
 use super::ended_tasks::{EndedTask, EndedTasks};
 use super::{
     MinionContact, MinionNotice, RunResult, SidecarAction, SidecarCounter, SidecarEvent,
@@ -37,7 +37,6 @@
 
 /// A task that runs on the minion.
 struct RunningTask {
-    entry: Incarnation,
     attempt: Attempt,
     generation: Generation,
 }
@@ -52,8 +51,12 @@
 
 impl Sidecar {
     /// Creates a sidecar that has heard of no minion yet.
-    pub fn new(incarnation: Incarnation, settings: SidecarSettings, now: Instant) -> Self {
-        let arbiter = SlotArbiter::new(settings.prefetch_count, now);
+    pub fn new(incarnation: Incarnation, settings: SidecarSettings) -> Self {
+        let arbiter = SlotArbiter::new(ArbiterSettings {
+            slot_count: 0,
+            prefetch_count: settings.prefetch_count,
+            ..ArbiterSettings::default()
+        });
         Self {
             incarnation,
             settings,
@@ -70,12 +73,7 @@
     /// Takes in one event.
     ///
     /// The embedding process calls [`Sidecar::flush`] after the events at hand.
-    pub fn handle(
-        &mut self,
-        event: SidecarEvent,
-        now: Instant,
-        actions: &mut Vec<SidecarAction>,
-    ) {
+    pub fn handle(&mut self, event: SidecarEvent, now: Instant, actions: &mut Vec<SidecarAction>) {
         match event {
             SidecarEvent::Minion(notice) => self.hear_minion(notice, now, actions),
             SidecarEvent::PeerUp { peer } => {
@@ -90,7 +88,7 @@
                 run_time,
             } => self.end_call(task, attempt, result, run_time, now, actions),
             SidecarEvent::Configured(configuration) => {
-                self.arbiter.set_teams(&configuration.teams, now);
+                self.arbiter.set_teams(&configuration.teams);
             }
             SidecarEvent::Tick => self.tick(now, actions),
             SidecarEvent::Stop => self.stop(now, actions),
@@ -127,7 +125,7 @@
     }
 
     fn common_report(&self, now: Instant) -> SlotReport {
-        let mut report = self.arbiter.report(now);
+        let mut report = self.arbiter.report(self.speed_percent());
         if !self.takes_work(now) {
             report.free_count = 0;
         }
@@ -153,6 +151,12 @@
         self.minion.notice()
     }
 
+    fn speed_percent(&self) -> u32 {
+        self.minion
+            .notice()
+            .map_or(0, |notice| notice.speed_hint_percent)
+    }
+
     /// Returns how many tasks run.
     pub fn running_count(&self) -> usize {
         self.running.len()
@@ -173,7 +177,7 @@
         now: Instant,
         actions: &mut Vec<SidecarAction>,
     ) {
-        self.arbiter.set_slots(notice.slots, now);
+        self.arbiter.set_slot_count(notice.slots);
         self.minion.heard(notice, now);
         self.note_state(now, actions);
     }
@@ -191,10 +195,7 @@
     }
 
     fn note_state(&mut self, now: Instant, actions: &mut Vec<SidecarAction>) {
-        let Some(state) = self
-            .minion
-            .changed_state(self.settings.minion_silence, now)
-        else {
+        let Some(state) = self.minion.changed_state(self.settings.minion_silence, now) else {
             return;
         };
         actions.push(SidecarAction::AnnounceNow);
@@ -209,8 +210,8 @@
 
     /// Gives back what was accepted and has not started.
     fn refuse_pending(&mut self, now: Instant) {
-        for (entry, start) in self.arbiter.drain_pending(now) {
-            self.report_not_started(entry, &start, NotStarted::NoMinion);
+        for start in self.arbiter.drain(now) {
+            self.report_not_started(&start, NotStarted::NoMinion);
         }
     }
 
@@ -239,14 +240,14 @@
                 }
             }
             Message::Cancel(job) => {
-                for (entry, start) in self.arbiter.cancel(job, now) {
-                    self.report_not_started(entry, &start, NotStarted::Cancelled);
+                for start in self.arbiter.cancel(job, now) {
+                    self.report_not_started(&start, NotStarted::Cancelled);
                 }
                 actions.push(SidecarAction::Abandon(job));
             }
             Message::Reconcile(tasks) => self.reconcile(peer, &tasks, actions),
             Message::ReturnCredit(task_count) => {
-                self.arbiter.return_credit(peer, task_count, now);
+                self.arbiter.return_credits(peer, task_count, now);
             }
             Message::Fence { token, job } => {
                 let report = self.fence(token.incarnation, token.generation, job, now, actions);
@@ -266,10 +267,12 @@
         now: Instant,
         actions: &mut Vec<SidecarAction>,
     ) {
-        if self
-            .memory
-            .may_have_started(start.task, start.generation)
-        {
+        if start.task.owner != entry {
+            // Only the owner of a job hands out its tasks.
+            actions.push(SidecarAction::Count(SidecarCounter::Unexpected));
+            return;
+        }
+        if self.memory.may_have_started(start.task, start.generation) {
             // The owner hands a task out again only after a verdict, so this is its error.
             actions.push(SidecarAction::Count(SidecarCounter::StartedBefore));
             return;
@@ -278,33 +281,27 @@
             .memory
             .is_fenced(start.task.owner, start.generation, start.task.job)
         {
-            self.refuse(entry, &start, NotStarted::JobFenced, actions);
+            self.refuse(&start, NotStarted::JobFenced, actions);
             return;
         }
         if !self.takes_work(now) {
-            self.refuse(entry, &start, NotStarted::NoMinion, actions);
+            self.refuse(&start, NotStarted::NoMinion, actions);
             return;
         }
-        match self.arbiter.offer(entry, start, now) {
-            Offer::Run(start) => self.run(entry, start, now, actions),
+        match self.arbiter.offer(start, entry, now) {
+            Offer::Run(start) => self.run(start, now, actions),
             Offer::Wait => {}
-            Offer::Refuse(start) => self.refuse(entry, &start, NotStarted::NoSlot, actions),
+            Offer::Refuse(start) => self.refuse(&start, NotStarted::NoSlot, actions),
         }
     }
 
     fn fill_slots(&mut self, now: Instant, actions: &mut Vec<SidecarAction>) {
-        while let Some((entry, start)) = self.arbiter.next_to_run(now) {
-            self.run(entry, start, now, actions);
+        while let Some(start) = self.arbiter.next_to_run(now) {
+            self.run(start, now, actions);
         }
     }
 
-    fn run(
-        &mut self,
-        entry: Incarnation,
-        start: Start,
-        now: Instant,
-        actions: &mut Vec<SidecarAction>,
-    ) {
+    fn run(&mut self, start: Start, now: Instant, actions: &mut Vec<SidecarAction>) {
         match self.memory.start(start.task, start.generation, now) {
             Ok(()) => {}
             Err(StartRefusal::StartedBefore) => {
@@ -314,14 +311,13 @@
             }
             Err(StartRefusal::JobFenced) => {
                 self.arbiter.ended(start.task, Duration::ZERO, now);
-                self.refuse(entry, &start, NotStarted::JobFenced, actions);
+                self.refuse(&start, NotStarted::JobFenced, actions);
                 return;
             }
         }
         self.running.insert(
             start.task,
             RunningTask {
-                entry,
                 attempt: start.attempt,
                 generation: start.generation,
             },
@@ -334,24 +330,18 @@
         actions.push(SidecarAction::Run(start));
     }
 
-    fn refuse(
-        &mut self,
-        entry: Incarnation,
-        start: &Start,
-        reason: NotStarted,
-        actions: &mut Vec<SidecarAction>,
-    ) {
+    fn refuse(&mut self, start: &Start, reason: NotStarted, actions: &mut Vec<SidecarAction>) {
         actions.push(SidecarAction::Count(SidecarCounter::NotStarted));
         actions.push(SidecarAction::Record(EventKind::TaskFenced {
             task: start.task,
             attempt: start.attempt,
         }));
-        self.report_not_started(entry, start, reason);
+        self.report_not_started(start, reason);
     }
 
-    fn report_not_started(&mut self, entry: Incarnation, start: &Start, reason: NotStarted) {
+    fn report_not_started(&mut self, start: &Start, reason: NotStarted) {
         self.report(
-            entry,
+            start.task.owner,
             TaskReport::NotStarted {
                 task: start.task,
                 attempt: start.attempt,
@@ -388,7 +378,7 @@
                 self.minion.unreachable(now);
                 self.note_state(now, actions);
                 self.report(
-                    running.entry,
+                    task.owner,
                     TaskReport::NotStarted {
                         task,
                         attempt,
@@ -430,7 +420,7 @@
             },
         );
         self.report(
-            running.entry,
+            task.owner,
             TaskReport::Ended {
                 task,
                 attempt,
@@ -474,10 +464,7 @@
                 run_time: ended.run_time,
             };
         }
-        if self
-            .memory
-            .may_have_started(doubt.task, doubt.generation)
-        {
+        if self.memory.may_have_started(doubt.task, doubt.generation) {
             return Verdict::Forgotten;
         }
         Verdict::NeverStarted
@@ -492,8 +479,8 @@
         actions: &mut Vec<SidecarAction>,
     ) -> FenceReport {
         let may_have_started = self.memory.fence(owner, generation, job, now);
-        for (entry, start) in self.arbiter.cancel(job, now) {
-            self.report_not_started(entry, &start, NotStarted::JobFenced);
+        for start in self.arbiter.cancel(job, now) {
+            self.report_not_started(&start, NotStarted::JobFenced);
         }
         actions.push(SidecarAction::Count(SidecarCounter::JobFenced));
         actions.push(SidecarAction::Record(EventKind::JobFenced {
@@ -508,9 +495,9 @@
     }
 
     fn grant_credits(&mut self, now: Instant) {
-        for (entry, credit) in self.arbiter.grant(now) {
-            if let Some(outbox) = self.peers.get_mut(&entry) {
-                outbox.credits.push(credit);
+        for granted in self.arbiter.grant(now) {
+            if let Some(outbox) = self.peers.get_mut(&granted.entry) {
+                outbox.credits.extend(granted.credits);
             }
         }
     }
@@ -532,4 +519,3 @@
         }
     }
 }
-
--- a/knapweedrill/src/sidecar/mod.rs
+++ b/knapweedrill/src/sidecar/mod.rs
@@ -14,3 +14,6 @@
 pub use minion_contact::{MinionContact, MinionNotice};
 pub use settings::SidecarSettings;
 pub use start_memory::{StartMemory, StartRefusal};
+mod arbiter;
+
+pub use arbiter::{ArbiterSettings, EntryCredits, Offer, SlotArbiter};
