--- /dev/null
+++ b/knapweedrill_daemon/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/knapweedrill_daemon/src/telemetry/logs.rs
@@ -0,0 +1,74 @@
+//! Log lines on the standard error stream.
+
+use eyre::{Result, WrapErr as _};
+use log::LevelFilter;
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilter;
+use logforth::layout::{JsonLayout, TextLayout};
+
+/// The least severe level that is written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Faults that an operator has to act on.
+    Error,
+    /// Faults that the process deals with itself.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+}
+
+impl LogLevel {
+    /// Returns the name of the level, as settings write it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        }
+    }
+
+    fn filter(self) -> LevelFilter {
+        match self {
+            Self::Error => LevelFilter::Error,
+            Self::Warn => LevelFilter::Warn,
+            Self::Info => LevelFilter::Info,
+            Self::Debug => LevelFilter::Debug,
+        }
+    }
+}
+
+/// The form of a log line.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text for a reader at a terminal.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Sets the logger of the process up.
+///
+/// # Errors
+///
+/// Returns an error if the process has a logger already.
+pub fn init_logs(level: LogLevel, format: LogFormat) -> Result<()> {
+    let append = match format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch
+                .filter(RustLogFilter::from(level.name()))
+                .append(append)
+        })
+        .try_apply()
+        .wrap_err("cannot set the logger up")?;
+    log::set_max_level(level.filter());
+    Ok(())
+}
