feat(daemon): add peers, calls of the minion and the log of the platform

Cause: the state machines need their edges. Change: link sessions, a pool of call threads and the log behind one trait. Conclusion: not yet started by a process.

--- /dev/null
+++ b/knapweedrill_daemon/src/minion_calls/mod.rs
@@ -0,0 +1,7 @@
+//! The calls of a sidecar to its minion.
+
+mod call;
+mod pool;
+
+pub use call::{ATTEMPT_HEADER, MinionCall, TASK_HEADER};
+pub use pool::CallPool;
--- /dev/null
+++ b/knapweedrill_daemon/src/platform_log/http_log.rs
@@ -0,0 +1,82 @@
+//! The log of the platform over HTTP.
+
+use std::io::ErrorKind as Io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use knapweedrill::common::LogOffset;
+use serde::Deserialize;
+
+use super::{AppendError, LogPage, PlatformLog};
+
+/// How long a connection to the log may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long the log has for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How many records are read at once.
+const PAGE_RECORD_COUNT: u32 = 256;
+
+/// Reaches the log over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    address: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Appended {
+    offset: LogOffset,
+}
+
+impl HttpLog {
+    /// Creates a client of the log at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+}
+
+impl PlatformLog for HttpLog {
+    fn append(&self, body: &str) -> Result<LogOffset, AppendError> {
+        let response = attohttpc::post(format!("http://{}/append", self.address))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(CALL_TIMEOUT)
+            .timeout(CALL_TIMEOUT)
+            .bytes(body.as_bytes())
+            .send()
+            .map_err(|error| append_error(&error))?;
+        if !response.is_success() {
+            let status = response.status();
+            return Err(AppendError::NotAppended(format!("status {status}")));
+        }
+        let bytes = response.bytes().map_err(|error| append_error(&error))?;
+        let appended: Appended = serde_json::from_slice(&bytes)
+            .map_err(|error| AppendError::Unknown(error.to_string()))?;
+        Ok(appended.offset)
+    }
+
+    fn read(&self, from: LogOffset) -> eyre::Result<LogPage> {
+        let url = format!(
+            "http://{}/records?from={from}&max={PAGE_RECORD_COUNT}",
+            self.address
+        );
+        let response = attohttpc::get(url)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(CALL_TIMEOUT)
+            .timeout(CALL_TIMEOUT)
+            .send()?
+            .error_for_status()?;
+        serde_json::from_slice(&response.bytes()?).wrap_err("the log's answer is malformed")
+    }
+}
+
+/// Tells a connection that never came about from an append that may have taken effect.
+fn append_error(error: &attohttpc::Error) -> AppendError {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(io) if io.kind() == Io::ConnectionRefused => {
+            AppendError::NotAppended(error.to_string())
+        }
+        _ => AppendError::Unknown(error.to_string()),
+    }
+}
