feat(link): decide over link sessions in a pure table

Ways weighed: a session of each side's own for every pair of entries, or one dialler for each pair. With two, a pair can be half up, and replies overtake each other on two connections; so the entry with the smaller incarnation dials, and a peer has one session or none.

The dialler numbers the sessions from one rising count. Opening session n closes every earlier one and refuses numbers up to n; frames of a closed connection are dropped and counted. Pings go both ways, a silent connection is closed and dialled anew at once, and failing dials back off with a random part.

--- /dev/null
+++ b/knapweedrill/src/link/table.rs
@@ -0,0 +1,502 @@
+//! The sessions of a process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use knapweedrill_derive::value;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::backoff::backoff;
+use super::state::{DialPhase, DialState, LinkPhase, LinkState, PeerSession};
+use super::{Identity, LinkAction, LinkNumber, LinkTableEvent, SessionSettings, WantedPeer};
+use crate::common::{Incarnation, SessionNumber};
+use crate::message::{Hello, Message, PROTOCOL_VERSION, Role};
+
+/// How many diallers the table remembers the last session of.
+const FENCES_MAX_COUNT: usize = 4096;
+
+/// What the table has dropped or refused.
+#[value]
+#[derive(Copy, Eq, Default)]
+pub struct LinkTableCounts {
+    /// Frames of sessions that were fenced or closed.
+    pub frames_fenced_count: u64,
+    /// Connections closed because of a message that no correct peer sends.
+    pub protocol_errors_count: u64,
+    /// Hellos refused: another version, the wrong process or role, or a fenced session.
+    pub hellos_refused_count: u64,
+    /// Sessions ended because nothing arrived for too long.
+    pub sessions_silent_count: u64,
+    /// Sessions opened.
+    pub sessions_opened_count: u64,
+}
+
+/// Decides over the sessions of a process.
+///
+/// A peer is up while it has an open session, and it never has more than one. A message is
+/// delivered only while its session is open.
+#[derive(Debug)]
+pub struct LinkTable {
+    own: Identity,
+    settings: SessionSettings,
+    rng: StdRng,
+    dials: BTreeMap<Incarnation, DialState>,
+    links: BTreeMap<LinkNumber, LinkState>,
+    /// The link of each open session.
+    open: BTreeMap<Incarnation, LinkNumber>,
+    /// The last session that each dialler has opened.
+    fences: BTreeMap<Incarnation, SessionNumber>,
+    /// One number for all peers, so that the numbers of each pair rise whatever is forgotten.
+    last_session: SessionNumber,
+    counts: LinkTableCounts,
+}
+
+/// What the process calls.
+impl LinkTable {
+    /// Creates a table without sessions; `seed` feeds the random part of waits.
+    pub fn new(own: Identity, settings: SessionSettings, seed: u64) -> Self {
+        Self {
+            own,
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            dials: BTreeMap::new(),
+            links: BTreeMap::new(),
+            open: BTreeMap::new(),
+            fences: BTreeMap::new(),
+            last_session: 0,
+            counts: LinkTableCounts::default(),
+        }
+    }
+
+    /// Keeps a session with the peer from now on, if it is for this process to dial.
+    ///
+    /// Calling it again with another address changes the address of later dials.
+    pub fn want(&mut self, peer: WantedPeer, now: Instant) -> Vec<LinkAction> {
+        let mut actions = Vec::new();
+        if !self.own.dials(peer.incarnation, peer.role) {
+            return actions;
+        }
+        let dial = self.dials.entry(peer.incarnation).or_insert(DialState {
+            peer,
+            phase: DialPhase::Waiting { until: now },
+            failed_count: 0,
+        });
+        dial.peer = peer;
+        self.dial_if_due(peer.incarnation, now, &mut actions);
+        actions
+    }
+
+    /// Closes the session with a peer that was wanted, and dials it no more.
+    pub fn unwant(&mut self, peer: Incarnation, now: Instant) -> Vec<LinkAction> {
+        let mut actions = Vec::new();
+        let Some(dial) = self.dials.remove(&peer) else {
+            return actions;
+        };
+        if let DialPhase::Greeting { link } | DialPhase::Up { link, .. } = dial.phase {
+            self.close(link, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the action that sends a message to a peer, or `None` if the peer is not up.
+    pub fn send(
+        &mut self,
+        peer: Incarnation,
+        message: Message,
+        now: Instant,
+    ) -> Option<LinkAction> {
+        let link = *self.open.get(&peer)?;
+        let state = self.links.get_mut(&link)?;
+        let session = state.phase.session()?.number;
+        state.sent_at = now;
+        Some(LinkAction::Send {
+            link,
+            session,
+            message,
+        })
+    }
+
+    /// Takes an event and returns what is to be done, in order.
+    pub fn handle(&mut self, event: LinkTableEvent, now: Instant) -> Vec<LinkAction> {
+        let mut actions = Vec::new();
+        match event {
+            LinkTableEvent::Opened { link, dialled } => {
+                self.on_opened(link, dialled, now, &mut actions);
+            }
+            LinkTableEvent::Frame {
+                link,
+                session,
+                message,
+            } => self.on_frame(link, session, message, now, &mut actions),
+            LinkTableEvent::Closed { link } => self.forget(link, now, &mut actions),
+            LinkTableEvent::DialFailed { address } => {
+                self.on_dial_failed(address, now, &mut actions);
+            }
+            LinkTableEvent::Tick => self.on_tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// Returns the open session with a peer.
+    pub fn session(&self, peer: Incarnation) -> Option<SessionNumber> {
+        let link = self.open.get(&peer)?;
+        Some(self.links.get(link)?.phase.session()?.number)
+    }
+
+    /// Returns whether a peer has an open session.
+    pub fn is_up(&self, peer: Incarnation) -> bool {
+        self.open.contains_key(&peer)
+    }
+
+    /// Returns the peers that have an open session.
+    pub fn peers(&self) -> impl Iterator<Item = Incarnation> {
+        self.open.keys().copied()
+    }
+
+    /// Returns what was dropped or refused so far.
+    pub fn counts(&self) -> LinkTableCounts {
+        self.counts
+    }
+}
+
+/// Connections.
+impl LinkTable {
+    fn on_opened(
+        &mut self,
+        link: LinkNumber,
+        dialled: Option<SocketAddr>,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        let Some(address) = dialled else {
+            let state = LinkState::new(LinkPhase::AwaitsHello, now);
+            self.links.insert(link, state);
+            return;
+        };
+        match self.dialled_peer(address) {
+            Some(peer) => self.greet(link, peer, now, actions),
+            // The dial timed out before, or the peer is no longer wanted.
+            None => actions.push(LinkAction::Close { link }),
+        }
+    }
+
+    fn dialled_peer(&self, address: SocketAddr) -> Option<Incarnation> {
+        self.dials
+            .values()
+            .find(|dial| {
+                dial.peer.address == address && matches!(dial.phase, DialPhase::Dialling { .. })
+            })
+            .map(|dial| dial.peer.incarnation)
+    }
+
+    fn greet(
+        &mut self,
+        link: LinkNumber,
+        peer: Incarnation,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        self.last_session += 1;
+        let number = self.last_session;
+        let phase = LinkPhase::AwaitsReply(PeerSession { peer, number });
+        self.links.insert(link, LinkState::new(phase, now));
+        self.set_dial_phase(peer, DialPhase::Greeting { link });
+        actions.push(self.hello(link, number));
+    }
+
+    fn hello(&self, link: LinkNumber, session: SessionNumber) -> LinkAction {
+        let hello = Hello {
+            protocol_version: PROTOCOL_VERSION,
+            incarnation: self.own.incarnation,
+            role: self.own.role,
+            name: self.own.name.clone(),
+            session,
+        };
+        LinkAction::Send {
+            link,
+            session,
+            message: Message::Hello(hello),
+        }
+    }
+
+    fn close(&mut self, link: LinkNumber, now: Instant, actions: &mut Vec<LinkAction>) {
+        actions.push(LinkAction::Close { link });
+        self.forget(link, now, actions);
+    }
+
+    /// Forgets a connection that has ended; frames of it are dropped from now on.
+    fn forget(&mut self, link: LinkNumber, now: Instant, actions: &mut Vec<LinkAction>) {
+        let Some(state) = self.links.remove(&link) else {
+            return;
+        };
+        let Some(PeerSession { peer, number }) = state.phase.session() else {
+            return;
+        };
+        if matches!(state.phase, LinkPhase::Open(_)) {
+            self.open.remove(&peer);
+            let session = number;
+            actions.push(LinkAction::PeerDown { peer, session });
+        }
+        if self
+            .dials
+            .get(&peer)
+            .is_some_and(|dial| dial.phase.uses(link))
+        {
+            self.schedule_dial(peer, now);
+            self.dial_if_due(peer, now, actions);
+        }
+    }
+}
+
+/// Dialling.
+impl LinkTable {
+    fn set_dial_phase(&mut self, peer: Incarnation, phase: DialPhase) {
+        if let Some(dial) = self.dials.get_mut(&peer) {
+            dial.phase = phase;
+        }
+    }
+
+    fn on_dial_failed(&mut self, address: SocketAddr, now: Instant, actions: &mut Vec<LinkAction>) {
+        if let Some(peer) = self.dialled_peer(address) {
+            self.schedule_dial(peer, now);
+            self.dial_if_due(peer, now, actions);
+        }
+    }
+
+    /// Sets the time of the next dial: at once after a session that lasted, else after a wait.
+    fn schedule_dial(&mut self, peer: Incarnation, now: Instant) {
+        let Some(dial) = self.dials.get_mut(&peer) else {
+            return;
+        };
+        let until = match dial.phase {
+            DialPhase::Up { since, .. } if now - since >= self.settings.stable_after => {
+                dial.failed_count = 0;
+                now
+            }
+            _ => {
+                dial.failed_count = dial.failed_count.saturating_add(1);
+                now + backoff(dial.failed_count, &self.settings, &mut self.rng)
+            }
+        };
+        dial.phase = DialPhase::Waiting { until };
+    }
+
+    fn dial_if_due(&mut self, peer: Incarnation, now: Instant, actions: &mut Vec<LinkAction>) {
+        let Some(dial) = self.dials.get_mut(&peer) else {
+            return;
+        };
+        if matches!(dial.phase, DialPhase::Waiting { until } if until <= now) {
+            dial.phase = DialPhase::Dialling { since: now };
+            let address = dial.peer.address;
+            actions.push(LinkAction::Dial { address });
+        }
+    }
+}
+
+/// Messages.
+impl LinkTable {
+    fn on_frame(
+        &mut self,
+        link: LinkNumber,
+        session: SessionNumber,
+        message: Message,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        let Some(state) = self.links.get_mut(&link) else {
+            self.counts.frames_fenced_count += 1;
+            return;
+        };
+        state.received_at = now;
+        match (state.phase, message) {
+            (LinkPhase::Open(open), _) if open.number != session => {
+                self.counts.frames_fenced_count += 1;
+            }
+            (LinkPhase::AwaitsHello, Message::Hello(hello)) if hello.session == session => {
+                self.on_hello(link, hello, now, actions);
+            }
+            (LinkPhase::AwaitsReply(awaited), Message::Hello(hello))
+                if hello.session == session =>
+            {
+                self.on_reply(link, awaited, hello, now, actions);
+            }
+            (LinkPhase::AwaitsHello | LinkPhase::AwaitsReply(_), _)
+            | (LinkPhase::Open(_), Message::Hello(_)) => {
+                self.counts.protocol_errors_count += 1;
+                self.close(link, now, actions);
+            }
+            (LinkPhase::Open(open), message) => self.on_message(open, message, now, actions),
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        open: PeerSession,
+        message: Message,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        match message {
+            Message::Ping => actions.extend(self.send(open.peer, Message::Pong, now)),
+            Message::Pong => {}
+            message => actions.push(LinkAction::Deliver {
+                peer: open.peer,
+                session: open.number,
+                message,
+            }),
+        }
+    }
+
+    /// Takes the hello of a dialler.
+    fn on_hello(
+        &mut self,
+        link: LinkNumber,
+        hello: Hello,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        if !self.is_acceptable(&hello) {
+            self.counts.hellos_refused_count += 1;
+            return self.close(link, now, actions);
+        }
+        if let Some(&earlier) = self.open.get(&hello.incarnation) {
+            self.close(earlier, now, actions);
+        }
+        self.fence(hello.incarnation, hello.session);
+        actions.push(self.hello(link, hello.session));
+        self.open_session(link, hello, now, actions);
+    }
+
+    fn is_acceptable(&self, hello: &Hello) -> bool {
+        let dialler = Identity {
+            incarnation: hello.incarnation,
+            role: hello.role,
+            name: String::new(),
+        };
+        let last = self.fences.get(&hello.incarnation).copied();
+        hello.protocol_version == PROTOCOL_VERSION
+            && dialler.dials(self.own.incarnation, self.own.role)
+            && last.is_none_or(|last| hello.session > last)
+    }
+
+    fn fence(&mut self, dialler: Incarnation, session: SessionNumber) {
+        self.fences.insert(dialler, session);
+        if self.fences.len() > FENCES_MAX_COUNT {
+            // A dialler without a session here has closed its old connections, or is gone; a
+            // session that such a connection still opened would be closed for its silence.
+            let open = &self.open;
+            self.fences
+                .retain(|peer, _| *peer == dialler || open.contains_key(peer));
+        }
+    }
+
+    /// Takes the reply to this side's hello.
+    fn on_reply(
+        &mut self,
+        link: LinkNumber,
+        awaited: PeerSession,
+        hello: Hello,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        let is_right = hello.protocol_version == PROTOCOL_VERSION
+            && hello.incarnation == awaited.peer
+            && hello.session == awaited.number
+            && self.role_of(awaited.peer) == Some(hello.role);
+        if !is_right {
+            self.counts.hellos_refused_count += 1;
+            return self.close(link, now, actions);
+        }
+        self.set_dial_phase(awaited.peer, DialPhase::Up { link, since: now });
+        self.open_session(link, hello, now, actions);
+    }
+
+    fn role_of(&self, peer: Incarnation) -> Option<Role> {
+        self.dials.get(&peer).map(|dial| dial.peer.role)
+    }
+
+    fn open_session(
+        &mut self,
+        link: LinkNumber,
+        hello: Hello,
+        now: Instant,
+        actions: &mut Vec<LinkAction>,
+    ) {
+        let peer = hello.incarnation;
+        let number = hello.session;
+        let phase = LinkPhase::Open(PeerSession { peer, number });
+        self.links.insert(link, LinkState::new(phase, now));
+        self.open.insert(peer, link);
+        self.counts.sessions_opened_count += 1;
+        actions.push(LinkAction::PeerUp {
+            peer,
+            role: hello.role,
+            name: hello.name,
+            session: number,
+        });
+    }
+}
+
+/// Time.
+impl LinkTable {
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<LinkAction>) {
+        self.close_overdue(now, actions);
+        self.ping_idle(now, actions);
+        self.dial_overdue(now, actions);
+    }
+
+    fn close_overdue(&mut self, now: Instant, actions: &mut Vec<LinkAction>) {
+        let overdue: Vec<LinkNumber> = self
+            .links
+            .iter()
+            .filter(|(_, state)| is_overdue(state, &self.settings, now))
+            .map(|(link, _)| *link)
+            .collect();
+        for link in overdue {
+            if matches!(self.links[&link].phase, LinkPhase::Open(_)) {
+                self.counts.sessions_silent_count += 1;
+            }
+            self.close(link, now, actions);
+        }
+    }
+
+    fn ping_idle(&mut self, now: Instant, actions: &mut Vec<LinkAction>) {
+        let ping_interval = self.settings.ping_interval;
+        for (link, state) in &mut self.links {
+            let LinkPhase::Open(open) = state.phase else {
+                continue;
+            };
+            if now - state.sent_at >= ping_interval {
+                state.sent_at = now;
+                actions.push(LinkAction::Send {
+                    link: *link,
+                    session: open.number,
+                    message: Message::Ping,
+                });
+            }
+        }
+    }
+
+    fn dial_overdue(&mut self, now: Instant, actions: &mut Vec<LinkAction>) {
+        let peers: Vec<Incarnation> = self.dials.keys().copied().collect();
+        for peer in peers {
+            let phase = self.dials[&peer].phase;
+            let dial_timeout = self.settings.dial_timeout;
+            if matches!(phase, DialPhase::Dialling { since } if now - since >= dial_timeout) {
+                self.schedule_dial(peer, now);
+            }
+            self.dial_if_due(peer, now, actions);
+        }
+    }
+}
+
+fn is_overdue(state: &LinkState, settings: &SessionSettings, now: Instant) -> bool {
+    match state.phase {
+        LinkPhase::AwaitsHello | LinkPhase::AwaitsReply(_) => {
+            now - state.opened_at >= settings.hello_timeout
+        }
+        LinkPhase::Open(_) => now - state.received_at >= settings.silence_timeout,
+    }
+}
--- a/knapweedrill_wire/tests/links.rs
+++ b/knapweedrill_wire/tests/links.rs
@@ -266,5 +266,6 @@
     assert_eq!(b.counts().datagrams_malformed_count, 3);
     assert_eq!(b.counts().datagrams_received_count, 1);
     assert_eq!(a.counts().datagrams_sent_count, 1);
-    (a.stop(), b.stop());
+    a.stop();
+    b.stop();
 }
