--- /dev/null
+++ b/knapweedrill/tests/link_table.rs
@@ -0,0 +1,339 @@
+//! Link sessions: who dials, what is refused, and what a silent connection leads to.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use knapweedrill::common::Incarnation;
+use knapweedrill::link::{
+    Identity, LinkAction, LinkTable, LinkTableEvent, SessionSettings, WantedPeer,
+};
+use knapweedrill::message::{Hello, Message, PROTOCOL_VERSION, Role};
+use test_case::test_case;
+
+const OWN: Incarnation = 10;
+const PEER: Incarnation = 20;
+const TICK: Duration = Duration::from_millis(50);
+
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 1000).into()
+}
+
+fn table(incarnation: Incarnation, role: Role) -> LinkTable {
+    let own = Identity {
+        incarnation,
+        role,
+        name: "own".into(),
+    };
+    LinkTable::new(own, SessionSettings::default(), 1)
+}
+
+fn wanted(incarnation: Incarnation, role: Role) -> WantedPeer {
+    WantedPeer {
+        incarnation,
+        role,
+        address: address(),
+    }
+}
+
+fn hello(incarnation: Incarnation, role: Role, session: u64) -> Hello {
+    Hello {
+        protocol_version: PROTOCOL_VERSION,
+        incarnation,
+        role,
+        name: "peer".into(),
+        session,
+    }
+}
+
+fn frame(link: u64, session: u64, message: Message) -> LinkTableEvent {
+    LinkTableEvent::Frame {
+        link,
+        session,
+        message,
+    }
+}
+
+fn said(link: u64, hello: Hello) -> LinkTableEvent {
+    frame(link, hello.session, Message::Hello(hello))
+}
+
+fn inbound(link: u64) -> LinkTableEvent {
+    LinkTableEvent::Opened {
+        link,
+        dialled: None,
+    }
+}
+
+fn outbound(link: u64) -> LinkTableEvent {
+    LinkTableEvent::Opened {
+        link,
+        dialled: Some(address()),
+    }
+}
+
+fn dial() -> LinkAction {
+    LinkAction::Dial { address: address() }
+}
+
+fn has_up(actions: &[LinkAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, LinkAction::PeerUp { .. }))
+}
+
+/// Returns an entry's table with session 1 to a sidecar open on link 1.
+fn dialler_up(now: Instant) -> LinkTable {
+    let mut table = table(OWN, Role::Entry);
+    assert_eq!(table.want(wanted(PEER, Role::Sidecar), now), [dial()]);
+    table.handle(outbound(1), now);
+    let actions = table.handle(said(1, hello(PEER, Role::Sidecar, 1)), now);
+    assert!(has_up(&actions));
+    table
+}
+
+/// Returns a sidecar's table with session 5 from an entry open on link 1.
+fn listener_up(now: Instant) -> LinkTable {
+    let mut table = table(OWN, Role::Sidecar);
+    table.handle(inbound(1), now);
+    let actions = table.handle(said(1, hello(PEER, Role::Entry, 5)), now);
+    assert!(has_up(&actions));
+    table
+}
+
+#[test_case(Role::Entry, Role::Sidecar, PEER, true; "entry dials sidecar")]
+#[test_case(Role::Entry, Role::Sidecar, 1, true; "entry dials sidecar of smaller incarnation")]
+#[test_case(Role::Entry, Role::Entry, PEER, true; "entry dials entry of greater incarnation")]
+#[test_case(Role::Entry, Role::Entry, 1, false; "entry awaits entry of smaller incarnation")]
+#[test_case(Role::Sidecar, Role::Entry, PEER, false; "sidecar awaits entry")]
+#[test_case(Role::Sidecar, Role::Sidecar, PEER, false; "sidecar ignores sidecar")]
+fn one_side_dials(own: Role, other: Role, peer: Incarnation, dials: bool) {
+    let actions = table(OWN, own).want(wanted(peer, other), Instant::now());
+    assert_eq!(actions == [dial()], dials);
+    assert_eq!(actions.is_empty(), !dials);
+}
+
+#[test]
+fn listener_replies_before_it_is_up() {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Sidecar);
+    assert!(table.handle(inbound(1), now).is_empty());
+    let actions = table.handle(said(1, hello(PEER, Role::Entry, 5)), now);
+    assert!(matches!(
+        &actions[..],
+        [
+            LinkAction::Send { link: 1, session: 5, message: Message::Hello(reply) },
+            LinkAction::PeerUp { peer: PEER, session: 5, .. },
+        ] if reply.incarnation == OWN && reply.session == 5
+    ));
+}
+
+#[test_case(|hello| hello.protocol_version += 1; "another version")]
+#[test_case(|hello| hello.role = Role::Sidecar; "a sidecar that dials")]
+fn hello_is_refused(change: fn(&mut Hello)) {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Sidecar);
+    table.handle(inbound(1), now);
+    let mut hello = hello(PEER, Role::Entry, 5);
+    change(&mut hello);
+    let actions = table.handle(said(1, hello), now);
+    assert_eq!(actions, [LinkAction::Close { link: 1 }]);
+    assert_eq!(table.counts().hellos_refused_count, 1);
+}
+
+#[test_case(|hello| hello.protocol_version += 1; "another version")]
+#[test_case(|hello| hello.incarnation += 1; "another run at the address")]
+#[test_case(|hello| hello.role = Role::Entry; "another role")]
+fn reply_is_refused(change: fn(&mut Hello)) {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Entry);
+    table.want(wanted(PEER, Role::Sidecar), now);
+    table.handle(outbound(1), now);
+    let mut reply = hello(PEER, Role::Sidecar, 1);
+    change(&mut reply);
+    let actions = table.handle(said(1, reply), now);
+    assert_eq!(actions, [LinkAction::Close { link: 1 }]);
+    assert!(!table.is_up(PEER));
+}
+
+#[test_case(5; "the same session")]
+#[test_case(4; "an earlier session")]
+fn fenced_session_is_refused(session: u64) {
+    let now = Instant::now();
+    let mut table = listener_up(now);
+    table.handle(inbound(2), now);
+    let actions = table.handle(said(2, hello(PEER, Role::Entry, session)), now);
+    assert_eq!(actions, [LinkAction::Close { link: 2 }]);
+    assert_eq!(table.session(PEER), Some(5));
+}
+
+#[test]
+fn fence_outlasts_its_session() {
+    let now = Instant::now();
+    let mut table = listener_up(now);
+    table.handle(LinkTableEvent::Closed { link: 1 }, now);
+    table.handle(inbound(2), now);
+    let actions = table.handle(said(2, hello(PEER, Role::Entry, 5)), now);
+    assert_eq!(actions, [LinkAction::Close { link: 2 }]);
+}
+
+#[test]
+fn later_session_fences_the_earlier() {
+    let now = Instant::now();
+    let mut table = listener_up(now);
+    table.handle(inbound(2), now);
+    let actions = table.handle(said(2, hello(PEER, Role::Entry, 6)), now);
+    let down = LinkAction::PeerDown {
+        peer: PEER,
+        session: 5,
+    };
+    assert_eq!(actions[..2], [LinkAction::Close { link: 1 }, down]);
+    assert_eq!(table.session(PEER), Some(6));
+    let late = table.handle(frame(1, 5, Message::Cancel(1)), now);
+    assert!(late.is_empty());
+    let strayed = table.handle(frame(2, 5, Message::Cancel(1)), now);
+    assert!(strayed.is_empty());
+    assert_eq!(table.counts().frames_fenced_count, 2);
+    assert!(
+        table
+            .handle(LinkTableEvent::Closed { link: 1 }, now)
+            .is_empty()
+    );
+    assert!(table.is_up(PEER));
+}
+
+#[test]
+fn message_before_hello_closes_the_link() {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Sidecar);
+    table.handle(inbound(1), now);
+    let actions = table.handle(frame(1, 1, Message::Cancel(1)), now);
+    assert_eq!(actions, [LinkAction::Close { link: 1 }]);
+    assert_eq!(table.counts().protocol_errors_count, 1);
+}
+
+#[test]
+fn connection_without_hello_is_closed() {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Sidecar);
+    table.handle(inbound(1), now);
+    let late = now + Duration::from_secs(1);
+    let actions = table.handle(LinkTableEvent::Tick, late);
+    assert_eq!(actions, [LinkAction::Close { link: 1 }]);
+}
+
+#[test]
+fn idle_session_is_pinged_and_answers() {
+    let now = Instant::now();
+    let mut table = listener_up(now);
+    let later = now + Duration::from_millis(250);
+    let ping = LinkAction::Send {
+        link: 1,
+        session: 5,
+        message: Message::Ping,
+    };
+    assert_eq!(table.handle(LinkTableEvent::Tick, later), [ping]);
+    assert!(table.handle(LinkTableEvent::Tick, later).is_empty());
+    let pong = LinkAction::Send {
+        link: 1,
+        session: 5,
+        message: Message::Pong,
+    };
+    assert_eq!(table.handle(frame(1, 5, Message::Ping), later), [pong]);
+    assert!(table.handle(frame(1, 5, Message::Pong), later).is_empty());
+}
+
+#[test]
+fn silent_link_is_replaced_in_time() {
+    let start = Instant::now();
+    let mut table = dialler_up(start);
+    let mut now = start;
+    let actions = loop {
+        now += TICK;
+        let actions = table.handle(LinkTableEvent::Tick, now);
+        if actions.contains(&dial()) {
+            break actions;
+        }
+        assert!(now < start + Duration::from_secs(2), "never replaced");
+    };
+    let down = LinkAction::PeerDown {
+        peer: PEER,
+        session: 1,
+    };
+    assert_eq!(actions, [LinkAction::Close { link: 1 }, down, dial()]);
+    assert!(now - start <= Duration::from_secs(1) + TICK);
+    table.handle(outbound(2), now);
+    table.handle(said(2, hello(PEER, Role::Sidecar, 2)), now);
+    assert_eq!(table.session(PEER), Some(2));
+    assert_eq!(table.counts().sessions_silent_count, 1);
+}
+
+#[test]
+fn any_frame_keeps_a_session_open() {
+    let start = Instant::now();
+    let mut table = dialler_up(start);
+    for step in 1..=50 {
+        let now = start + step * Duration::from_millis(900);
+        table.handle(LinkTableEvent::Tick, now);
+        table.handle(frame(1, 1, Message::Pong), now);
+    }
+    assert_eq!(table.session(PEER), Some(1));
+}
+
+#[test]
+fn waits_between_failing_dials_grow_up_to_a_limit() {
+    let mut now = Instant::now();
+    let mut table = table(OWN, Role::Entry);
+    table.want(wanted(PEER, Role::Sidecar), now);
+    let mut waits = Vec::new();
+    for _ in 0..12 {
+        let address = address();
+        table.handle(LinkTableEvent::DialFailed { address }, now);
+        let failed_at = now;
+        while table.handle(LinkTableEvent::Tick, now).is_empty() {
+            now += Duration::from_millis(1);
+            assert!(now - failed_at < Duration::from_secs(3), "never dialled");
+        }
+        waits.push(now - failed_at);
+    }
+    assert!(waits[0] <= Duration::from_millis(51), "{waits:?}");
+    assert!(waits[11] >= Duration::from_secs(1), "{waits:?}");
+    assert!(waits[11] <= Duration::from_millis(2001), "{waits:?}");
+}
+
+#[test]
+fn dial_without_outcome_is_repeated() {
+    let now = Instant::now();
+    let mut table = table(OWN, Role::Entry);
+    table.want(wanted(PEER, Role::Sidecar), now);
+    let overdue = now + Duration::from_millis(1500);
+    table.handle(LinkTableEvent::Tick, overdue);
+    let late = table.handle(outbound(1), overdue);
+    assert_eq!(late, [LinkAction::Close { link: 1 }]);
+    let due = overdue + Duration::from_millis(50);
+    assert_eq!(table.handle(LinkTableEvent::Tick, due), [dial()]);
+}
+
+#[test]
+fn unwanted_peer_is_closed_and_not_dialled() {
+    let now = Instant::now();
+    let mut table = dialler_up(now);
+    let down = LinkAction::PeerDown {
+        peer: PEER,
+        session: 1,
+    };
+    let actions = table.unwant(PEER, now);
+    assert_eq!(actions, [LinkAction::Close { link: 1 }, down]);
+    let later = now + Duration::from_secs(10);
+    assert!(table.handle(LinkTableEvent::Tick, later).is_empty());
+    assert_eq!(table.send(PEER, Message::Ping, later), None);
+}
+
+#[test]
+fn session_numbers_rise_when_a_peer_is_wanted_again() {
+    let now = Instant::now();
+    let mut table = dialler_up(now);
+    table.unwant(PEER, now);
+    table.want(wanted(PEER, Role::Sidecar), now);
+    let actions = table.handle(outbound(2), now);
+    assert!(matches!(actions[..], [LinkAction::Send { session: 2, .. }]));
+}
