feat(lab): add a harness that starts real processes

Failure tests need real processes that can be killed, frozen and stopped by their id. Settings and stderr go to a temporary directory that stays when a test fails.

--- /dev/null
+++ b/knapweedrill_lab/src/harness/child_process.rs
@@ -0,0 +1,154 @@
+//! A process that the harness started.
+
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::wait_until;
+
+/// A process that the harness started; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+    exit_status: Option<ExitStatus>,
+    stderr_path: PathBuf,
+}
+
+impl ChildProcess {
+    /// Starts `program`, with its stderr going to a file in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start(
+        name: impl Into<String>,
+        program: &Path,
+        arguments: impl IntoIterator<Item = String>,
+        directory: &Path,
+    ) -> Result<Self> {
+        let name = name.into();
+        let stderr_path = directory.join(format!("{name}.stderr"));
+        // A process that is started again under its name adds to the file.
+        let stderr = File::options()
+            .create(true)
+            .append(true)
+            .open(&stderr_path)
+            .wrap_err_with(|| format!("can't write {}", stderr_path.display()))?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(stderr)
+            .spawn()
+            .wrap_err_with(|| format!("can't start {}", program.display()))?;
+        Ok(Self {
+            name,
+            child,
+            exit_status: None,
+            stderr_path,
+        })
+    }
+
+    /// Returns the name it was given.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what it wrote to stderr so far.
+    pub fn stderr(&self) -> String {
+        fs::read(&self.stderr_path)
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+            .unwrap_or_default()
+    }
+
+    /// Returns whether it has not exited; a frozen process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.poll_exit().is_none()
+    }
+
+    /// Kills it at once and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not end.
+    pub fn kill(&mut self) -> Result<()> {
+        self.signal(Signal::KILL)?;
+        self.wait_exit(Duration::from_secs(10)).map(|_| ())
+    }
+
+    /// Asks it to stop as planned.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn terminate(&mut self) -> Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Freezes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn freeze(&mut self) -> Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn thaw(&mut self) -> Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not end within `timeout`.
+    pub fn wait_exit(&mut self, timeout: Duration) -> Result<ExitStatus> {
+        let what = format!("the end of {}", self.name);
+        wait_until(&what, timeout, || self.poll_exit().is_some())?;
+        self.exit_status
+            .ok_or_else(|| eyre!("{} has no exit status", self.name))
+    }
+
+    fn poll_exit(&mut self) -> Option<ExitStatus> {
+        if self.exit_status.is_none() {
+            self.exit_status = self.child.try_wait().ok().flatten();
+        }
+        self.exit_status
+    }
+
+    fn signal(&mut self, signal: Signal) -> Result<()> {
+        // Once the process is waited for, its id may belong to another.
+        if self.poll_exit().is_some() {
+            return Ok(());
+        }
+        let id = i32::try_from(self.child.id()).wrap_err("the process id is out of range")?;
+        let pid = Pid::from_raw(id).ok_or_else(|| eyre!("{} has no process id", self.name))?;
+        kill_process(pid, signal).wrap_err_with(|| format!("can't signal {}", self.name))
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        if self.is_running() {
+            // The process may end on its own between the two steps.
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -0,0 +1,307 @@
+//! A cluster of real processes.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, ensure};
+
+use super::{
+    AddressPlan, ChildProcess, ClusterBuilder, DaemonRole, DaemonSettings, EntryApi, HTTP_PORT,
+    LINK_PORT, LOG_PORT, LogNode, MINION_PORT, MinionNode, MinionSpec, ScratchDirectory,
+    find_binary, wait_until,
+};
+
+const DAEMON: &str = "knapweedrilld";
+const LAB: &str = "knapweedrill-lab";
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// An entry of a cluster.
+#[derive(Debug)]
+pub struct EntryNode {
+    process: ChildProcess,
+    ip: Ipv4Addr,
+}
+
+impl EntryNode {
+    /// Returns the process.
+    pub fn process(&mut self) -> &mut ChildProcess {
+        &mut self.process
+    }
+
+    /// Returns the HTTP interface.
+    pub fn api(&self) -> EntryApi {
+        EntryApi::new(SocketAddr::from((self.ip, HTTP_PORT)))
+    }
+
+    /// Returns the address of the links.
+    pub fn link_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, LINK_PORT))
+    }
+}
+
+/// A cluster of real processes; all of them end when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    // Processes go before the directory that they write to.
+    entries: Vec<EntryNode>,
+    minions: Vec<MinionNode>,
+    log: LogNode,
+    plan: AddressPlan,
+    seeds: Vec<SocketAddr>,
+    failure_domain_count: usize,
+    started_count: usize,
+    directory: ScratchDirectory,
+}
+
+impl ClusterBuilder {
+    /// Starts the processes, applies the configuration and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started or is not ready within 20 s.
+    pub fn start(self) -> Result<Cluster> {
+        let mut cluster = Cluster::start_log(&self)?;
+        let ips: Vec<Ipv4Addr> = (0..self.entry_count)
+            .map(|_| cluster.plan.next_ip())
+            .collect();
+        cluster.seeds = ips.iter().map(|ip| (*ip, LINK_PORT).into()).collect();
+        for ip in ips {
+            cluster.start_entry_at(ip)?;
+        }
+        for minion in &self.minions {
+            cluster.start_minion(minion)?;
+        }
+        if let Some(text) = &self.configuration {
+            cluster.apply_first_configuration(text)?;
+            cluster.wait_ready(READY_TIMEOUT)?;
+            cluster.ensure_all_running()?;
+        }
+        Ok(cluster)
+    }
+}
+
+impl Cluster {
+    /// Returns the entry of that number, counted from 0.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such entry.
+    pub fn entry(&mut self, number: usize) -> &mut EntryNode {
+        &mut self.entries[number]
+    }
+
+    /// Returns the entries.
+    pub fn entries(&self) -> &[EntryNode] {
+        &self.entries
+    }
+
+    /// Returns the minion of that number, counted from 0.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such minion.
+    pub fn minion(&mut self, number: usize) -> &mut MinionNode {
+        &mut self.minions[number]
+    }
+
+    /// Returns the minions.
+    pub fn minions(&self) -> &[MinionNode] {
+        &self.minions
+    }
+
+    /// Returns the log.
+    pub fn log(&mut self) -> &mut LogNode {
+        &mut self.log
+    }
+
+    /// Returns the plan that further addresses come from.
+    pub fn plan(&self) -> AddressPlan {
+        self.plan
+    }
+
+    /// Starts one more entry and returns its number; it need not be ready yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started.
+    pub fn start_entry(&mut self) -> Result<usize> {
+        let ip = self.plan.next_ip();
+        self.start_entry_at(ip)
+    }
+
+    /// Starts one more minion with its sidecar and returns its number; neither need be ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started.
+    pub fn start_minion(&mut self, spec: &MinionSpec) -> Result<usize> {
+        let number = self.minions.len();
+        let ip = self.plan.next_ip();
+        let address = SocketAddr::from((ip, MINION_PORT));
+        let sidecar_address = SocketAddr::from((ip, HTTP_PORT));
+        let sidecar = self.start_sidecar(number, ip, spec)?;
+        let minion = self.start_upstream(number, address, sidecar_address, spec)?;
+        self.minions
+            .push(MinionNode::new(minion, address, sidecar, sidecar_address));
+        Ok(number)
+    }
+
+    /// Waits until every entry that runs, and every sidecar that runs, is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the process that is not ready within `timeout`.
+    pub fn wait_ready(&mut self, timeout: Duration) -> Result<()> {
+        for entry in &mut self.entries {
+            let api = entry.api();
+            wait_process_ready(&mut entry.process, api, timeout)?;
+        }
+        for minion in &mut self.minions {
+            let api = minion.sidecar_api();
+            wait_process_ready(minion.sidecar(), api, timeout)?;
+        }
+        Ok(())
+    }
+
+    fn start_log(builder: &ClusterBuilder) -> Result<Self> {
+        let directory = ScratchDirectory::create()?;
+        let plan = AddressPlan::new();
+        let address = plan.next_address(LOG_PORT);
+        let retention = builder.retention_records.to_string();
+        let listen = address.to_string();
+        let arguments = [
+            "log",
+            "--listen",
+            &listen,
+            "--retention-records",
+            &retention,
+        ];
+        let process = start_lab("log", &arguments, &directory)?;
+        Ok(Self {
+            entries: Vec::new(),
+            minions: Vec::new(),
+            log: LogNode::new(process, address),
+            plan,
+            seeds: Vec::new(),
+            failure_domain_count: builder.failure_domain_count,
+            started_count: 0,
+            directory,
+        })
+    }
+
+    fn start_entry_at(&mut self, ip: Ipv4Addr) -> Result<usize> {
+        let number = self.entries.len();
+        let role = DaemonRole::Entry {
+            log: self.log.address(),
+        };
+        let process = self.start_daemon(&format!("entry-{number}"), role, ip, None)?;
+        self.entries.push(EntryNode { process, ip });
+        Ok(number)
+    }
+
+    fn start_sidecar(
+        &mut self,
+        number: usize,
+        ip: Ipv4Addr,
+        spec: &MinionSpec,
+    ) -> Result<ChildProcess> {
+        let role = DaemonRole::Sidecar {
+            service: spec.service.clone(),
+        };
+        let name = format!("sidecar-{number}");
+        self.start_daemon(&name, role, ip, spec.failure_domain)
+    }
+
+    fn start_upstream(
+        &self,
+        number: usize,
+        address: SocketAddr,
+        sidecar: SocketAddr,
+        spec: &MinionSpec,
+    ) -> Result<ChildProcess> {
+        let listen = address.to_string();
+        let sidecar = sidecar.to_string();
+        let slots = spec.slots.to_string();
+        let speed_percent = spec.speed_percent.to_string();
+        let arguments = [
+            "minion",
+            "--listen",
+            &listen,
+            "--sidecar",
+            &sidecar,
+            "--service",
+            &spec.service,
+            "--slots",
+            &slots,
+            "--speed-percent",
+            &speed_percent,
+        ];
+        start_lab(&format!("minion-{number}"), &arguments, &self.directory)
+    }
+
+    fn start_daemon(
+        &mut self,
+        name: &str,
+        role: DaemonRole,
+        ip: Ipv4Addr,
+        failure_domain: Option<usize>,
+    ) -> Result<ChildProcess> {
+        let turn = self.started_count % self.failure_domain_count + 1;
+        self.started_count += 1;
+        let http = SocketAddr::from((ip, HTTP_PORT));
+        let link = SocketAddr::from((ip, LINK_PORT));
+        let settings = DaemonSettings::new(name, role, http, link)
+            .worker(format!("worker-{}", self.started_count))
+            .failure_domain(format!("fd-{}", failure_domain.unwrap_or(turn)))
+            .seeds(self.seeds.iter().copied());
+        let path = self.directory.path().join(format!("{name}.ini"));
+        fs::write(&path, settings.to_ini())
+            .wrap_err_with(|| format!("can't write {}", path.display()))?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let program = find_binary(DAEMON)?;
+        ChildProcess::start(name, &program, arguments, self.directory.path())
+    }
+
+    /// Checks that no process exited while the cluster started.
+    fn ensure_all_running(&mut self) -> Result<()> {
+        ensure_running(self.log.process())?;
+        for entry in &mut self.entries {
+            ensure_running(&mut entry.process)?;
+        }
+        for minion in &mut self.minions {
+            ensure_running(minion.sidecar())?;
+            ensure_running(minion.minion())?;
+        }
+        Ok(())
+    }
+
+    /// Applies the configuration, again until an entry has started and accepted it.
+    fn apply_first_configuration(&mut self, text: &str) -> Result<()> {
+        let Some(entry) = self.entries.first() else {
+            return Ok(());
+        };
+        let api = entry.api();
+        wait_until("the first configuration", READY_TIMEOUT, || {
+            api.expect_configuration(text).is_ok()
+        })
+    }
+}
+
+fn start_lab(name: &str, arguments: &[&str], directory: &ScratchDirectory) -> Result<ChildProcess> {
+    let program = find_binary(LAB)?;
+    let arguments = arguments.iter().map(|argument| (*argument).to_owned());
+    ChildProcess::start(name, &program, arguments, directory.path())
+}
+
+fn ensure_running(process: &mut ChildProcess) -> Result<()> {
+    let is_running = process.is_running();
+    let stderr = process.stderr();
+    ensure!(is_running, "{} exited: {stderr}", process.name());
+    Ok(())
+}
+
+fn wait_process_ready(process: &mut ChildProcess, api: EntryApi, timeout: Duration) -> Result<()> {
+    let what = format!("readiness of {}", process.name());
+    wait_until(&what, timeout, || !process.is_running() || api.is_ready())
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/cluster_builder.rs
@@ -0,0 +1,161 @@
+//! What a cluster is made of.
+
+use knapweedrill::common::ServiceName;
+
+const DEFAULT_SERVICE: &str = "embossing";
+const DEFAULT_ENTRIES: usize = 2;
+const DEFAULT_FAILURE_DOMAINS: usize = 3;
+const DEFAULT_RETENTION_RECORDS: usize = 100_000;
+
+/// A configuration with one service, one kind of work and two teams.
+pub const DEFAULT_CONFIGURATION: &str = "\
+[service embossing]
+ejected_max_percent = 50
+[kind proof]
+service = embossing
+class = normal
+idempotent = true
+deadline_ms = 30000
+[kind release]
+service = embossing
+class = urgent
+idempotent = false
+deadline_ms = 30000
+[team tin-a]
+share_percent = 25
+cap_percent = 100
+[team tin-b]
+share_percent = 25
+cap_percent = 100
+[limits]
+tasks_per_job = 1000
+queued_tasks = 100000
+";
+
+/// What a minion of a cluster is like; a builder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MinionSpec {
+    pub(super) service: ServiceName,
+    pub(super) slots: u32,
+    pub(super) speed_percent: u32,
+    pub(super) failure_domain: Option<usize>,
+}
+
+impl MinionSpec {
+    /// Creates a minion of the service `embossing` with 8 slots and speed 100 %.
+    pub fn new() -> Self {
+        Self {
+            service: DEFAULT_SERVICE.into(),
+            slots: 8,
+            speed_percent: 100,
+            failure_domain: None,
+        }
+    }
+
+    /// Sets the service.
+    pub fn service(mut self, service: impl Into<ServiceName>) -> Self {
+        self.service = service.into();
+        self
+    }
+
+    /// Sets how many tasks it runs at once.
+    pub fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets the speed.
+    pub fn speed_percent(mut self, speed_percent: u32) -> Self {
+        self.speed_percent = speed_percent;
+        self
+    }
+
+    /// Sets the failure domain by its number, instead of each in turn.
+    pub fn failure_domain(mut self, number: usize) -> Self {
+        self.failure_domain = Some(number);
+        self
+    }
+}
+
+impl Default for MinionSpec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What a cluster is made of.
+#[derive(Debug, Clone)]
+pub struct ClusterBuilder {
+    pub(super) entry_count: usize,
+    pub(super) minions: Vec<MinionSpec>,
+    pub(super) failure_domain_count: usize,
+    pub(super) retention_records: usize,
+    pub(super) configuration: Option<String>,
+}
+
+impl ClusterBuilder {
+    /// Creates a cluster of two entries, no minions and three failure domains.
+    pub fn new() -> Self {
+        Self {
+            entry_count: DEFAULT_ENTRIES,
+            minions: Vec::new(),
+            failure_domain_count: DEFAULT_FAILURE_DOMAINS,
+            retention_records: DEFAULT_RETENTION_RECORDS,
+            configuration: Some(DEFAULT_CONFIGURATION.to_owned()),
+        }
+    }
+
+    /// Sets the number of entries.
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entry_count = count;
+        self
+    }
+
+    /// Adds a minion.
+    pub fn minion(mut self, minion: MinionSpec) -> Self {
+        self.minions.push(minion);
+        self
+    }
+
+    /// Adds `count` minions that are alike.
+    pub fn minions(mut self, count: usize, minion: &MinionSpec) -> Self {
+        self.minions
+            .extend(std::iter::repeat_n(minion.clone(), count));
+        self
+    }
+
+    /// Sets the number of failure domains, which the processes are put into in turn.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn failure_domains(mut self, count: usize) -> Self {
+        assert!(count > 0, "a cluster has a failure domain");
+        self.failure_domain_count = count;
+        self
+    }
+
+    /// Sets how many records the log keeps.
+    pub fn retention_records(mut self, count: usize) -> Self {
+        self.retention_records = count;
+        self
+    }
+
+    /// Sets the configuration that is applied at the start.
+    pub fn configuration(mut self, text: impl Into<String>) -> Self {
+        self.configuration = Some(text.into());
+        self
+    }
+
+    /// Applies no configuration at the start, and does not wait until processes are ready.
+    pub fn without_configuration(mut self) -> Self {
+        self.configuration = None;
+        self
+    }
+}
+
+impl Default for ClusterBuilder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/daemon_settings.rs
@@ -0,0 +1,102 @@
+//! The settings file of a daemon.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use knapweedrill::common::{ProcessName, ServiceName};
+use knapweedrill::failure_domain::FailureDomainName;
+use knapweedrill::worker::WorkerName;
+
+const DEFAULT_FAILURE_DOMAIN: &str = "fd-1";
+const DEFAULT_WORKER: &str = "worker-1";
+
+/// What a daemon is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DaemonRole {
+    /// Takes callers' requests; reads the log at this address.
+    Entry {
+        /// The address of the log.
+        log: SocketAddr,
+    },
+    /// Stands beside a minion of this service.
+    Sidecar {
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+/// The settings of a daemon; a builder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DaemonSettings {
+    name: ProcessName,
+    role: DaemonRole,
+    worker: WorkerName,
+    failure_domain: FailureDomainName,
+    http: SocketAddr,
+    link: SocketAddr,
+    seeds: Vec<SocketAddr>,
+}
+
+impl DaemonSettings {
+    /// Creates the settings of a daemon that listens on `http` and `link`.
+    pub fn new(
+        name: impl Into<ProcessName>,
+        role: DaemonRole,
+        http: SocketAddr,
+        link: SocketAddr,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            role,
+            worker: DEFAULT_WORKER.into(),
+            failure_domain: DEFAULT_FAILURE_DOMAIN.into(),
+            http,
+            link,
+            seeds: Vec::new(),
+        }
+    }
+
+    /// Sets the worker that the daemon runs on.
+    pub fn worker(mut self, worker: impl Into<WorkerName>) -> Self {
+        self.worker = worker.into();
+        self
+    }
+
+    /// Sets the failure domain of the worker.
+    pub fn failure_domain(mut self, failure_domain: impl Into<FailureDomainName>) -> Self {
+        self.failure_domain = failure_domain.into();
+        self
+    }
+
+    /// Sets the link addresses of the entries that the daemon asks first.
+    pub fn seeds(mut self, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        self.seeds = seeds.into_iter().collect();
+        self
+    }
+
+    /// Returns the text of the settings file.
+    pub fn to_ini(&self) -> String {
+        let mut text = String::new();
+        self.write_ini(&mut text)
+            .expect("a string takes any text written to it");
+        text
+    }
+
+    fn write_ini(&self, text: &mut String) -> std::fmt::Result {
+        let role = match self.role {
+            DaemonRole::Entry { .. } => "entry",
+            DaemonRole::Sidecar { .. } => "sidecar",
+        };
+        writeln!(text, "[process]\nrole = {role}\nname = {}", self.name)?;
+        writeln!(text, "worker = {}", self.worker)?;
+        writeln!(text, "failure_domain = {}", self.failure_domain)?;
+        writeln!(text, "[listen]\nhttp = {}\nlink = {}", self.http, self.link)?;
+        let seeds: Vec<String> = self.seeds.iter().map(SocketAddr::to_string).collect();
+        writeln!(text, "[seeds]\nentries = {}", seeds.join(", "))?;
+        match &self.role {
+            DaemonRole::Entry { log } => writeln!(text, "[log]\naddress = {log}")?,
+            DaemonRole::Sidecar { service } => writeln!(text, "[minion]\nservice = {service}")?,
+        }
+        writeln!(text, "[logging]\nlevel = info\nformat = json")
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/log_control.rs
@@ -0,0 +1,74 @@
+//! The log of a cluster.
+
+use std::net::SocketAddr;
+
+use eyre::Result;
+
+use super::{ChildProcess, http_call};
+use crate::stand_in::Accepted;
+use crate::stand_in::log::{AppendAnswer, LogControl, LogRetain, ReadAnswer};
+
+/// The process of the log and its interface.
+#[derive(Debug)]
+pub struct LogNode {
+    process: ChildProcess,
+    address: SocketAddr,
+}
+
+impl LogNode {
+    /// Wraps a process that serves a log at `address`.
+    pub fn new(process: ChildProcess, address: SocketAddr) -> Self {
+        Self { process, address }
+    }
+
+    /// Returns the address of the log.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the process.
+    pub fn process(&mut self) -> &mut ChildProcess {
+        &mut self.process
+    }
+
+    /// Sets how the log answers from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log does not accept it.
+    pub fn control(&self, control: LogControl) -> Result<()> {
+        let answer = http_call::post_json(self.address, "/control", &control)?;
+        answer.success_json::<Accepted>().map(|_| ())
+    }
+
+    /// Drops the oldest records until at most `record_count` are left.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log does not accept it.
+    pub fn retain(&self, record_count: usize) -> Result<()> {
+        let retain = LogRetain { record_count };
+        let answer = http_call::post_json(self.address, "/control/retain", &retain)?;
+        answer.success_json::<Accepted>().map(|_| ())
+    }
+
+    /// Appends a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log does not answer; the record may have been taken.
+    pub fn append(&self, body: impl Into<String>) -> Result<AppendAnswer> {
+        let timeout = http_call::CALL_TIMEOUT;
+        let request = http_call::post(self.address, "/append", body.into(), timeout);
+        http_call::send(request)?.success_json()
+    }
+
+    /// Reads records from offset `from`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log does not answer.
+    pub fn read(&self, from: u64) -> Result<ReadAnswer> {
+        http_call::get(self.address, &format!("/records?from={from}"))?.success_json()
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/minion_node.rs
@@ -0,0 +1,91 @@
+//! A minion and the sidecar beside it.
+
+use std::net::SocketAddr;
+
+use eyre::Result;
+
+use super::{ChildProcess, EntryApi, http_call};
+use crate::stand_in::Accepted;
+use crate::stand_in::minion::{MinionControl, StartsAnswer};
+
+/// The processes of a minion and of the sidecar beside it.
+#[derive(Debug)]
+pub struct MinionNode {
+    minion: ChildProcess,
+    sidecar: ChildProcess,
+    minion_address: SocketAddr,
+    sidecar_address: SocketAddr,
+}
+
+impl MinionNode {
+    /// Wraps the two processes and their HTTP addresses.
+    pub fn new(
+        minion: ChildProcess,
+        minion_address: SocketAddr,
+        sidecar: ChildProcess,
+        sidecar_address: SocketAddr,
+    ) -> Self {
+        Self {
+            minion,
+            sidecar,
+            minion_address,
+            sidecar_address,
+        }
+    }
+
+    /// Returns the process of the minion.
+    pub fn minion(&mut self) -> &mut ChildProcess {
+        &mut self.minion
+    }
+
+    /// Returns the process of the sidecar.
+    pub fn sidecar(&mut self) -> &mut ChildProcess {
+        &mut self.sidecar
+    }
+
+    /// Returns the address of the minion.
+    pub fn minion_address(&self) -> SocketAddr {
+        self.minion_address
+    }
+
+    /// Returns the HTTP interface of the sidecar.
+    pub fn sidecar_api(&self) -> EntryApi {
+        EntryApi::new(self.sidecar_address)
+    }
+
+    /// Sets how the minion treats tasks from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the minion does not accept it.
+    pub fn control(&self, control: MinionControl) -> Result<()> {
+        let answer = http_call::post_json(self.minion_address, "/control", &control)?;
+        answer.success_json::<Accepted>().map(|_| ())
+    }
+
+    /// Makes the minion announce that it leaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the minion does not accept it.
+    pub fn leave(&self) -> Result<()> {
+        let request = http_call::post(
+            self.minion_address,
+            "/leave",
+            String::new(),
+            http_call::CALL_TIMEOUT,
+        );
+        http_call::send(request)?
+            .success_json::<Accepted>()
+            .map(|_| ())
+    }
+
+    /// Returns what the minion ran.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the minion does not answer.
+    pub fn starts(&self) -> Result<StartsAnswer> {
+        http_call::get(self.minion_address, "/starts")?.success_json()
+    }
+}
--- /dev/null
+++ b/knapweedrill_lab/src/harness/scratch_directory.rs
@@ -0,0 +1,47 @@
+//! A temporary directory.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::{env, fs, io, process, thread};
+
+static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
+
+/// A temporary directory that goes when it is dropped, unless the test fails.
+#[derive(Debug)]
+pub struct ScratchDirectory {
+    path: PathBuf,
+}
+
+impl ScratchDirectory {
+    /// Creates a directory of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the directory can't be created.
+    pub fn create() -> io::Result<Self> {
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("knapweedrill-lab-{}-{number}", process::id());
+        let path = env::temp_dir().join(name);
+        fs::create_dir_all(&path)?;
+        Ok(Self { path })
+    }
+
+    /// Returns its path.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for ScratchDirectory {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!(
+                "settings and stderr of the processes: {}",
+                self.path.display()
+            );
+            return;
+        }
+        // What is left behind in the temporary directory does no harm.
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
