feat(settings): read INI files and settings with every problem told at once

rust-ini takes doubled keys and sections silently, keeps no lines and takes a comment after a value as part of it. Each line goes to it alone, so that every key has its line; a comment after a value is refused rather than stripped, since a value may rightly hold ';' or '#' inside a word.

--- a/knapweedrill/src/lib.rs
+++ b/knapweedrill/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod event;
 pub mod failure_domain;
+pub mod ini;
 pub mod job;
 pub mod link;
 pub mod message;
--- /dev/null
+++ b/knapweedrill_daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! The parts of the daemon `knapweedrilld`.
+
+pub mod settings;
--- /dev/null
+++ b/knapweedrill_daemon/src/settings/logging.rs
@@ -0,0 +1,65 @@
+//! How log lines are written.
+
+use knapweedrill::ini::IniReader;
+use knapweedrill_derive::value;
+
+/// How log lines are written.
+#[value]
+#[derive(Default)]
+pub struct LoggingSettings {
+    /// The least severe lines that are written.
+    pub level: LogLevel,
+    /// The form of the lines.
+    pub format: LogFormat,
+}
+
+/// The severity of a log line.
+#[value]
+#[derive(Copy, Eq, Default)]
+pub enum LogLevel {
+    /// Something failed.
+    Error,
+    /// Something is degraded.
+    Warn,
+    /// Something changed its state.
+    #[default]
+    Info,
+    /// Detail for finding faults.
+    Debug,
+    /// All detail.
+    Trace,
+}
+
+/// The form of log lines.
+#[value]
+#[derive(Copy, Eq, Default)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for people.
+    Text,
+}
+
+const LEVEL_CHOICES: [(&str, LogLevel); 5] = [
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+    ("trace", LogLevel::Trace),
+];
+
+const FORMAT_CHOICES: [(&str, LogFormat); 2] =
+    [("json", LogFormat::Json), ("text", LogFormat::Text)];
+
+impl LoggingSettings {
+    pub(super) fn read(reader: &mut IniReader) -> Self {
+        let mut section = reader.section("logging");
+        let logging = Self {
+            level: section.choice_or("level", &LEVEL_CHOICES, LogLevel::default()),
+            format: section.choice_or("format", &FORMAT_CHOICES, LogFormat::default()),
+        };
+        section.finish();
+        logging
+    }
+}
