--- a/knapweedrill_daemon/src/lib.rs
+++ b/knapweedrill_daemon/src/lib.rs
@@ -1,4 +1,8 @@
 //! The parts of the daemon `knapweedrilld`, as a library that its tests can reach.
 
+pub mod control;
 pub mod http;
+pub mod minion_calls;
+pub mod platform_log;
+pub mod settings;
 pub mod telemetry;
