--- a/knapweedrill/src/contract/fair_share/account.rs
+++ b/knapweedrill/src/contract/fair_share/account.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::Rank;
 use crate::contract::Class;
 
 /// How far a balance may run ahead of use or behind it, in seconds at the rate of the share.
@@ -136,25 +137,47 @@
         };
     }
 
-    /// Returns whether the team has used less than its guaranteed share.
-    pub(super) fn is_below_share(&self) -> bool {
+    fn is_below_share(&self) -> bool {
         self.share_balance_s > 0.0
     }
 
-    /// Returns how long the team has been short of its share, in seconds at the rate of the share.
-    pub(super) fn short_s(&self) -> f64 {
-        self.share_balance_s / self.share_slots.max(f64::MIN_POSITIVE)
+    /// Returns the place of the next task of a class, or `None` if the cap holds it back.
+    pub(super) fn rank(&self, class: Class, virtual_s: f64) -> Option<Rank> {
+        self.rank_relieved(class, virtual_s, 0.0)
     }
 
-    /// Returns whether the cap lets the team start a task.
-    pub(super) fn is_below_cap(&self) -> bool {
-        self.cap_slots.is_none() || self.cap_balance_s > 0.0
+    /// Returns the place of a task that was promised a slot, as if the promise had no charge.
+    pub(super) fn rank_promised(&self, class: Class, virtual_s: f64) -> Option<Rank> {
+        let relief_s = self.classes[class as usize]
+            .uses
+            .iter()
+            .find(|slot_use| slot_use.started_at.is_none())
+            .map_or(0.0, |promise| promise.charged_s);
+        self.rank_relieved(class, virtual_s, relief_s)
+    }
+
+    fn rank_relieved(&self, class: Class, virtual_s: f64, relief_s: f64) -> Option<Rank> {
+        if self.cap_slots.is_some() && self.cap_balance_s + relief_s <= 0.0 {
+            return None;
+        }
+        let balance_s = self.share_balance_s + relief_s;
+        let is_spare = self.share_slots == 0.0 || balance_s <= 0.0;
+        let tag_s = if is_spare {
+            self.tag_s(class, virtual_s) - relief_s / self.weight
+        } else {
+            -balance_s / self.share_slots
+        };
+        Some(Rank {
+            is_spare,
+            class,
+            tag_s,
+        })
     }
 
     /// Returns the start tag of a flow where the virtual time is `virtual_s`.
     ///
     /// A flow that uses nothing does not stay behind the virtual time, or it would save up claims.
-    pub(super) fn tag_s(&self, class: Class, virtual_s: f64) -> f64 {
+    fn tag_s(&self, class: Class, virtual_s: f64) -> f64 {
         let account = &self.classes[class as usize];
         if account.uses.is_empty() {
             account.tag_s.max(virtual_s)
--- a/knapweedrill/src/contract/fair_share/mod.rs
+++ b/knapweedrill/src/contract/fair_share/mod.rs
@@ -84,10 +84,32 @@
         candidates: impl IntoIterator<Item = &'a Flow>,
         now: Instant,
     ) -> Option<usize> {
-        let (index, rank) = candidates
+        let ranks = candidates
+            .into_iter()
+            .map(|flow| self.rank(flow, now))
+            .collect::<Vec<_>>();
+        self.advance_to_least(ranks)
+    }
+
+    /// Returns the index of the promised task that goes next, like [`Self::choose`].
+    pub fn choose_promised<'a>(
+        &mut self,
+        candidates: impl IntoIterator<Item = &'a Flow>,
+        now: Instant,
+    ) -> Option<usize> {
+        let ranks = candidates
+            .into_iter()
+            .map(|flow| self.rank_promised(flow, now))
+            .collect::<Vec<_>>();
+        self.advance_to_least(ranks)
+    }
+
+    /// Returns the index of the least rank and moves the virtual time up to it.
+    fn advance_to_least(&mut self, ranks: Vec<Option<Rank>>) -> Option<usize> {
+        let (index, rank) = ranks
             .into_iter()
             .enumerate()
-            .filter_map(|(index, flow)| Some((index, self.rank(flow, now)?)))
+            .filter_map(|(index, rank)| Some((index, rank?)))
             .min_by(|(_, left), (_, right)| left.total_cmp(right))?;
         if rank.is_spare {
             let virtual_s = &mut self.virtual_s[rank.class as usize];
@@ -99,21 +121,14 @@
     /// Returns the place of a flow in the order, or `None` if its team's cap holds it back.
     pub fn rank(&mut self, flow: &Flow, now: Instant) -> Option<Rank> {
         let virtual_s = self.virtual_s[flow.class as usize];
-        let account = self.account(&flow.team, now);
-        if !account.is_below_cap() {
-            return None;
-        }
-        let is_spare = !account.is_below_share();
-        let tag_s = if is_spare {
-            account.tag_s(flow.class, virtual_s)
-        } else {
-            -account.short_s()
-        };
-        Some(Rank {
-            is_spare,
-            class: flow.class,
-            tag_s,
-        })
+        self.account(&flow.team, now).rank(flow.class, virtual_s)
+    }
+
+    /// Returns the place of a task that was promised a slot; its own promise does not count.
+    pub fn rank_promised(&mut self, flow: &Flow, now: Instant) -> Option<Rank> {
+        let virtual_s = self.virtual_s[flow.class as usize];
+        self.account(&flow.team, now)
+            .rank_promised(flow.class, virtual_s)
     }
 
     /// Charges a task of the flow that starts to run.
--- a/knapweedrill/src/entry/mod.rs
+++ b/knapweedrill/src/entry/mod.rs
@@ -4,4 +4,4 @@
 mod queue;
 
 pub use caller::{CallerRequest, CallerResponse};
-pub use queue::{QueuedJob, QueuedTask, TakenTask, TaskQueue};
+pub use queue::{QueueTotals, QueuedJob, QueuedTask, TakenTask, TaskQueue};
--- a/knapweedrill/src/entry/queue/flow_queue.rs
+++ b/knapweedrill/src/entry/queue/flow_queue.rs
@@ -26,7 +26,8 @@
 /// The jobs of one team and class, in order.
 #[derive(Debug, Default)]
 pub(super) struct FlowQueue {
-    order: BTreeSet<JobPlace>,
+    /// The jobs of each generation, as a sidecar may be barred from some generations.
+    order: BTreeMap<Generation, BTreeSet<JobPlace>>,
     longest: BTreeSet<(Duration, JobId)>,
     task_counts: BTreeMap<Generation, u32>,
     /// When the flow was last served, as a number that rises with each task taken.
@@ -47,15 +48,22 @@
         if tasks.tasks.is_empty() {
             return;
         }
-        self.order.insert(place(job, tasks));
+        let generation = self.order.entry(tasks.generation).or_default();
+        generation.insert(place(job, tasks));
         self.longest.insert((tasks.longest(), job));
         *self.task_counts.entry(tasks.generation).or_default() += tasks.tasks.len() as u32;
     }
 
     /// Takes a job out before its tasks change.
     pub(super) fn leave(&mut self, job: JobId, tasks: &JobTasks) {
-        if !self.order.remove(&place(job, tasks)) {
+        let Some(generation) = self.order.get_mut(&tasks.generation) else {
             return;
+        };
+        if !generation.remove(&place(job, tasks)) {
+            return;
+        }
+        if generation.is_empty() {
+            self.order.remove(&tasks.generation);
         }
         self.longest.remove(&(tasks.longest(), job));
         if let Some(task_count) = self.task_counts.get_mut(&tasks.generation) {
@@ -66,9 +74,27 @@
         }
     }
 
-    /// Returns the jobs, the next one first.
-    pub(super) fn jobs(&self) -> impl Iterator<Item = JobId> {
-        self.order.iter().map(|place| place.job)
+    /// Creates an empty queue that was last served at `served_number`.
+    pub(super) fn new(served_number: u64) -> Self {
+        Self {
+            served_number,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether no task waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Returns the job of an eligible generation that goes next.
+    pub(super) fn next_job(&self, is_eligible: impl Fn(Generation) -> bool) -> Option<JobId> {
+        self.order
+            .iter()
+            .filter(|(generation, _)| is_eligible(**generation))
+            .filter_map(|(_, jobs)| jobs.first())
+            .min()
+            .map(|place| place.job)
     }
 
     /// Returns how many tasks of eligible generations wait.
--- a/knapweedrill/src/entry/queue/mod.rs
+++ b/knapweedrill/src/entry/queue/mod.rs
@@ -1,6 +1,7 @@
 //! What waits at one entry for one service.
 
 mod flow_queue;
+mod queue_totals;
 mod queued_job;
 mod queued_task;
 
@@ -15,6 +16,7 @@
 use crate::job::TaskId;
 use crate::message::Demand;
 
+pub use queue_totals::QueueTotals;
 pub use queued_job::QueuedJob;
 pub use queued_task::QueuedTask;
 
@@ -42,9 +44,7 @@
     /// task that comes back finds its place.
     jobs: HashMap<JobId, JobTasks>,
     served_number: u64,
-    task_count: u32,
-    payload_bytes: u64,
-    expected_work: Duration,
+    totals: QueueTotals,
 }
 
 impl TaskQueue {
@@ -55,25 +55,13 @@
             flows: BTreeMap::new(),
             jobs: HashMap::new(),
             served_number: 0,
-            task_count: 0,
-            payload_bytes: 0,
-            expected_work: Duration::ZERO,
+            totals: QueueTotals::default(),
         }
     }
 
-    /// Returns how many tasks wait.
-    pub fn task_count(&self) -> u32 {
-        self.task_count
-    }
-
-    /// Returns how many bytes of payload wait.
-    pub fn payload_bytes(&self) -> u64 {
-        self.payload_bytes
-    }
-
-    /// Returns how long all waiting tasks are expected to run on a minion of speed 1.
-    pub fn expected_work(&self) -> Duration {
-        self.expected_work
+    /// Returns how much waits in total.
+    pub fn totals(&self) -> QueueTotals {
+        self.totals
     }
 
     /// Queues a job; a job that is queued already is left as it is.
@@ -89,10 +77,10 @@
             tasks: BinaryHeap::with_capacity(job.tasks.len()),
         };
         for task in job.tasks {
-            self.count_in(&task);
+            self.totals.add(&task);
             tasks.push(task);
         }
-        self.flow_mut(&job.flow).enter(job.job, &tasks);
+        flow_queue(&mut self.flows, &job.flow, self.served_number).enter(job.job, &tasks);
         self.jobs.insert(job.job, tasks);
     }
 
@@ -102,11 +90,7 @@
         flow: &Flow,
         is_eligible: impl Fn(Generation) -> bool,
     ) -> Option<TakenTask> {
-        let job = self
-            .flows
-            .get(flow)?
-            .jobs()
-            .find(|job| is_eligible(self.jobs[job].generation))?;
+        let job = self.flows.get(flow)?.next_job(is_eligible)?;
         self.take_of(job)
     }
 
@@ -129,12 +113,15 @@
         queue.enter(job, tasks);
         self.served_number += 1;
         queue.served_number = self.served_number;
+        if queue.is_empty() {
+            self.flows.remove(&tasks.flow);
+        }
         let taken = TakenTask {
             flow: tasks.flow.clone(),
             generation: tasks.generation,
             task,
         };
-        self.count_out(&taken.task);
+        self.totals.remove(&taken.task);
         Some(taken)
     }
 
@@ -146,29 +133,29 @@
         let Some(tasks) = self.jobs.get_mut(&job) else {
             return false;
         };
-        let queue = self.flows.entry(tasks.flow.clone()).or_default();
+        let queue = flow_queue(&mut self.flows, &tasks.flow, self.served_number);
         queue.leave(job, tasks);
         task.attempt += 1;
-        let counted = (task.payload.len() as u64, task.expected);
+        self.totals.add(&task);
         tasks.push(task);
         queue.enter(job, tasks);
-        self.task_count += 1;
-        self.payload_bytes += counted.0;
-        self.expected_work += counted.1;
         true
     }
 
-    /// Removes a job that has ended, and returns its tasks that were never handed out again.
+    /// Removes a job that has ended, and returns its tasks that were waiting.
     pub fn remove_job(&mut self, job: JobId) -> Vec<TaskId> {
         let Some(tasks) = self.jobs.remove(&job) else {
             return Vec::new();
         };
         if let Some(queue) = self.flows.get_mut(&tasks.flow) {
             queue.leave(job, &tasks);
+            if queue.is_empty() {
+                self.flows.remove(&tasks.flow);
+            }
+        }
+        for task in &tasks.tasks {
+            self.totals.remove(&task.0);
         }
-        self.task_count -= tasks.tasks.len() as u32;
-        self.payload_bytes -= tasks.payload_bytes();
-        self.expected_work = self.expected_work.saturating_sub(tasks.remaining);
         tasks.tasks.iter().map(|task| task.0.task).collect()
     }
 
@@ -185,20 +172,14 @@
             .filter(|demand| demand.task_count > 0)
             .collect()
     }
+}
 
-    fn flow_mut(&mut self, flow: &Flow) -> &mut FlowQueue {
-        self.flows.entry(flow.clone()).or_default()
-    }
-
-    fn count_in(&mut self, task: &QueuedTask) {
-        self.task_count += 1;
-        self.payload_bytes += task.payload.len() as u64;
-        self.expected_work += task.expected;
-    }
-
-    fn count_out(&mut self, task: &QueuedTask) {
-        self.task_count -= 1;
-        self.payload_bytes -= task.payload.len() as u64;
-        self.expected_work = self.expected_work.saturating_sub(task.expected);
-    }
+fn flow_queue<'a>(
+    flows: &'a mut BTreeMap<Flow, FlowQueue>,
+    flow: &Flow,
+    served_number: u64,
+) -> &'a mut FlowQueue {
+    flows
+        .entry(flow.clone())
+        .or_insert_with(|| FlowQueue::new(served_number))
 }
--- a/knapweedrill/src/entry/queue/queued_job.rs
+++ b/knapweedrill/src/entry/queue/queued_job.rs
@@ -49,11 +49,4 @@
         self.remaining = self.remaining.saturating_sub(task.expected);
         Some(task)
     }
-
-    pub(super) fn payload_bytes(&self) -> u64 {
-        self.tasks
-            .iter()
-            .map(|task| task.0.payload.len() as u64)
-            .sum()
-    }
 }
--- a/knapweedrill/src/sidecar/arbiter/mod.rs
+++ b/knapweedrill/src/sidecar/arbiter/mod.rs
@@ -203,9 +203,9 @@
             return None;
         }
         let candidates = self.pending.iter().map(|pending| &pending.flow);
-        let index = self.fair_share.choose(candidates, now)?;
+        let index = self.fair_share.choose_promised(candidates, now)?;
         let flow = self.pending[index].flow.clone();
-        let rank = self.fair_share.rank(&flow, now);
+        let rank = self.fair_share.rank_promised(&flow, now);
         if self.free_count() <= self.reserved_count(rank, now) {
             return None;
         }
@@ -223,27 +223,27 @@
         let Some(rank) = rank else {
             return self.settings.slot_count;
         };
-        let mut waiting: BTreeMap<Flow, u32> = BTreeMap::new();
-        for credit in &self.credits {
-            *waiting.entry(credit.flow.clone()).or_default() += 1;
-        }
-        // A demand holds a slot only where a credit can be issued for it.
-        let mut room_count = self.room_count();
-        for flow in self.demands.flows().filter(|flow| flow.class < rank.class) {
-            let task_count = self.demands.task_count(flow).min(room_count);
-            room_count -= task_count;
-            *waiting.entry(flow.clone()).or_default() += task_count;
-        }
-        waiting
+        let credited_count = self
+            .credits
             .iter()
-            .filter(|(flow, _)| flow.class < rank.class)
-            .filter(|(flow, _)| {
-                self.fair_share
-                    .rank(flow, now)
-                    .is_some_and(|other| other.total_cmp(&rank).is_lt())
+            .filter(|credit| credit.flow.class < rank.class)
+            .filter(|credit| {
+                let other = self.fair_share.rank_promised(&credit.flow, now);
+                other.is_some_and(|other| other.total_cmp(&rank).is_lt())
+            })
+            .count() as u32;
+        let demanded_count: u32 = self
+            .demands
+            .flows()
+            .filter(|flow| flow.class < rank.class)
+            .filter(|flow| {
+                let other = self.fair_share.rank(flow, now);
+                other.is_some_and(|other| other.total_cmp(&rank).is_lt())
             })
-            .map(|(_, task_count)| task_count)
-            .sum()
+            .map(|flow| self.demands.task_count(flow))
+            .sum();
+        // A demand holds a slot only where a credit can be issued for it.
+        credited_count + demanded_count.min(self.room_count())
     }
 
     /// Issues credits for the slots that are free or will soon be.
--- /dev/null
+++ b/knapweedrill/tests/support/mod.rs
@@ -0,0 +1,45 @@
+//! Parts that several test files use.
+
+use std::time::Duration;
+
+use knapweedrill::common::{Incarnation, JobId, TaskIndex};
+use knapweedrill::contract::Class;
+use knapweedrill::job::TaskId;
+use knapweedrill::message::{Demand, Start};
+
+/// Returns a start of a task of job 1.
+pub(crate) fn start(owner: Incarnation, index: TaskIndex, team: &str, class: Class) -> Start {
+    start_of(1, owner, index, team, class)
+}
+
+/// Returns a start of a task.
+pub(crate) fn start_of(
+    job: JobId,
+    owner: Incarnation,
+    index: TaskIndex,
+    team: &str,
+    class: Class,
+) -> Start {
+    Start {
+        task: TaskId { owner, job, index },
+        generation: 0,
+        attempt: 0,
+        team: team.to_owned(),
+        class,
+        kind: "relief".to_owned(),
+        expected: Duration::from_millis(100),
+        deadline: Duration::from_secs(10),
+        credited: false,
+        payload: Vec::new(),
+    }
+}
+
+/// Returns a demand.
+pub(crate) fn demand(team: &str, class: Class, task_count: u32) -> Demand {
+    Demand {
+        team: team.to_owned(),
+        class,
+        task_count,
+        expected: Duration::from_millis(100),
+    }
+}
