--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -79,16 +79,15 @@
             EntryEvent::PeerUp { peer, role } => self.peer_up(peer, role, now, actions),
             EntryEvent::PeerDown { peer } => self.peer_down(peer, now, actions),
             EntryEvent::Message { peer, message } => self.receive(peer, message, now, actions),
-            EntryEvent::Minion {
-                announcement,
-                report,
-            } => self.hear_minion(announcement, report, now, actions),
+            EntryEvent::Minion { announcement } => self.hear_minion(announcement, now, actions),
+            EntryEvent::SlotsReported { sidecar, report } => {
+                self.hear_slots(sidecar, report, now);
+            }
             EntryEvent::MinionLost { sidecar } => self.lose_minion(sidecar, now, actions),
-            EntryEvent::EntryBeat {
-                entry,
-                answers_for,
-                is_stopping,
-            } => self.hear_entry(entry, answers_for, is_stopping),
+            EntryEvent::EntryStopping { entry } => self.relays.note_stopping(entry),
+            EntryEvent::AnswersFor { successor, stopped } => {
+                self.relays.learn_successor(stopped, successor);
+            }
             EntryEvent::Configured {
                 version,
                 configuration,
@@ -239,7 +238,6 @@
     fn hear_minion(
         &mut self,
         announcement: Announcement,
-        report: SlotReport,
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
@@ -247,16 +245,18 @@
         let view = self
             .sidecars
             .entry(sidecar)
-            .or_insert_with(|| SidecarView::new(announcement.clone(), report));
+            .or_insert_with(|| SidecarView::new(announcement.clone()));
         view.is_heard = true;
         view.announcement = announcement;
-        // A datagram may be older than what the link has brought.
-        if view.is_up && report.starts_seen_count >= view.report.starts_seen_count {
-            view.report = report;
-        }
         self.update_roster(sidecar, now, actions);
     }
 
+    fn hear_slots(&mut self, sidecar: Incarnation, report: SlotReport, now: Instant) {
+        if let Some(view) = self.sidecars.get_mut(&sidecar) {
+            view.take_heartbeat(report, now);
+        }
+    }
+
     fn lose_minion(&mut self, sidecar: Incarnation, now: Instant, actions: &mut Vec<EntryAction>) {
         if let Some(view) = self.sidecars.get_mut(&sidecar) {
             view.is_heard = false;
@@ -306,13 +306,6 @@
         }
     }
 
-    fn hear_entry(&mut self, entry: Incarnation, answers_for: Vec<Incarnation>, is_stopping: bool) {
-        for stopped in answers_for {
-            self.relays.learn_successor(stopped, entry);
-        }
-        self.relays.note_stopping(entry, is_stopping);
-    }
-
     fn configure(
         &mut self,
         version: ConfigurationVersion,
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -264,6 +264,7 @@
             sidecar,
         }));
         view.starts_sent_count += 1;
+        view.start_sent_at = Some(now);
         view.out.insert(
             queued.task,
             OutTask {
--- a/knapweedrill/src/entry/event.rs
+++ b/knapweedrill/src/entry/event.rs
@@ -46,7 +46,12 @@
     Minion {
         /// The minion.
         announcement: Announcement,
-        /// The state of its slots.
+    },
+    /// A sidecar told the state of its minion's slots in a heartbeat.
+    SlotsReported {
+        /// The sidecar.
+        sidecar: Incarnation,
+        /// The state.
         report: SlotReport,
     },
     /// A sidecar has been silent for too long, or has ended.
@@ -54,14 +59,17 @@
         /// The sidecar.
         sidecar: Incarnation,
     },
-    /// Another entry says which stopped entries it answers for, and whether it is stopping.
-    EntryBeat {
+    /// Another entry is stopping and takes no new jobs.
+    EntryStopping {
         /// The entry.
         entry: Incarnation,
-        /// Stopped entries whose tokens it answers for.
-        answers_for: Vec<Incarnation>,
-        /// Whether it is stopping.
-        is_stopping: bool,
+    },
+    /// Another entry answers for the tokens of one that has stopped.
+    AnswersFor {
+        /// The entry that answers.
+        successor: Incarnation,
+        /// The entry that has stopped.
+        stopped: Incarnation,
     },
     /// A configuration came into force.
     Configured {
--- a/knapweedrill/src/entry/relay.rs
+++ b/knapweedrill/src/entry/relay.rs
@@ -96,12 +96,9 @@
         self.successors.insert(stopped, successor);
     }
 
-    pub(super) fn note_stopping(&mut self, entry: Incarnation, is_stopping: bool) {
-        if is_stopping {
-            self.stopping.insert(entry);
-        } else {
-            self.stopping.remove(&entry);
-        }
+    /// Notes that an entry takes no new jobs.
+    pub(super) fn note_stopping(&mut self, entry: Incarnation) {
+        self.stopping.insert(entry);
     }
 
     pub(super) fn is_stopping(&self, entry: Incarnation) -> bool {
--- a/knapweedrill/src/entry/sidecar_view.rs
+++ b/knapweedrill/src/entry/sidecar_view.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of a sidecar.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use knapweedrill_derive::value;
 
@@ -11,6 +11,9 @@
 use crate::message::{Demand, SlotReport, TaskInDoubt};
 use crate::minion::{Announcement, MinionState};
 
+/// How long a start takes at the most, in all likelihood, to show in heartbeats.
+const START_SETTLE_TIME: Duration = Duration::from_millis(50);
+
 /// What an entry knows of a sidecar and its minion.
 #[value]
 pub(super) struct SidecarView {
@@ -41,14 +44,15 @@
 }
 
 impl SidecarView {
-    pub(super) fn new(announcement: Announcement, report: SlotReport) -> Self {
+    pub(super) fn new(announcement: Announcement) -> Self {
         Self {
             announcement,
-            report,
+            report: SlotReport::default(),
             is_up: false,
             down_since: None,
             is_heard: true,
             starts_sent_count: 0,
+            start_sent_at: None,
             out: HashMap::new(),
             told_demands: Vec::new(),
             told_at: None,
@@ -74,6 +78,20 @@
         self.report.speed_percent
     }
 
+    /// Takes in the state of the slots from a heartbeat.
+    ///
+    /// A heartbeat does not say which starts it covers, so it counts only if the last start was
+    /// sent long enough ago to have arrived before.
+    pub(super) fn take_heartbeat(&mut self, report: SlotReport, now: Instant) {
+        let is_settled = self
+            .start_sent_at
+            .is_none_or(|sent| now.duration_since(sent) > START_SETTLE_TIME);
+        if self.is_up && is_settled {
+            self.report = report;
+            self.report.starts_seen_count = self.starts_sent_count;
+        }
+    }
+
     /// Notes that a session opened.
     pub(super) fn session_opened(&mut self) {
         self.is_up = true;
