feat(entry): place by learned speed, admit and eject

Cause: the entry took the first free slot. Change: it uses the queue, placement, learning, health and admission parts.

--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -12,7 +12,9 @@
 use super::hand_over::{IncomingKeys, Stopping};
 use super::key_table::KeyTable;
 use super::live_job::LiveJob;
+use super::placement::Placement;
 use super::relay::Relays;
+use super::run_time::RunTimes;
 use super::sidecar_view::SidecarView;
 use super::timers::Timers;
 use super::token_mint::TokenMint;
@@ -37,6 +39,8 @@
     pub(super) entries: BTreeSet<Incarnation>,
     pub(super) relays: Relays,
     pub(super) timers: Timers,
+    pub(super) placement: Placement,
+    pub(super) run_times: RunTimes,
     pub(super) stopping: Option<Stopping>,
     /// The keys that are being taken over.
     pub(super) incoming: BTreeMap<Incarnation, IncomingKeys>,
@@ -48,6 +52,7 @@
     /// Creates an entry that knows no configuration and no sidecar.
     pub fn new(incarnation: Incarnation, settings: EntrySettings, now: Instant) -> Self {
         let keys = KeyTable::new(settings.answer_bytes, settings.key_count);
+        let placement = Placement::new(settings.placement, settings.seed);
         Self {
             incarnation,
             settings,
@@ -61,6 +66,8 @@
             entries: BTreeSet::new(),
             relays: Relays::default(),
             timers: Timers::default(),
+            placement,
+            run_times: RunTimes::new(),
             stopping: None,
             incoming: BTreeMap::new(),
             batches: Batches::new(),
@@ -247,6 +254,9 @@
             .entry(sidecar)
             .or_insert_with(|| SidecarView::new(announcement.clone()));
         view.is_heard = true;
+        if let Some(work) = self.services.get_mut(&announcement.service) {
+            work.health.minion_found(sidecar);
+        }
         view.announcement = announcement;
         self.update_roster(sidecar, now, actions);
     }
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -3,42 +3,71 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use crate::common::{Generation, Incarnation, JobId, ServiceName};
 use crate::contract::Flow;
 use crate::event::EventKind;
-use crate::job::{JobSpec, TaskId, TaskOutcome};
+use crate::job::{JobSpec, Refusal, TaskFailure, TaskOutcome, TaskSpec};
 use crate::message::{Credit, Demand, Message, SlotReport, Start};
+use crate::minion::{HealthChange, ServiceHealth};
 
+use super::admission::{Admission, AdmissionRefusal, JobSize};
 use super::core::Entry;
 use super::live_job::{LiveJob, LiveTaskState};
+use super::placement::Candidate;
 use super::queue::{QueuedJob, QueuedTask, TakenTask, TaskQueue};
-use super::sidecar_view::OutTask;
+use super::sidecar_view::{OutTask, SidecarView};
 use super::{EntryAction, EntryCounter};
 
+/// When a caller may try again while no more keys can be kept.
+const KEYS_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// How long a sidecar goes without news of a change in numbers alone.
 const DEMAND_REFRESH: Duration = Duration::from_millis(200);
 
-/// When a caller may try again whose job found the queues full.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// The work of one service at one entry.
 #[derive(Debug)]
 pub(super) struct ServiceWork {
     pub(super) queue: TaskQueue,
+    pub(super) admission: Admission,
+    pub(super) health: ServiceHealth,
 }
 
+impl ServiceWork {
+    fn may_start(&self, candidate: &Candidate, now: Instant) -> bool {
+        self.health
+            .may_start(candidate.sidecar, candidate.outstanding_count, now)
+    }
+}
+
+/// The minions that a task may go to.
+type Candidates = SmallVec<[Candidate; 16]>;
+
 /// Tasks on their way to sidecars while the events at hand are dealt with.
 pub(super) type Batches = BTreeMap<Incarnation, Vec<Start>>;
 
 impl Entry {
-    /// Makes room for the services that the configuration names.
+    /// Takes in what the configuration says about services.
     pub(super) fn configure_services(&mut self, now: Instant) {
+        let limits = &self.configuration.limits;
         for service in &self.configuration.services {
-            self.services
+            let work = self
+                .services
                 .entry(service.name.clone())
                 .or_insert_with(|| ServiceWork {
                     queue: TaskQueue::new(now),
+                    admission: Admission::new(limits.clone(), now),
+                    health: ServiceHealth::new(service.ejected_max_percent, self.settings.seed),
                 });
+            work.admission.set_limits(limits.clone());
+            work.health
+                .set_ejected_max_percent(service.ejected_max_percent);
+        }
+        for (sidecar, view) in &self.sidecars {
+            if let Some(work) = self.services.get_mut(&view.announcement.service) {
+                work.health.minion_found(*sidecar);
+            }
         }
     }
 
@@ -56,40 +85,87 @@
         })
     }
 
-    /// Returns when to try again if the queues have no room for a job.
-    pub(super) fn overload(&self, service: &str, spec: &JobSpec) -> Option<Duration> {
-        let limits = &self.configuration.limits;
-        let queue = &self.services.get(service)?.queue;
-        let payload_bytes: u64 = spec
-            .tasks
-            .iter()
-            .map(|task| task.payload.len() as u64)
-            .sum();
-        let task_count = queue.task_count() as usize + spec.tasks.len();
-        let is_full = task_count > limits.queued_tasks as usize
-            || queue.payload_bytes() + payload_bytes > limits.queued_bytes
-            || !self.keys.has_room();
-        is_full.then_some(OVERLOAD_RETRY_AFTER)
+    /// Returns why the queues have no room for a job, if so.
+    pub(super) fn overload(&self, service: &str, spec: &JobSpec) -> Option<AdmissionRefusal> {
+        let work = self.services.get(service)?;
+        if !self.keys.has_room() {
+            return Some(AdmissionRefusal {
+                refusal: Refusal::Overloaded,
+                retry_after: Some(KEYS_FULL_RETRY_AFTER),
+            });
+        }
+        let queued = work.queue.totals();
+        let flow = Flow::new(spec.team.as_str(), self.class_of(spec));
+        let ahead = work.queue.work_ahead(&flow);
+        work.admission
+            .admit(self.job_size(spec), queued, ahead)
+            .err()
     }
 
-    /// Returns how long a task is expected to run on a minion of speed 1.
-    pub(super) fn expected_run_time(&self, _kind: &str, hint: Option<Duration>) -> Duration {
-        hint.unwrap_or_default()
+    fn job_size(&self, spec: &JobSpec) -> JobSize {
+        let payload_bytes = |task: &TaskSpec| task.payload.len() as u64;
+        let largest_bytes = spec.tasks.iter().map(payload_bytes).max().unwrap_or(0);
+        JobSize {
+            task_count: u32::try_from(spec.tasks.len()).unwrap_or(u32::MAX),
+            payload_bytes: spec.tasks.iter().map(payload_bytes).sum(),
+            largest_payload_bytes: u32::try_from(largest_bytes).unwrap_or(u32::MAX),
+            expected_work: spec
+                .tasks
+                .iter()
+                .map(|task| self.run_times.expected(&spec.kind, task.hint))
+                .sum(),
+            deadline: self.deadline_of(spec),
+        }
     }
 
-    /// Learns from a task that ran.
+    /// Learns from a task that ended.
     pub(super) fn learn(
         &mut self,
-        _sidecar: Incarnation,
-        _task: TaskId,
-        _outcome: &TaskOutcome,
-        _run_time: Duration,
-        _now: Instant,
+        sidecar: Incarnation,
+        queued: &QueuedTask,
+        outcome: &TaskOutcome,
+        run_time: Duration,
+        now: Instant,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let Some(view) = self.sidecars.get_mut(&sidecar) else {
+            return;
+        };
+        let is_done = matches!(outcome, TaskOutcome::Done { .. });
+        let is_cancelled = matches!(
+            outcome,
+            TaskOutcome::Failed {
+                failure: TaskFailure::Cancelled
+            }
+        );
+        if is_done {
+            view.speed.observe(queued.expected, run_time);
+            let speed_percent = view.speed.percent();
+            if let Some(live) = self.jobs.get_mut(&queued.task.job) {
+                let kind = live.kind.clone();
+                let hint = live.task_mut(queued.task.index).and_then(|task| task.hint);
+                self.run_times.observe(&kind, hint, run_time, speed_percent);
+            }
+        }
+        let Some(work) = self.services.get_mut(&view.announcement.service) else {
+            return;
+        };
+        work.admission
+            .ended(queued.expected, work.queue.totals(), now);
+        if is_cancelled {
+            return;
+        }
+        if let Some(change) = work.health.ended(sidecar, !is_done, now) {
+            note_health(sidecar, change, actions);
+        }
     }
 
     /// Forgets what was learned of a sidecar.
-    pub(super) fn forget_sidecar(&mut self, _sidecar: Incarnation) {}
+    pub(super) fn forget_sidecar(&mut self, service: &str, sidecar: Incarnation) {
+        if let Some(work) = self.services.get_mut(service) {
+            work.health.minion_gone(sidecar);
+        }
+    }
 
     /// Queues the tasks of a job.
     pub(super) fn enqueue(&mut self, live: &LiveJob, tasks: Vec<QueuedTask>, now: Instant) {
@@ -140,7 +216,12 @@
         };
         view.report = report;
         let mut unused_count = 0;
+        let may_start = self.may_start(sidecar, now);
         for credit in credits {
+            if !may_start {
+                unused_count += credit.task_count;
+                continue;
+            }
             unused_count += self.use_credit(sidecar, &credit, now, actions);
         }
         if unused_count > 0 {
@@ -152,6 +233,17 @@
         }
     }
 
+    fn may_start(&self, sidecar: Incarnation, now: Instant) -> bool {
+        let Some(view) = self.sidecars.get(&sidecar) else {
+            return false;
+        };
+        view.is_usable()
+            && self
+                .services
+                .get(&view.announcement.service)
+                .is_some_and(|work| work.may_start(&view.candidate(), now))
+    }
+
     /// Hands out what a credit allows, and returns how much of it is left.
     fn use_credit(
         &mut self,
@@ -187,7 +279,7 @@
         let services: Vec<ServiceName> = self
             .services
             .iter()
-            .filter(|(_, work)| work.queue.task_count() > 0)
+            .filter(|(_, work)| work.queue.totals().task_count > 0)
             .map(|(name, _)| name.clone())
             .collect();
         for service in services {
@@ -197,33 +289,46 @@
     }
 
     fn dispatch_service(&mut self, service: &str, now: Instant, actions: &mut Vec<EntryAction>) {
-        for sidecar in self.free_sidecars(service) {
-            while self.free_count(sidecar) > 0 {
-                let Some(taken) = self.take_queued(sidecar, None) else {
-                    break;
-                };
-                self.hand_out(sidecar, taken, false, now, actions);
-            }
+        let mut candidates = self.candidates(service, now);
+        while let Some(sidecar) = self.placement.choose(candidates.iter().copied()) {
+            let Some(taken) = self.take_queued(sidecar, None) else {
+                // Nothing that waits may go to this sidecar.
+                candidates.retain(|candidate| candidate.sidecar != sidecar);
+                continue;
+            };
+            self.hand_out(sidecar, taken, false, now, actions);
+            self.update_candidate(&mut candidates, service, sidecar, now);
         }
     }
 
-    /// Returns the sidecars with free slots, the fastest first.
-    fn free_sidecars(&self, service: &str) -> Vec<Incarnation> {
-        let mut free: Vec<(u32, Incarnation)> = self
-            .sidecars
-            .iter()
-            .filter(|(_, view)| view.is_usable() && view.announcement.service == service)
-            .filter(|(_, view)| view.free_count() > 0)
-            .map(|(sidecar, view)| (view.speed_percent(), *sidecar))
-            .collect();
-        free.sort_unstable_by(|a, b| b.cmp(a));
-        free.into_iter().map(|(_, sidecar)| sidecar).collect()
+    /// Returns the minions that may be handed a task.
+    fn candidates(&self, service: &str, now: Instant) -> Candidates {
+        let Some(work) = self.services.get(service) else {
+            return Candidates::new();
+        };
+        self.sidecars
+            .values()
+            .filter(|view| view.is_usable() && view.announcement.service == service)
+            .map(SidecarView::candidate)
+            .filter(|candidate| work.may_start(candidate, now))
+            .collect()
     }
 
-    fn free_count(&self, sidecar: Incarnation) -> u32 {
-        self.sidecars
-            .get(&sidecar)
-            .map_or(0, |view| view.free_count())
+    fn update_candidate(
+        &self,
+        candidates: &mut Candidates,
+        service: &str,
+        sidecar: Incarnation,
+        now: Instant,
+    ) {
+        let updated = self.sidecars.get(&sidecar).map(SidecarView::candidate);
+        let may_start = |candidate: &Candidate| {
+            self.services
+                .get(service)
+                .is_some_and(|work| work.may_start(candidate, now))
+        };
+        candidates.retain(|candidate| candidate.sidecar != sidecar);
+        candidates.extend(updated.filter(may_start));
     }
 
     fn hand_out(
@@ -287,10 +392,17 @@
 
     /// Tells sidecars what waits, where no task goes that could carry the news.
     pub(super) fn tell_demands(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        let is_anything_queued = self
+            .services
+            .values()
+            .any(|work| work.queue.totals().task_count > 0);
+        if !is_anything_queued {
+            return;
+        }
         let sidecars: Vec<Incarnation> = self
             .sidecars
             .iter()
-            .filter(|(_, view)| view.is_usable())
+            .filter(|(sidecar, view)| view.is_usable() && !self.is_ejected(**sidecar, view))
             .map(|(sidecar, _)| *sidecar)
             .collect();
         for sidecar in sidecars {
@@ -346,6 +458,12 @@
             .unwrap_or_default()
     }
 
+    pub(super) fn is_ejected(&self, sidecar: Incarnation, view: &SidecarView) -> bool {
+        self.services
+            .get(&view.announcement.service)
+            .is_some_and(|work| work.health.is_ejected(sidecar))
+    }
+
     pub(super) fn send_cancel(
         &self,
         sidecar: Incarnation,
@@ -361,6 +479,15 @@
     }
 }
 
+fn note_health(sidecar: Incarnation, change: HealthChange, actions: &mut Vec<EntryAction>) {
+    let event = match change {
+        HealthChange::Ejected => EventKind::MinionEjected { sidecar },
+        HealthChange::Restored => EventKind::MinionReadmitted { sidecar },
+        HealthChange::TrialFailed => return,
+    };
+    actions.push(EntryAction::Record(event));
+}
+
 fn told_count(told: &[Demand], demand: &Demand) -> u32 {
     told.iter()
         .find(|other| other.team == demand.team && other.class == demand.class)
--- a/knapweedrill/src/entry/settings.rs
+++ b/knapweedrill/src/entry/settings.rs
@@ -4,6 +4,8 @@
 
 use knapweedrill_derive::value;
 
+use super::placement::PlacementPolicy;
+
 /// The settings of an entry.
 #[value]
 pub struct EntrySettings {
@@ -15,6 +17,8 @@
     pub(super) owner_grace: Duration,
     pub(super) fence_timeout: Duration,
     pub(super) sidecar_grace: Duration,
+    pub(super) placement: PlacementPolicy,
+    pub(super) seed: u64,
 }
 
 impl Default for EntrySettings {
@@ -28,6 +32,8 @@
             owner_grace: Duration::from_secs(2),
             fence_timeout: Duration::from_secs(2),
             sidecar_grace: Duration::from_secs(5),
+            placement: PlacementPolicy::default(),
+            seed: 0,
         }
     }
 }
@@ -98,3 +104,20 @@
         self
     }
 }
+
+/// Settings of placement.
+impl EntrySettings {
+    /// Sets how a task's minion is chosen.
+    #[must_use]
+    pub fn placement(mut self, policy: PlacementPolicy) -> Self {
+        self.placement = policy;
+        self
+    }
+
+    /// Sets the seed of random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
--- a/knapweedrill/src/entry/sidecar_view.rs
+++ b/knapweedrill/src/entry/sidecar_view.rs
@@ -5,11 +5,12 @@
 
 use knapweedrill_derive::value;
 
+use super::placement::Candidate;
 use super::queue::QueuedTask;
 use crate::common::Generation;
 use crate::job::TaskId;
 use crate::message::{Demand, SlotReport, TaskInDoubt};
-use crate::minion::{Announcement, MinionState};
+use crate::minion::{Announcement, MinionSpeed, MinionState};
 
 /// How long a start takes at the most, in all likelihood, to show in heartbeats.
 const START_SETTLE_TIME: Duration = Duration::from_millis(50);
@@ -27,12 +28,16 @@
     pub(super) is_heard: bool,
     /// How many starts were sent on the current session.
     pub(super) starts_sent_count: u64,
+    /// When the last of them was sent.
+    pub(super) start_sent_at: Option<Instant>,
     /// The attempts that are with the sidecar.
     pub(super) out: HashMap<TaskId, OutTask>,
     /// What the sidecar was last told to be waiting.
     pub(super) told_demands: Vec<Demand>,
     /// When it was told.
     pub(super) told_at: Option<Instant>,
+    /// How fast the minion is, as learned from the tasks that it ran.
+    pub(super) speed: MinionSpeed,
 }
 
 /// An attempt that is with a sidecar.
@@ -45,8 +50,10 @@
 
 impl SidecarView {
     pub(super) fn new(announcement: Announcement) -> Self {
+        let speed = MinionSpeed::new(announcement.speed_hint_percent);
         Self {
             announcement,
+            speed,
             report: SlotReport::default(),
             is_up: false,
             down_since: None,
@@ -73,9 +80,20 @@
         self.report.free_count.saturating_sub(unseen)
     }
 
-    /// Returns the speed in per cent of that of a minion of speed 1.
-    pub(super) fn speed_percent(&self) -> u32 {
-        self.report.speed_percent
+    /// Returns the minion as one that a task may go to.
+    pub(super) fn candidate(&self) -> Candidate {
+        Candidate {
+            sidecar: self.announcement.sidecar,
+            slot_count: self.announcement.slots,
+            free_count: self.free_count(),
+            outstanding_count: self.out_count(),
+            speed_percent: self.speed.percent(),
+        }
+    }
+
+    /// Returns how many attempts are with the sidecar.
+    pub(super) fn out_count(&self) -> u32 {
+        u32::try_from(self.out.len()).unwrap_or(u32::MAX)
     }
 
     /// Takes in the state of the slots from a heartbeat.
--- a/knapweedrill/src/entry/submit.rs
+++ b/knapweedrill/src/entry/submit.rs
@@ -5,7 +5,7 @@
 use smallvec::smallvec;
 
 use crate::common::{Generation, JobId};
-use crate::contract::OwnerToken;
+use crate::contract::{Class, OwnerToken};
 use crate::event::EventKind;
 use crate::job::{Failure, JobSpec, Refusal, TaskId};
 use crate::message::KeptState;
@@ -244,7 +244,22 @@
             return Some((Refusal::TokenNeeded, Some(Duration::ZERO)));
         }
         self.overload(service, spec)
-            .map(|retry_after| (Refusal::Overloaded, Some(retry_after)))
+            .map(|refused| (refused.refusal, refused.retry_after))
+    }
+
+    pub(super) fn class_of(&self, spec: &JobSpec) -> Class {
+        spec.class
+            .or(self.configuration.kind(&spec.kind).map(|kind| kind.class))
+            .unwrap_or_default()
+    }
+
+    pub(super) fn deadline_of(&self, spec: &JobSpec) -> Duration {
+        let kind = self.configuration.kind(&spec.kind);
+        let deadline_max = self.configuration.limits.deadline_max;
+        spec.deadline
+            .or(kind.map(|kind| kind.deadline))
+            .unwrap_or(deadline_max)
+            .min(deadline_max)
     }
 
     fn queued_tasks(&self, job: JobId, spec: &JobSpec) -> Vec<QueuedTask> {
@@ -257,7 +272,7 @@
                     index,
                 },
                 attempt: 0,
-                expected: self.expected_run_time(&spec.kind, task.hint),
+                expected: self.run_times.expected(&spec.kind, task.hint),
                 payload: task.payload.clone(),
             })
             .collect()
@@ -265,16 +280,8 @@
 
     fn live_job(&self, job: JobId, generation: Generation, spec: JobSpec, now: Instant) -> LiveJob {
         let kind = self.configuration.kind(&spec.kind);
-        let limits = &self.configuration.limits;
-        let deadline = spec
-            .deadline
-            .or(kind.map(|kind| kind.deadline))
-            .unwrap_or(limits.deadline_max)
-            .min(limits.deadline_max);
-        let class = spec
-            .class
-            .or(kind.map(|kind| kind.class))
-            .unwrap_or_default();
+        let deadline = self.deadline_of(&spec);
+        let class = self.class_of(&spec);
         let tasks = spec
             .tasks
             .iter()
--- a/knapweedrill/src/entry/tasks.rs
+++ b/knapweedrill/src/entry/tasks.rs
@@ -73,14 +73,28 @@
         actions: &mut Vec<EntryAction>,
     ) -> Option<QueuedTask> {
         let taken = self.take_off(sidecar, task, attempt);
-        if taken.is_none() || !self.is_out(task, attempt) {
-            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+        if !self.is_awaited(taken.is_some(), task, attempt, actions) {
             return None;
         }
+        taken
+    }
+
+    /// Returns whether a job waits for a task that was taken off a sidecar's list, and counts it.
+    fn is_awaited(
+        &mut self,
+        was_taken: bool,
+        task: TaskId,
+        attempt: Attempt,
+        actions: &mut Vec<EntryAction>,
+    ) -> bool {
+        if !was_taken || !self.is_out(task, attempt) {
+            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
+            return false;
+        }
         if let Some(live) = self.jobs.get_mut(&task.job) {
             live.out_count -= 1;
         }
-        taken
+        true
     }
 
     fn take_off(
@@ -116,10 +130,14 @@
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        if self.take_back(sidecar, task, attempt, actions).is_none() {
+        let taken = self.take_off(sidecar, task, attempt);
+        if let Some(queued) = &taken {
+            // A minion's failures count also when they come after the end of their job.
+            self.learn(sidecar, queued, &outcome, run_time, now, actions);
+        }
+        if !self.is_awaited(taken.is_some(), task, attempt, actions) {
             return;
         }
-        self.learn(sidecar, task, &outcome, run_time, now);
         match outcome {
             TaskOutcome::Done { result } => self.task_done(task, result, now, actions),
             TaskOutcome::Failed { failure } => {
@@ -215,12 +233,13 @@
             return;
         };
         let is_heard = view.is_heard;
+        let service = view.announcement.service.clone();
         for doubt in view.tasks_in_doubt() {
             self.task_lost(sidecar, doubt.task, doubt.attempt, now, actions);
         }
         if !is_heard {
             self.sidecars.remove(&sidecar);
-            self.forget_sidecar(sidecar);
+            self.forget_sidecar(&service, sidecar);
         }
     }
 
