--- a/knapweedrill/src/entry/admission.rs
+++ b/knapweedrill/src/entry/admission.rs
@@ -106,8 +106,8 @@
 
     /// Decides on a job.
     ///
-    /// `ahead_work` is the work that goes before the job: at least that of its own team and of
-    /// its class and more urgent ones, as far as the entry can tell.
+    /// `ahead_work` is the work that goes before the job, see
+    /// [`TaskQueue::work_ahead`](super::TaskQueue::work_ahead).
     ///
     /// # Errors
     ///
@@ -124,8 +124,10 @@
                 retry_after: None,
             });
         }
-        let is_full = queued.task_count + job.task_count > self.limits.queued_tasks
-            || queued.payload_bytes + job.payload_bytes > self.limits.queued_bytes;
+        let task_count = queued.task_count.saturating_add(job.task_count);
+        let payload_bytes = queued.payload_bytes.saturating_add(job.payload_bytes);
+        let is_full =
+            task_count > self.limits.queued_tasks || payload_bytes > self.limits.queued_bytes;
         let wait = self.expected_wait(ahead_work + job.expected_work);
         if is_full || wait > job.deadline * WAIT_OF_DEADLINE_PERCENT / 100 {
             return Err(AdmissionRefusal {
@@ -138,7 +140,8 @@
 
     fn is_too_large(&self, job: JobSize) -> bool {
         job.task_count == 0
-            || job.task_count > self.limits.tasks_per_job
+            || job.task_count > self.limits.tasks_per_job.min(self.limits.queued_tasks)
+            || job.payload_bytes > self.limits.queued_bytes
             || job.largest_payload_bytes > self.limits.payload_bytes
             || job.deadline > self.limits.deadline_max
     }
--- a/knapweedrill/src/entry/queue/flow_queue.rs
+++ b/knapweedrill/src/entry/queue/flow_queue.rs
@@ -30,6 +30,8 @@
     order: BTreeMap<Generation, BTreeSet<JobPlace>>,
     longest: BTreeSet<(Duration, JobId)>,
     task_counts: BTreeMap<Generation, u32>,
+    /// How long the tasks are expected to run in all.
+    pub(super) expected_work: Duration,
     /// When the flow was last served, as a number that rises with each task taken.
     pub(super) served_number: u64,
 }
@@ -51,6 +53,7 @@
         let generation = self.order.entry(tasks.generation).or_default();
         generation.insert(place(job, tasks));
         self.longest.insert((tasks.longest(), job));
+        self.expected_work += tasks.remaining;
         *self.task_counts.entry(tasks.generation).or_default() += tasks.tasks.len() as u32;
     }
 
@@ -66,6 +69,7 @@
             self.order.remove(&tasks.generation);
         }
         self.longest.remove(&(tasks.longest(), job));
+        self.expected_work -= tasks.remaining;
         if let Some(task_count) = self.task_counts.get_mut(&tasks.generation) {
             *task_count -= tasks.tasks.len() as u32;
             if *task_count == 0 {
--- a/knapweedrill/src/entry/queue/mod.rs
+++ b/knapweedrill/src/entry/queue/mod.rs
@@ -64,6 +64,16 @@
         self.totals
     }
 
+    /// Returns the expected work that surely goes before a new job of the flow: that of the same
+    /// team in the same class and in more urgent ones.
+    pub fn work_ahead(&self, flow: &Flow) -> Duration {
+        self.flows
+            .iter()
+            .filter(|(other, _)| other.team == flow.team && other.class <= flow.class)
+            .map(|(_, queue)| queue.expected_work)
+            .sum()
+    }
+
     /// Queues a job; a job that is queued already is left as it is.
     pub fn push_job(&mut self, job: QueuedJob, now: Instant) {
         if self.jobs.contains_key(&job.job) {
--- a/knapweedrill/src/minion/health.rs
+++ b/knapweedrill/src/minion/health.rs
@@ -175,7 +175,13 @@
     ) -> Option<HealthChange> {
         let record = self.minions.get_mut(&sidecar)?;
         if let Some(until) = record.ejected_until {
-            return (now >= until).then(|| self.trial_ended(sidecar, is_failure, now))?;
+            // A task that was in flight at the ejection is no trial.
+            let is_trial = now >= until;
+            return if is_trial {
+                self.trial_ended(sidecar, is_failure, now)
+            } else {
+                None
+            };
         }
         record.add(is_failure);
         if !self.is_failing(sidecar) || self.ejected_count() >= self.ejected_max_count() {
--- /dev/null
+++ b/knapweedrill/tests/learning.rs
@@ -0,0 +1,113 @@
+//! What is learned of minions and of kinds of work.
+
+use std::time::Duration;
+
+use knapweedrill::entry::RunTimes;
+use knapweedrill::minion::MinionSpeed;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use test_case::test_case;
+
+const KIND: &str = "relief";
+
+/// Returns a log-normal factor with a median of 1.
+fn noise(random: &mut StdRng, sigma: f64) -> f64 {
+    // The sum of twelve uniform numbers is close to a normal one of variance 1.
+    let normal: f64 = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
+    (normal * sigma).exp()
+}
+
+fn work(random: &mut StdRng) -> Duration {
+    Duration::from_secs_f64(0.05 * 20.0_f64.powf(random.random::<f64>()))
+}
+
+#[test_case(0.3; "off by sigma 0.3")]
+#[test_case(1.0; "off by sigma 1")]
+fn speed_is_learned_from_expectations(sigma: f64) {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut speed = MinionSpeed::new(100);
+    for _ in 0..200 {
+        let work = work(&mut random);
+        let expected = work.mul_f64(noise(&mut random, sigma));
+        speed.observe(expected, work.div_f64(0.25));
+    }
+    let error = speed.factor() / 0.25;
+    assert!((0.65..=1.5).contains(&error), "off by {error}");
+}
+
+#[test]
+fn order_of_minions_survives_declared_times_ten_times_off() {
+    let mut random = StdRng::seed_from_u64(2);
+    let mut run_times = RunTimes::new();
+    let true_speeds = [0.5, 1.0, 2.0];
+    let mut speeds = [0; 3].map(|_| MinionSpeed::new(0));
+    for _ in 0..300 {
+        for (speed, true_speed) in speeds.iter_mut().zip(true_speeds) {
+            let work = work(&mut random);
+            let hint = Some(work.mul_f64(10.0 * noise(&mut random, 0.3)));
+            let run_time = work.div_f64(true_speed);
+            speed.observe(run_times.expected(KIND, hint), run_time);
+            run_times.observe(KIND, hint, run_time, speed.percent());
+        }
+    }
+    for (slower, faster) in [(0, 1), (1, 2)] {
+        let ratio = speeds[faster].factor() / speeds[slower].factor();
+        assert!((1.6..=2.5).contains(&ratio), "ratio {ratio}");
+    }
+}
+
+#[test]
+fn wild_task_moves_a_learned_speed_little() {
+    let mut speed = MinionSpeed::new(100);
+    for _ in 0..50 {
+        speed.observe(Duration::from_millis(100), Duration::from_millis(100));
+    }
+    speed.observe(Duration::from_millis(100), Duration::from_secs(100));
+    assert!(speed.factor() > 0.9);
+}
+
+#[test]
+fn announced_speed_holds_until_tasks_have_run() {
+    assert_eq!(MinionSpeed::new(250).percent(), 250);
+    assert_eq!(MinionSpeed::new(0).percent(), 100);
+}
+
+#[test]
+fn hint_alone_counts_while_nothing_has_run() {
+    let hint = Duration::from_millis(700);
+    let run_times = RunTimes::new();
+    let expected = run_times.expected(KIND, Some(hint));
+    assert_eq!(expected, hint);
+}
+
+#[test]
+fn hints_ten_times_too_long_are_corrected() {
+    let mut run_times = RunTimes::new();
+    for _ in 0..20 {
+        let hint = Some(Duration::from_secs(1));
+        run_times.observe(KIND, hint, Duration::from_millis(200), 50);
+    }
+    let expected = run_times.expected(KIND, Some(Duration::from_secs(1)));
+    assert_eq!(expected.as_millis(), 100);
+    let unseen = run_times.expected(KIND, Some(Duration::from_secs(20)));
+    assert_eq!(unseen.as_secs(), 2);
+}
+
+#[test]
+fn kind_without_hints_has_its_mean() {
+    let mut run_times = RunTimes::new();
+    for _ in 0..20 {
+        run_times.observe(KIND, None, Duration::from_millis(300), 100);
+    }
+    assert_eq!(run_times.expected(KIND, None).as_millis(), 300);
+}
+
+#[test]
+fn zero_times_are_harmless() {
+    let mut run_times = RunTimes::new();
+    run_times.observe(KIND, Some(Duration::ZERO), Duration::ZERO, 0);
+    let mut speed = MinionSpeed::new(100);
+    speed.observe(Duration::ZERO, Duration::ZERO);
+    assert_eq!(speed.percent(), 100);
+    assert!(run_times.expected(KIND, Some(Duration::MAX)) <= Duration::from_secs(3600));
+}
--- /dev/null
+++ b/knapweedrill/tests/service_health.rs
@@ -0,0 +1,165 @@
+//! Ejection of minions that fail.
+
+use std::time::{Duration, Instant};
+
+use knapweedrill::common::Incarnation;
+use knapweedrill::minion::{HealthChange, ServiceHealth};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SLOT_COUNT: u32 = 8;
+
+fn health(minion_count: u64, ejected_max_percent: u32) -> ServiceHealth {
+    let mut health = ServiceHealth::new(ejected_max_percent, 1);
+    for sidecar in 0..minion_count {
+        health.minion_found(sidecar);
+    }
+    health
+}
+
+fn eject(health: &mut ServiceHealth, sidecar: Incarnation, now: Instant) {
+    while !health.is_ejected(sidecar) {
+        health.ended(sidecar, true, now);
+    }
+}
+
+#[test]
+fn minion_that_fails_everything_is_ejected_within_three_times_its_slots() {
+    let now = Instant::now();
+    // Three entries judge for themselves; tasks fill all slots until each of them has ejected.
+    let mut entries = [0; 3].map(|_| health(10, 50));
+    for entry in &mut entries {
+        for sidecar in 0..10 {
+            for _ in 0..64 {
+                entry.ended(sidecar, false, now);
+            }
+        }
+    }
+    let mut started_count = 0;
+    let mut in_flight: Vec<usize> = Vec::new();
+    let mut turn = 0;
+    while entries.iter().any(|entry| !entry.is_ejected(3)) {
+        while in_flight.len() < SLOT_COUNT as usize {
+            let willing = (0..3).map(|step| (turn + step) % 3);
+            let Some(entry) = willing
+                .into_iter()
+                .find(|&entry| !entries[entry].is_ejected(3))
+            else {
+                break;
+            };
+            turn = entry + 1;
+            in_flight.push(entry);
+            started_count += 1;
+        }
+        let entry = in_flight.remove(0);
+        entries[entry].ended(3, true, now);
+    }
+    assert!(started_count <= 3 * SLOT_COUNT, "{started_count} started");
+}
+
+#[test]
+fn occasional_failures_eject_nobody() {
+    let mut random = StdRng::seed_from_u64(5);
+    let now = Instant::now();
+    let mut health = health(10, 50);
+    for _ in 0..1_000 {
+        for sidecar in 0..10 {
+            assert_eq!(health.ended(sidecar, random.random_bool(0.05), now), None);
+        }
+    }
+}
+
+#[test]
+fn tasks_that_fail_everywhere_eject_no_more_than_one_minion() {
+    let now = Instant::now();
+    let mut health = health(10, 50);
+    for _ in 0..100 {
+        for sidecar in 0..10 {
+            health.ended(sidecar, true, now);
+        }
+    }
+    assert!(health.ejected_count() <= 1);
+}
+
+#[test]
+fn trial_starts_with_one_task_and_restores_the_minion() {
+    let now = Instant::now();
+    let mut health = health(4, 50);
+    eject(&mut health, 0, now);
+    assert!(!health.may_start(0, 0, now));
+    let later = now + Duration::from_secs(1);
+    assert!(health.may_start(0, 0, later));
+    assert!(!health.may_start(0, 1, later));
+    assert_eq!(health.ended(0, false, later), Some(HealthChange::Restored));
+    assert!(health.may_start(0, 7, later));
+}
+
+#[test]
+fn failed_trials_are_further_and_further_apart() {
+    let mut now = Instant::now();
+    let mut health = health(4, 50);
+    eject(&mut health, 0, now);
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        let ejected_at = now;
+        while !health.may_start(0, 0, now) {
+            now += Duration::from_millis(10);
+        }
+        waits.push(now - ejected_at);
+        assert_eq!(health.ended(0, true, now), Some(HealthChange::TrialFailed));
+    }
+    assert!(waits[0] <= Duration::from_secs(1));
+    assert!(waits[4] >= Duration::from_secs(8) && waits[4] <= Duration::from_secs(17));
+    assert!(waits[7] <= Duration::from_secs(61));
+}
+
+#[test]
+fn outcome_of_a_task_in_flight_at_the_ejection_is_no_trial() {
+    let now = Instant::now();
+    let mut health = health(4, 50);
+    eject(&mut health, 0, now);
+    assert_eq!(health.ended(0, false, now), None);
+    assert!(health.is_ejected(0));
+}
+
+#[test]
+fn shrinking_service_brings_ejected_minions_back() {
+    let now = Instant::now();
+    let mut health = health(4, 50);
+    eject(&mut health, 0, now);
+    // The failures of minion 0 do not count for the others, as it gets no work.
+    eject(&mut health, 1, now);
+    health.minion_gone(3);
+    assert_eq!(health.ejected_count(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+
+    #[test]
+    fn ejections_never_exceed_the_stated_part(
+        percent in 0..101_u32,
+        steps in prop::collection::vec((0..12_u64, 0..10_u8, 0..400_u64), 1..400),
+    ) {
+        let mut now = Instant::now();
+        let mut health = health(10, percent);
+        let mut minions: std::collections::BTreeSet<u64> = (0..10).collect();
+        for (sidecar, kind, wait_ms) in steps {
+            now += Duration::from_millis(wait_ms);
+            match kind {
+                0 => {
+                    health.minion_found(sidecar);
+                    minions.insert(sidecar);
+                }
+                1 => {
+                    health.minion_gone(sidecar);
+                    minions.remove(&sidecar);
+                }
+                // Half of the minions fail everything.
+                _ => drop(health.ended(sidecar, sidecar % 2 == 0, now)),
+            }
+            prop_assert!(health.ejected_count() * 100 <= minions.len() as u32 * percent);
+        }
+    }
+}
--- a/knapweedrill/tests/task_queue.rs
+++ b/knapweedrill/tests/task_queue.rs
@@ -140,6 +140,18 @@
     assert_eq!(queue.take_any(|_| true), None);
 }
 
+#[test]
+fn work_ahead_is_that_of_the_team_and_no_less_urgent() {
+    let now = Instant::now();
+    let mut queue = TaskQueue::new(now);
+    for (id, class) in Class::ALL.into_iter().enumerate() {
+        queue.push_job(job(id as JobId, 0, Flow::new("a", class), &[100; 3]), now);
+    }
+    queue.push_job(job(9, 0, flow("b"), &[100; 3]), now);
+    queue.take(&flow("a"), |_| true);
+    assert_eq!(queue.work_ahead(&flow("a")), Duration::from_millis(500));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
