--- a/knapweedrill/src/lib.rs
+++ b/knapweedrill/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod failure_domain;
 pub mod job;
 pub mod link;
+pub mod membership;
 pub mod message;
 pub mod minion;
 pub mod sidecar;
