--- a/knapweedrill/src/lib.rs
+++ b/knapweedrill/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ini;
 pub mod job;
 pub mod link;
+pub mod membership;
 pub mod message;
 pub mod minion;
 pub mod sidecar;
