feat(api): share paths and JSON bodies between daemon and client

Every byte of a payload or result survives: text as a JSON string, anything else as {"hex": ..}. Statuses 429 and 503 are kept for jobs of which nothing ran; a malformed question about a job is answered 'unknown', never 'not-run'.

--- a/knapweedrill/src/lib.rs
+++ b/knapweedrill/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions. Sockets, threads and clocks stay with the process that embeds it, so that each part
 //! can be tested with a hand-moved clock and embedded on its own.
 
+pub mod api;
 pub mod common;
 pub mod contract;
 pub mod entry;
