feat(http): an HTTP server that slow and hostile clients cannot stall

tiny_http bounds neither connections nor bodies and sets no timeouts.

Answering on the caller's thread was ruled out, since the answer to a pipelined request waits for the one before it; so was a pool with a bound, which such requests could fill with jobs that wait for a queued one.

--- /dev/null
+++ b/knapweedrill_daemon/tests/http_requests.rs
@@ -0,0 +1,186 @@
+//! Requests reach the handler whole, and every one gets one whole answer.
+
+mod http_support;
+
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use http_support::{assert_not_run, exchange, get, post, read_all, send, serve, serve_echo};
+use knapweedrill_daemon::http::{HttpLimits, HttpReply, Method};
+use test_case::test_case;
+
+#[test]
+fn handler_gets_the_parts_of_a_request() {
+    let (requests, received) = channel();
+    let server = serve(HttpLimits::default(), move |request| {
+        requests
+            .send((
+                request.method,
+                request.path_segments(),
+                request.query.clone(),
+                request.owner.clone(),
+                request.body.clone(),
+            ))
+            .unwrap();
+        request.responder.respond(HttpReply::text(200, "done"));
+    });
+    let answer = exchange(
+        server.address(),
+        "PUT /v1/a%2Fb?key=x%20y&flag HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\
+         knapweedrill-owner: ab-1-2\r\nContent-Length: 4\r\n\r\nbody",
+    );
+    assert!(answer.ends_with("\r\n\r\ndone"), "{answer}");
+    let (method, segments, query, owner, body) = received.recv().unwrap();
+    assert_eq!(method, Method::Put);
+    assert_eq!(segments, Some(vec!["v1".to_owned(), "a/b".to_owned()]));
+    assert_eq!(query.get("key"), Some("x y"));
+    assert_eq!(query.get("flag"), Some(""));
+    assert_eq!(query.get("other"), None);
+    assert_eq!(owner.as_deref(), Some("ab-1-2"));
+    assert_eq!(body, b"body");
+}
+
+#[test]
+fn large_body_is_echoed_whole() {
+    let server = serve_echo(HttpLimits::default());
+    let body = "0123456789".repeat(100_000);
+    let answer = post(server.address(), &body);
+    assert!(answer.ends_with(&body));
+}
+
+#[test]
+fn answer_may_come_from_another_thread_and_later() {
+    let server = serve(HttpLimits::default(), |request| {
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(100));
+            let reply = HttpReply::json(202, &["late"]).with_header("X-Test", "1");
+            request.responder.respond(reply);
+        });
+    });
+    let answer = get(server.address(), "/");
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    assert!(answer.contains("X-Test: 1\r\n"), "{answer}");
+    assert!(answer.ends_with(r#"["late"]"#), "{answer}");
+}
+
+#[test]
+fn answer_slower_than_the_idle_timeout_arrives() {
+    let limits = HttpLimits::builder()
+        .idle_timeout(Duration::from_millis(1_500))
+        .build();
+    let server = serve(limits, |request| {
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(4));
+            request.responder.respond(HttpReply::text(200, "waited"));
+        });
+    });
+    let stream = send(server.address(), "GET / HTTP/1.1\r\nHost: t\r\n\r\n");
+    assert!(read_all(stream).ends_with("waited"));
+}
+
+#[test]
+fn dropped_responder_answers_500() {
+    let server = serve(HttpLimits::default(), drop);
+    assert!(get(server.address(), "/").starts_with("HTTP/1.1 500"));
+}
+
+#[test]
+fn panic_of_the_handler_answers_500_and_harms_no_other() {
+    let server = serve(HttpLimits::default(), |request| {
+        assert!(request.path != "/panic", "the test asks for a panic");
+        request.responder.respond(HttpReply::text(200, "fine"));
+    });
+    assert!(get(server.address(), "/panic").starts_with("HTTP/1.1 500"));
+    assert!(get(server.address(), "/").starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn health_is_answered_without_the_handler() {
+    let server = serve(HttpLimits::default(), |_| {
+        panic!("the handler is not asked")
+    });
+    assert!(get(server.address(), "/healthz").starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let (firsts, held) = channel();
+    let server = serve(HttpLimits::default(), move |request| {
+        if request.path == "/first" {
+            firsts.send(request.responder).unwrap();
+        } else {
+            request.responder.respond(HttpReply::text(200, "second"));
+        }
+    });
+    let stream = send(
+        server.address(),
+        "GET /first HTTP/1.1\r\nHost: t\r\n\r\n\
+         GET /second HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n",
+    );
+    thread::sleep(Duration::from_millis(200));
+    held.recv().unwrap().respond(HttpReply::text(200, "first"));
+    let answer = read_all(stream);
+    assert!(answer.find("first") < answer.find("second"), "{answer}");
+    assert!(answer.ends_with("second"), "{answer}");
+}
+
+#[test_case("PATCH / HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n", 405; "unknown method")]
+#[test_case("GET /?a=%zz HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n", 400; "bad escape")]
+#[test_case("GET x HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n", 400; "path without slash")]
+#[test_case("GET / HTTP/1.1\r\nKnapweedrill-Owner: a\r\nKnapweedrill-Owner: b\r\nConnection: close\r\n\r\n", 400; "two owners")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: -1\r\nConnection: close\r\n\r\n", 400; "negative length")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n", 400; "two lengths")]
+fn unacceptable_request_was_not_run(request: &str, status: u16) {
+    let server = serve(HttpLimits::default(), |_| {
+        panic!("the handler is not asked")
+    });
+    assert_not_run(&exchange(server.address(), request), status);
+}
+
+#[test_case("\r\n\r\n"; "empty lines")]
+#[test_case("GET\r\n\r\n"; "no path")]
+#[test_case("GET / HTTP/9.9\r\n\r\n"; "unknown version")]
+#[test_case("GET / HTTP/1.1\r\nno colon\r\n\r\n"; "header without a colon")]
+#[test_case("\u{1}\u{2}\u{fffd}\r\n\r\n"; "not text")]
+fn malformed_request_never_reaches_the_handler(request: &str) {
+    let server = serve(HttpLimits::default(), |_| {
+        panic!("the handler is not asked")
+    });
+    let answer = exchange(server.address(), request);
+    assert!(!answer.contains("HTTP/1.1 200"), "{answer}");
+    assert!(get(server.address(), "/healthz").starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn stop_lets_requests_in_flight_end_and_refuses_new_ones() {
+    let (responders, held) = channel();
+    let server = serve(HttpLimits::default(), move |request| {
+        responders.send(request.responder).unwrap();
+    });
+    let address = server.address();
+    let stream = send(
+        address,
+        "GET / HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n",
+    );
+    let responder = held.recv().unwrap();
+    let stopping = thread::spawn(move || server.stop(Duration::from_secs(10)));
+    thread::sleep(Duration::from_millis(100));
+    let refused = get(address, "/");
+    assert_not_run(&refused, 503);
+    assert!(refused.contains("Retry-After: 1\r\n"), "{refused}");
+    responder.respond(HttpReply::text(200, "whole"));
+    assert!(read_all(stream).ends_with("whole"));
+    assert_eq!(stopping.join().unwrap(), 0);
+}
+
+#[test]
+fn stop_reports_what_did_not_end_in_time() {
+    let (responders, held) = channel();
+    let server = serve(HttpLimits::default(), move |request| {
+        responders.send(request.responder).unwrap();
+    });
+    let _stream = send(server.address(), "GET / HTTP/1.1\r\nHost: t\r\n\r\n");
+    let _responder = held.recv().unwrap();
+    assert_eq!(server.stop(Duration::from_millis(50)), 1);
+}
