--- a/knapweedrill_daemon/src/http/limits.rs
+++ b/knapweedrill_daemon/src/http/limits.rs
@@ -28,7 +28,7 @@
             body_time: Duration::from_secs(5),
             body_reader_count: 256,
             request_count: 4_096,
-            idle_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(3),
         }
     }
 }
--- a/knapweedrill_daemon/tests/http_descriptors.rs
+++ b/knapweedrill_daemon/tests/http_descriptors.rs
@@ -29,7 +29,7 @@
         .set(CHILD_DESCRIPTOR_COUNT, CHILD_DESCRIPTOR_COUNT)
         .unwrap();
     let limits = HttpLimits::builder()
-        .idle_timeout(Duration::from_secs(2))
+        .idle_timeout(Duration::from_secs(1))
         .build();
     let server = serve_echo(limits);
     println!("address={}", server.address());
@@ -102,7 +102,21 @@
         let connections: Vec<_> = (0..CONNECTION_COUNT)
             .map(|_| TcpStream::connect(server.address).unwrap())
             .collect();
+        let begin = Instant::now();
         assert!(server.wait_until_serving(), "round {round}");
+        println!("round {round}: served again after {:?}", begin.elapsed());
         drop(connections);
     }
 }
+
+#[test]
+fn requests_of_an_unsupported_version_hold_no_descriptors() {
+    let server = ServerProcess::start();
+    let request = b"POST / HTTP/2.0\r\nHost: t\r\nContent-Length: 999999999999999\r\n\r\n";
+    for _ in 0..CONNECTION_COUNT {
+        let mut stream = TcpStream::connect(server.address).unwrap();
+        // A reset shows no more than that the server has closed the connection.
+        let _ = stream.write_all(request);
+    }
+    assert!(server.wait_until_serving());
+}
