feat(daemon): put the state machines into processes

Cause: the parts were not yet a process. Change: one control thread around the state machines, gates for HTTP, log and minion.

--- a/knapweedrill/src/entry/caller.rs
+++ b/knapweedrill/src/entry/caller.rs
@@ -79,6 +79,29 @@
         }
     }
 
+    /// Returns the request without its payloads, on which no answer depends.
+    pub fn without_payload(&self) -> Self {
+        match self {
+            Self::Submit {
+                token,
+                key,
+                spec,
+                wait,
+            } => Self::Submit {
+                token: *token,
+                key: key.clone(),
+                spec: JobSpec {
+                    tasks: Vec::new(),
+                    team: spec.team.clone(),
+                    kind: spec.kind.clone(),
+                    ..*spec
+                },
+                wait: *wait,
+            },
+            request => request.clone(),
+        }
+    }
+
     /// Returns the identifier of the job that the request is about.
     pub fn job_id(&self) -> JobId {
         match self {
--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -127,6 +127,11 @@
         self.stopping.is_some()
     }
 
+    /// Returns whether another entry is known to be stopping.
+    pub fn knows_stopping(&self, entry: Incarnation) -> bool {
+        self.relays.is_stopping(entry)
+    }
+
     /// Returns the stopped entries whose tokens this entry answers for.
     pub fn answers_for(&self) -> Vec<Incarnation> {
         self.relays.adopted_owners()
--- a/knapweedrill/src/membership/directory.rs
+++ b/knapweedrill/src/membership/directory.rs
@@ -7,6 +7,7 @@
 use super::presence::{Before, Presence};
 use super::{ConfigurationSource, MembershipChange, MembershipSettings};
 use crate::common::Incarnation;
+use crate::contract::ConfigurationVersion;
 use crate::message::{Datagram, EntryBeat, PeerAddress, Role};
 
 /// How many heartbeats pass between two to a lost entry.
@@ -103,6 +104,12 @@
         addresses
     }
 
+    pub(super) fn configurations(
+        &self,
+    ) -> impl Iterator<Item = (Incarnation, Option<ConfigurationVersion>)> {
+        self.heard.configurations()
+    }
+
     pub(super) fn newest_configuration(&self) -> Option<ConfigurationSource> {
         self.heard.newest_configuration()
     }
--- a/knapweedrill/src/membership/entry.rs
+++ b/knapweedrill/src/membership/entry.rs
@@ -114,6 +114,15 @@
             .filter(|source| Some(source.version) > own)
     }
 
+    /// Returns the configuration that each live process has in force.
+    pub fn configurations(
+        &self,
+    ) -> impl Iterator<Item = (Incarnation, Option<ConfigurationVersion>)> {
+        self.entries
+            .configurations()
+            .chain(self.minions.configurations())
+    }
+
     /// Returns the minions that are live.
     pub fn minions(&self) -> impl Iterator<Item = &Announcement> {
         self.minions.live()
--- a/knapweedrill/src/membership/presence.rs
+++ b/knapweedrill/src/membership/presence.rs
@@ -139,6 +139,15 @@
         self.lost.get(index as usize).map(|lost| &lost.value)
     }
 
+    /// Returns the configuration that each live process has in force.
+    pub(super) fn configurations(
+        &self,
+    ) -> impl Iterator<Item = (Incarnation, Option<ConfigurationVersion>)> {
+        self.live
+            .iter()
+            .map(|(peer, heard)| (*peer, heard.configuration))
+    }
+
     /// Returns the live process that has the newest configuration.
     pub(super) fn newest_configuration(&self) -> Option<ConfigurationSource> {
         self.live
--- a/knapweedrill/src/sidecar/core.rs
+++ b/knapweedrill/src/sidecar/core.rs
@@ -101,7 +101,7 @@
         if self.takes_work(now) {
             self.grant_credits(now);
         }
-        let report = self.common_report(now);
+        let report = self.slot_report(now);
         for (peer, outbox) in &mut self.peers {
             if let Some(message) = outbox.take(report) {
                 actions.push(SidecarAction::Send {
@@ -115,16 +115,8 @@
         }
     }
 
-    /// Returns the state of the slots, as `peer` is to see it.
-    pub fn slot_report(&self, peer: Incarnation, now: Instant) -> SlotReport {
-        let mut report = self.common_report(now);
-        if let Some(outbox) = self.peers.get(&peer) {
-            report.starts_seen_count = outbox.starts_seen_count;
-        }
-        report
-    }
-
-    fn common_report(&self, now: Instant) -> SlotReport {
+    /// Returns the state of the slots, as heartbeats tell it to all entries alike.
+    pub fn slot_report(&self, now: Instant) -> SlotReport {
         let mut report = self.arbiter.report(self.speed_percent());
         if !self.takes_work(now) {
             report.free_count = 0;
--- a/knapweedrill_daemon/src/http/method.rs
+++ b/knapweedrill_daemon/src/http/method.rs
@@ -17,6 +17,16 @@
     /// The methods, as the header `Allow` lists them.
     pub(super) const ALLOWED: &str = "GET, HEAD, POST, PUT, DELETE";
 
+    /// Returns the method's name in a request.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Put => "PUT",
+            Self::Delete => "DELETE",
+        }
+    }
+
     /// Returns the method of a request, if the interface serves it.
     pub(super) fn of(method: &tiny_http::Method) -> Option<Self> {
         match method {
--- a/knapweedrill_daemon/src/http/request.rs
+++ b/knapweedrill_daemon/src/http/request.rs
@@ -23,6 +23,18 @@
 }
 
 impl HttpRequest {
+    /// Returns the path with its query.
+    pub fn url(&self) -> String {
+        let mut url = self.path.clone();
+        for (index, parameter) in self.query.iter().enumerate() {
+            url.push(if index == 0 { '?' } else { '&' });
+            url.push_str(&parameter.name);
+            url.push('=');
+            url.push_str(&parameter.value);
+        }
+        url
+    }
+
     /// Returns the segments of the path, decoded, or nothing if one is not encoded as URLs are.
     pub fn path_segments(&self) -> Option<Vec<String>> {
         self.path
--- a/knapweedrill_daemon/src/lib.rs
+++ b/knapweedrill_daemon/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod http;
 pub mod minion_calls;
 pub mod platform_log;
+pub mod process;
 pub mod settings;
 pub mod telemetry;
--- a/knapweedrill_daemon/src/platform_log/mod.rs
+++ b/knapweedrill_daemon/src/platform_log/mod.rs
@@ -2,11 +2,15 @@
 
 mod entry;
 mod http_log;
+mod record;
 mod tail;
+mod writer;
 
 pub use entry::{LogEntry, LogPage};
 pub use http_log::HttpLog;
+pub use record::LogRecord;
 pub use tail::{LogNews, tail};
+pub use writer::LogWriter;
 
 use knapweedrill::common::LogOffset;
 
--- /dev/null
+++ b/knapweedrill_daemon/src/process/common.rs
@@ -0,0 +1,180 @@
+//! What a process of either role is made of.
+
+use std::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{self, Receiver, Sender};
+use eyre::WrapErr;
+use knapweedrill::common::Incarnation;
+use knapweedrill::event::EventKind;
+use knapweedrill::link::{Identity, LinkTable, SessionSettings};
+use knapweedrill::membership::MembershipSettings;
+use knapweedrill::message::{PeerAddress, Role};
+use knapweedrill_wire::{Datagrams, LinkSettings, Links};
+
+use super::signals;
+use crate::control::{ApiGate, ControlEvent, Peers, Published};
+use crate::http::{HttpLimits, HttpServer};
+use crate::settings::{RoleSettings, Settings};
+use crate::telemetry::{self, Metrics, StatsdFlusher, Timeline};
+
+/// How long the answers of a stopping process have to reach their callers.
+const LAST_ANSWERS_GRACE: Duration = Duration::from_secs(2);
+
+/// How long the last messages of a stopping process have to leave.
+const LAST_MESSAGES_GRACE: Duration = Duration::from_millis(300);
+
+/// What a process of either role is made of.
+pub(super) struct Common {
+    pub(super) incarnation: Incarnation,
+    pub(super) role: Role,
+    pub(super) events: Receiver<ControlEvent>,
+    pub(super) sender: Sender<ControlEvent>,
+    pub(super) published: Arc<Published>,
+    pub(super) timeline: Arc<Timeline>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) links: Links,
+    pub(super) datagrams: Datagrams,
+    http: HttpServer,
+    _statsd: StatsdFlusher,
+}
+
+impl Common {
+    /// Binds the addresses and starts the threads.
+    pub(super) fn start(settings: &Settings) -> eyre::Result<Self> {
+        telemetry::init_logs(settings.logging.level.into(), settings.logging.format.into())?;
+        let incarnation: Incarnation = rand::random();
+        let role = match settings.role {
+            RoleSettings::Entry(_) => Role::Entry,
+            RoleSettings::Sidecar(_) => Role::Sidecar,
+        };
+        let (sender, events) = channel::unbounded();
+        signals::watch(sender.clone())?;
+        let timeline = Arc::new(Timeline::new(
+            settings.process.name.clone(),
+            incarnation,
+            settings.limits.event_count as usize,
+        ));
+        let metrics = Arc::new(Metrics::new());
+        let published = Arc::new(Published::new());
+        let links = start_links(settings, sender.clone())?;
+        let datagrams = start_datagrams(settings, sender.clone())?;
+        let gate = ApiGate::new(role, Arc::clone(&published));
+        let http = start_http(settings, Arc::clone(&metrics), gate, sender.clone())?;
+        let statsd = StatsdFlusher::builder(Arc::clone(&metrics))
+            .address(settings.statsd_address)
+            .process(settings.process.name.clone())
+            .role(role_name(role))
+            .start()?;
+        timeline.record(EventKind::ProcessStarted);
+        log::info!(process = settings.process.name.as_str(); "started as {}", role_name(role));
+        Ok(Self {
+            incarnation,
+            role,
+            events,
+            sender,
+            published,
+            timeline,
+            metrics,
+            links,
+            datagrams,
+            http,
+            _statsd: statsd,
+        })
+    }
+
+    /// Returns the link sessions of the process.
+    pub(super) fn peers(&self, settings: &Settings) -> Peers {
+        let identity = Identity {
+            incarnation: self.incarnation,
+            role: self.role,
+            name: settings.process.name.clone(),
+        };
+        let sessions = SessionSettings::default()
+            .ping_interval(settings.timing.ping)
+            .silence_timeout(settings.timing.silent);
+        let table = LinkTable::new(identity, sessions, rand::random());
+        Peers::new(table, self.links.clone(), Arc::clone(&self.timeline))
+    }
+
+    /// Returns where the process can be reached.
+    pub(super) fn address(&self, settings: &Settings) -> PeerAddress {
+        PeerAddress {
+            incarnation: self.incarnation,
+            name: settings.process.name.clone(),
+            role: self.role,
+            failure_domain: settings.process.failure_domain.clone(),
+            link_address: settings.listen.link,
+            http_address: settings.listen.http,
+        }
+    }
+
+    /// Lets the last answers and messages leave, and ends the threads.
+    pub(super) fn end(http: HttpServer, links: &Links, datagrams: &Datagrams, timeline: &Timeline) {
+        let unanswered_count = http.stop(LAST_ANSWERS_GRACE);
+        std::thread::sleep(LAST_MESSAGES_GRACE);
+        links.stop();
+        datagrams.stop();
+        timeline.record(EventKind::StopEnded);
+        log::info!(unanswered_count; "planned stop ended");
+    }
+
+    /// Takes the HTTP server out, for the end of the process.
+    pub(super) fn into_http(self) -> HttpServer {
+        self.http
+    }
+}
+
+/// Returns the settings of heartbeats.
+pub(super) fn membership_settings(settings: &Settings) -> MembershipSettings {
+    MembershipSettings::default().heartbeat_period(settings.timing.heartbeat)
+}
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Entry => "entry",
+        Role::Sidecar => "sidecar",
+    }
+}
+
+fn start_links(settings: &Settings, events: Sender<ControlEvent>) -> eyre::Result<Links> {
+    let address = settings.listen.link;
+    let listener = TcpListener::bind(address)
+        .wrap_err_with(|| format!("can't listen for links at {address}"))?;
+    Links::start(listener, LinkSettings::default(), move |event| {
+        // After the end of the control thread nobody needs the event.
+        let _ = events.send(ControlEvent::Link(event));
+    })
+}
+
+fn start_datagrams(settings: &Settings, events: Sender<ControlEvent>) -> eyre::Result<Datagrams> {
+    let address = settings.listen.link;
+    let socket = UdpSocket::bind(address)
+        .wrap_err_with(|| format!("can't listen for heartbeats at {address}"))?;
+    Datagrams::start(socket, move |_, datagram| {
+        let _ = events.send(ControlEvent::Datagram(datagram));
+    })
+}
+
+fn start_http(
+    settings: &Settings,
+    metrics: Arc<Metrics>,
+    gate: ApiGate,
+    events: Sender<ControlEvent>,
+) -> eyre::Result<HttpServer> {
+    let address = settings.listen.http;
+    let listener = TcpListener::bind(address)
+        .wrap_err_with(|| format!("can't listen for HTTP at {address}"))?;
+    let body_bytes = usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX);
+    let limits = HttpLimits::builder()
+        .body_bytes(body_bytes)
+        .request_count(settings.limits.connection_count as usize)
+        .build();
+    HttpServer::start(listener, limits, metrics, move |request| {
+        if let Some(call) = gate.read(request) {
+            // A call that nobody takes drops its responder, which answers the caller.
+            let _ = events.send(ControlEvent::Http(call));
+        }
+    })
+}
--- a/knapweedrill_daemon/src/telemetry/counter.rs
+++ b/knapweedrill_daemon/src/telemetry/counter.rs
@@ -50,6 +50,14 @@
     TasksFailed = "tasks.failed",
     /// Attempts that a sidecar refused and fenced.
     TasksFenced = "tasks.fenced",
+    /// Starts of tasks that had been started before; refused.
+    StartsRefused = "tasks.starts_refused",
+    /// Jobs that a sidecar was asked to start nothing more of.
+    JobsFenced = "jobs.fenced",
+    /// Credits that no task was waiting for.
+    CreditsReturned = "credits.returned",
+    /// Messages that a process of the sender's role does not send.
+    MessagesUnexpected = "messages.unexpected",
     /// Results that came too late or belonged to no task in flight.
     ResultsDropped = "tasks.results_dropped",
 
