feat(membership): blame nobody for silence after a pause of one's own

After a pause the datagrams that waited are read first; also link tables are run over real connections: a message is delivered in its session, an idle session outlasts the silence timeout, a paused peer's session is replaced.

--- a/knapweedrill/src/membership/mod.rs
+++ b/knapweedrill/src/membership/mod.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod entry;
 mod outgoing;
+mod pause_watch;
 mod presence;
 mod rendezvous;
 mod rotation;
--- a/knapweedrill/src/membership/presence.rs
+++ b/knapweedrill/src/membership/presence.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::pause_watch::PauseWatch;
 use super::{Arrivals, ConfigurationSource, MembershipSettings};
 use crate::common::Incarnation;
 use crate::contract::ConfigurationVersion;
@@ -19,6 +20,7 @@
     lost: VecDeque<Lost<T>>,
     /// The spacing that is assumed of a process heard once.
     expected: Duration,
+    watch: PauseWatch,
 }
 
 #[derive(Debug)]
@@ -51,6 +53,7 @@
             live: BTreeMap::new(),
             lost: VecDeque::new(),
             expected,
+            watch: PauseWatch::default(),
         }
     }
 
@@ -89,11 +92,16 @@
     }
 
     /// Removes the processes that have been silent for too long, and returns them.
+    ///
+    /// After a pause of this process nobody is removed until the datagrams that waited are read.
     pub(super) fn expire(
         &mut self,
         settings: &MembershipSettings,
         now: Instant,
     ) -> Vec<Incarnation> {
+        if self.watch.is_recovering(settings.suspicion_floor, now) {
+            return Vec::new();
+        }
         let suspects: Vec<Incarnation> = self
             .live
             .iter()
--- a/knapweedrill/tests/membership.rs
+++ b/knapweedrill/tests/membership.rs
@@ -245,6 +245,33 @@
     world.assert_complete();
 }
 
+#[test]
+fn pause_of_the_listener_loses_nobody_who_still_beats() {
+    let now = Instant::now();
+    let mut entry = entry(1, &[]);
+    entry.handle(&announce(11, 1), now);
+    assert!(entry.tick(now).is_empty());
+    let woken = now + Duration::from_secs(30);
+    assert!(entry.tick(woken).is_empty());
+    entry.handle(&announce(11, 2), woken);
+    assert!(entry.tick(woken + TICK).is_empty());
+    assert_eq!(entry.minions().count(), 1);
+}
+
+#[test]
+fn pause_of_the_listener_hides_no_dead_minion_for_long() {
+    let now = Instant::now();
+    let mut entry = entry(1, &[]);
+    entry.handle(&announce(11, 1), now);
+    entry.tick(now);
+    let woken = now + Duration::from_secs(30);
+    assert!(entry.tick(woken).is_empty());
+    let later = woken + Duration::from_millis(500);
+    assert!(entry.tick(later).is_empty());
+    let lost = MembershipChange::MinionLost { sidecar: 11 };
+    assert_eq!(entry.tick(later + Duration::from_millis(100)), [lost]);
+}
+
 #[test]
 fn parted_entries_meet_again_without_a_seed() {
     let mut world = World::new(&[1, 2, 3], &[11]);
--- /dev/null
+++ b/knapweedrill_wire/tests/sessions.rs
@@ -0,0 +1,174 @@
+//! Link tables over real connections: sessions open, carry messages and are replaced.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{self, Receiver};
+use knapweedrill::common::{HybridTime, Incarnation};
+use knapweedrill::link::{
+    Identity, LinkAction, LinkTable, LinkTableEvent, SessionSettings, WantedPeer,
+};
+use knapweedrill::message::{Frame, Message, Role};
+use knapweedrill_wire::{LinkEvent, LinkSettings, Links};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+const TICK: Duration = Duration::from_millis(10);
+const ENTRY: Incarnation = 1;
+const SIDECAR: Incarnation = 2;
+
+/// A process with a link table, stepped by the test.
+struct Process {
+    table: LinkTable,
+    links: Links,
+    address: SocketAddr,
+    events: Receiver<LinkEvent>,
+    /// What the table told, but for the work on links.
+    told: Vec<LinkAction>,
+}
+
+impl Process {
+    fn start(incarnation: Incarnation, role: Role) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let (sender, events) = channel::unbounded();
+        let links = Links::start(listener, LinkSettings::default(), move |event| {
+            let _ = sender.send(event);
+        });
+        let own = Identity {
+            incarnation,
+            role,
+            name: incarnation.to_string(),
+        };
+        Self {
+            table: LinkTable::new(own, SessionSettings::default(), incarnation),
+            links: links.expect("threads can be started"),
+            address,
+            events,
+            told: Vec::new(),
+        }
+    }
+
+    fn step(&mut self) {
+        while let Ok(event) = self.events.try_recv() {
+            let actions = self.table.handle(table_event(event), Instant::now());
+            self.carry_out(actions);
+        }
+        let actions = self.table.handle(LinkTableEvent::Tick, Instant::now());
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<LinkAction>) {
+        for action in actions {
+            match action {
+                LinkAction::Dial { address } => {
+                    self.links.dial(address);
+                }
+                LinkAction::Close { link } => self.links.close(link),
+                LinkAction::Send {
+                    link,
+                    session,
+                    message,
+                } => {
+                    let clock = HybridTime::default();
+                    let frame = Frame {
+                        session,
+                        clock,
+                        message,
+                    };
+                    self.links.send(link, frame);
+                }
+                told => self.told.push(told),
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.links.stop();
+    }
+}
+
+fn table_event(event: LinkEvent) -> LinkTableEvent {
+    match event {
+        LinkEvent::Opened { link, dialled, .. } => LinkTableEvent::Opened { link, dialled },
+        LinkEvent::Frame { link, frame } => LinkTableEvent::Frame {
+            link,
+            session: frame.session,
+            message: frame.message,
+        },
+        LinkEvent::Closed { link } => LinkTableEvent::Closed { link },
+        LinkEvent::DialFailed { address } => LinkTableEvent::DialFailed { address },
+    }
+}
+
+fn pair_up() -> (Process, Process) {
+    let mut entry = Process::start(ENTRY, Role::Entry);
+    let mut sidecar = Process::start(SIDECAR, Role::Sidecar);
+    let peer = WantedPeer {
+        incarnation: SIDECAR,
+        role: Role::Sidecar,
+        address: sidecar.address,
+    };
+    let actions = entry.table.want(peer, Instant::now());
+    entry.carry_out(actions);
+    let start = Instant::now();
+    while !(entry.table.is_up(SIDECAR) && sidecar.table.is_up(ENTRY)) {
+        step_both(&mut entry, &mut sidecar, start);
+    }
+    (entry, sidecar)
+}
+
+fn step_both(entry: &mut Process, sidecar: &mut Process, start: Instant) {
+    assert!(start.elapsed() < PATIENCE, "not in time");
+    entry.step();
+    sidecar.step();
+    std::thread::sleep(TICK);
+}
+
+#[test]
+fn message_is_delivered_in_its_session() {
+    let (mut entry, mut sidecar) = pair_up();
+    let action = entry
+        .table
+        .send(SIDECAR, Message::Cancel(7), Instant::now());
+    entry.carry_out(action.into_iter().collect());
+    let delivered = LinkAction::Deliver {
+        peer: ENTRY,
+        session: 1,
+        message: Message::Cancel(7),
+    };
+    let start = Instant::now();
+    while !sidecar.told.contains(&delivered) {
+        step_both(&mut entry, &mut sidecar, start);
+    }
+}
+
+#[test]
+fn idle_session_outlasts_the_silence_timeout() {
+    let (mut entry, mut sidecar) = pair_up();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(2500) {
+        step_both(&mut entry, &mut sidecar, start);
+    }
+    assert_eq!(entry.table.session(SIDECAR), Some(1));
+    assert_eq!(sidecar.table.session(ENTRY), Some(1));
+}
+
+#[test]
+fn session_of_a_paused_peer_is_replaced() {
+    let (mut entry, mut sidecar) = pair_up();
+    let paused_at = Instant::now();
+    while entry.table.is_up(SIDECAR) {
+        assert!(paused_at.elapsed() < PATIENCE, "not in time");
+        entry.step();
+        std::thread::sleep(TICK);
+    }
+    assert!(paused_at.elapsed() >= Duration::from_millis(700));
+    let start = Instant::now();
+    while !(entry.table.is_up(SIDECAR) && sidecar.table.session(ENTRY) > Some(1)) {
+        step_both(&mut entry, &mut sidecar, start);
+    }
+    assert_eq!(entry.table.session(SIDECAR), sidecar.table.session(ENTRY));
+    assert_eq!(entry.table.counts().sessions_silent_count, 1);
+}
