--- a/knapweedrill/src/contract/configuration/mod.rs
+++ b/knapweedrill/src/contract/configuration/mod.rs
@@ -2,6 +2,7 @@
 
 mod kind;
 mod limits;
+mod parse;
 mod record;
 mod service;
 mod team;
