feat(configuration): fold the log alike from every starting point

To go by the highest version repeated is not enough: after a late repeat of an older version, a reader that started there would accept a record with that parent, and the others would not. So a repeat names the offset up to which its writer had read ('read_to'), where its version was current; a reader that lacks older records judges only what comes after such an offset. A version is current right after its own offset, which makes a peer's version a base too.

--- a/knapweedrill/src/contract/configuration/mod.rs
+++ b/knapweedrill/src/contract/configuration/mod.rs
@@ -1,16 +1,22 @@
 //! The declarative configuration of the system, applied as a whole.
 
+mod fold;
+mod fold_outcome;
 mod kind;
 mod limits;
 mod parse;
+mod read_back;
 mod record;
 mod service;
 mod team;
 mod version;
 
+pub use fold::{Adopted, ConfigurationFold, InForce};
+pub use fold_outcome::FoldOutcome;
 pub use kind::Kind;
 pub use limits::Limits;
-pub use record::ConfigurationRecord;
+pub use read_back::{AppendFate, ReadBack};
+pub use record::{ConfigurationRecord, SCHEMA_VERSION};
 pub use service::Service;
 pub use team::Team;
 pub use version::ConfigurationVersion;
--- a/knapweedrill/src/contract/mod.rs
+++ b/knapweedrill/src/contract/mod.rs
@@ -7,7 +7,9 @@
 
 pub use class::Class;
 pub use configuration::{
-    Configuration, ConfigurationRecord, ConfigurationVersion, Kind, Limits, Service, Team,
+    Adopted, AppendFate, Configuration, ConfigurationFold, ConfigurationRecord,
+    ConfigurationVersion, FoldOutcome, InForce, Kind, Limits, ReadBack, SCHEMA_VERSION, Service,
+    Team,
 };
 pub use owner_token::{OwnerToken, OwnerTokenError};
 pub use roster::roster_digest;
