--- a/knapweedrill/src/contract/mod.rs
+++ b/knapweedrill/src/contract/mod.rs
@@ -8,7 +8,9 @@
 
 pub use class::Class;
 pub use configuration::{
-    Configuration, ConfigurationRecord, ConfigurationVersion, Kind, Limits, Service, Team,
+    Adopted, AppendFate, Configuration, ConfigurationFold, ConfigurationRecord,
+    ConfigurationVersion, FoldOutcome, InForce, Kind, Limits, ReadBack, SCHEMA_VERSION, Service,
+    Team,
 };
 pub use fair_share::{FairShare, Flow, Rank};
 pub use owner_token::{OwnerToken, OwnerTokenError};
