feat(lab): add a checker of histories

Each guarantee is a rule in a module of its own, held against a typed history of what callers, minions, operators and daemons observed. The report counts what each rule was held against, since a rule that saw nothing proves nothing.

--- a/knapweedrill_lab/src/checker/mod.rs
+++ b/knapweedrill_lab/src/checker/mod.rs
@@ -1,1 +1,17 @@
-//! c
+//! Checks a history of observations against what the system guarantees.
+
+mod history;
+mod index;
+mod observation;
+mod report;
+mod rule;
+mod violation;
+
+pub use history::History;
+pub use observation::{
+    Apply, ApplyOutcome, Availability, CallerAnswer, ConfigurationSighting, Departure, MinionStart,
+    PlannedStop, RaceNumber, Submission,
+};
+pub use report::{Report, RuleReport};
+pub use rule::{CONFIGURATION_BOUND, LEAVING_BOUND, Rule, check};
+pub use violation::Violation;
--- /dev/null
+++ b/knapweedrill_lab/src/checker/rule/not_run_is_true.rs
@@ -0,0 +1,43 @@
+//! A job that was said not to have run did not run.
+
+use crate::checker::index::StartIndex;
+use crate::checker::{History, RuleReport, Submission, Violation};
+use crate::harness::JobOutcome;
+
+/// Checks every answer that says that a job was not run.
+pub(super) fn check(history: &History, starts: &StartIndex, report: &mut RuleReport) {
+    for submission in history.submissions() {
+        if submission.answer.outcome() == Some(JobOutcome::NotRun) {
+            report.note(find_violation(submission, history, starts));
+        }
+    }
+}
+
+fn find_violation(
+    submission: &Submission,
+    history: &History,
+    starts: &StartIndex,
+) -> Option<Violation> {
+    let job = submission.task_id(0).job;
+    let start_us = starts
+        .job_starts_us(job)
+        .find(|start_us| is_false(submission, *start_us, history))?;
+    Some(Violation::FalseNotRun { job, start_us })
+}
+
+/// Returns whether a start gives the answer the lie.
+///
+/// A start before the submission always does. A later one does unless the caller submitted the
+/// job another time, and that submission was not refused: a refused job may be tried again.
+fn is_false(submission: &Submission, start_us: u64, history: &History) -> bool {
+    start_us < submission.submitted_us || !is_explained(submission, start_us, history)
+}
+
+fn is_explained(submission: &Submission, start_us: u64, history: &History) -> bool {
+    let job = submission.task_id(0).job;
+    history.submissions().iter().any(|other| {
+        other.task_id(0).job == job
+            && other.submitted_us <= start_us
+            && other.answer.outcome() != Some(JobOutcome::NotRun)
+    })
+}
