feat(lab): observe calls as submissions of a history

A caller that notes times, answer, broken connections and malformed answers saves each failure test from doing it by hand.

--- a/knapweedrill_lab/src/checker/mod.rs
+++ b/knapweedrill_lab/src/checker/mod.rs
@@ -3,6 +3,7 @@
 mod history;
 mod index;
 mod observation;
+mod observed_call;
 mod report;
 mod rule;
 mod violation;
@@ -12,6 +13,7 @@
     Apply, ApplyOutcome, Availability, CallerAnswer, ConfigurationSighting, Departure, MinionStart,
     PlannedStop, RaceNumber, Submission,
 };
+pub use observed_call::ObservedCall;
 pub use report::{Report, RuleReport};
 pub use rule::{CONFIGURATION_BOUND, LEAVING_BOUND, Rule, check};
 pub use violation::Violation;
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -65,13 +65,27 @@
     ///
     /// Returns an error if there is no answer or it has another form; the job may have run.
     pub fn submit(&self, token: &OwnerToken, key: &str, job: &JobRequest) -> Result<JobAnswer> {
+        self.submit_raw(token, key, job)?.json()
+    }
+
+    /// Submits a job under `key` and returns the answer, whatever its status and form.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer; the job may have run.
+    pub fn submit_raw(
+        &self,
+        token: &OwnerToken,
+        key: &str,
+        job: &JobRequest,
+    ) -> Result<HttpAnswer> {
         let text = serde_json::to_string(job)?;
         let timeout = job.wait_duration() + CALL_TIMEOUT;
         let path = format!("/v1/jobs/{key}");
         let request = http_call::post(self.address, &path, text, timeout)
             .header("Content-Type", "application/json")
             .header(OWNER_HEADER, token.to_string());
-        http_call::send(request)?.json()
+        http_call::send(request)
     }
 
     /// Applies a configuration whole and returns the answer, whatever its status.
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod checker;
 pub mod harness;
 pub mod stand_in;
+pub mod wall_clock;
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
@@ -1,6 +1,7 @@
 //! The proxy for UDP.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -172,14 +173,17 @@
         let Ok((count, client)) = listening.recv_from(&mut buffer) else {
             continue;
         };
-        if !clients.contains_key(&client) {
-            let Ok(outgoing) = open_socket(SocketAddr::new(listening_ip(listening), 0)) else {
-                continue;
-            };
-            spawn_return_path(shared, listening, &outgoing, client, sender);
-            clients.insert(client, outgoing);
-        }
-        shared.pass(sender, &clients[&client], shared.target, &buffer[..count]);
+        let outgoing = match clients.entry(client) {
+            Entry::Occupied(known) => Arc::clone(known.get()),
+            Entry::Vacant(unknown) => {
+                let Ok(outgoing) = open_socket(SocketAddr::new(listening_ip(listening), 0)) else {
+                    continue;
+                };
+                spawn_return_path(shared, listening, &outgoing, client, sender);
+                Arc::clone(unknown.insert(outgoing))
+            }
+        };
+        shared.pass(sender, &outgoing, shared.target, &buffer[..count]);
     }
 }
 
--- a/knapweedrill_lab/src/stand_in/minion/state.rs
+++ b/knapweedrill_lab/src/stand_in/minion/state.rs
@@ -1,13 +1,13 @@
 //! What the threads of a minion share.
 
 use std::sync::{Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use knapweedrill::common::Attempt;
 use knapweedrill::minion::MinionState;
 use tiny_http::Request;
 
 use super::{MinionControl, MinionOptions, StartRecord, StartsAnswer, TaskLabel};
+use crate::wall_clock::wall_us;
 
 /// The state that the threads of a minion share.
 #[derive(Debug)]
@@ -103,11 +103,3 @@
         }
     }
 }
-
-/// Returns the wall-clock time in microseconds since the Unix epoch.
-fn wall_us() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("the clock is past 1970");
-    elapsed.as_micros() as u64
-}
--- /dev/null
+++ b/knapweedrill_lab/src/wall_clock.rs
@@ -0,0 +1,15 @@
+//! The wall clock, which all processes of a machine share.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Returns the wall-clock time in microseconds since the Unix epoch.
+///
+/// # Panics
+///
+/// Panics if the clock is set to before 1970.
+pub fn wall_us() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the clock is past 1970");
+    elapsed.as_micros() as u64
+}
