fix(types): let events and failures be read back

An internally tagged enum can't be read back from postcard, nor from JSON if it holds a 128-bit job id: reading an event with a job failed with 'u128 is not supported', and an outcome with a failure with 'WontImplement'.

--- a/knapweedrill/src/event/kind.rs
+++ b/knapweedrill/src/event/kind.rs
@@ -9,7 +9,7 @@
 
 /// What happened.
 #[message]
-#[serde(rename_all = "kebab-case", tag = "event")]
+#[serde(rename_all = "kebab-case")]
 pub enum EventKind {
     /// The process started.
     ProcessStarted,
--- a/knapweedrill/src/job/failure.rs
+++ b/knapweedrill/src/job/failure.rs
@@ -7,7 +7,7 @@
 /// Why a job failed after some of its tasks may have run.
 #[message]
 #[derive(Copy)]
-#[serde(rename_all = "kebab-case", tag = "reason")]
+#[serde(rename_all = "kebab-case")]
 pub enum Failure {
     /// A task reported a failure of its own.
     TaskFailed {
