fix(lab): catch the signal to end before the first answer

A stand-in answered its first request before its signal handler was in place, so that a planned end right after the start killed it; the test of a planned end failed once so. The handler now comes first.

--- a/knapweedrill_lab/src/command/log.rs
+++ b/knapweedrill_lab/src/command/log.rs
@@ -6,7 +6,7 @@
 use knapweedrill_lab::stand_in::log::LogStandIn;
 use lexopt::{Arg, ValueExt};
 
-use super::termination;
+use super::termination::Termination;
 
 const DEFAULT_RETENTION_RECORDS: usize = 100_000;
 
@@ -26,7 +26,9 @@
         }
     }
     let listen = listen.ok_or_else(|| eyre!("--listen ADDRESS is missing"))?;
+    let termination = Termination::catch()?;
     let _log = LogStandIn::start(listen, retention_records)
         .wrap_err_with(|| format!("the log can't listen on {listen}"))?;
-    Ok(termination::wait()?)
+    termination.wait();
+    Ok(())
 }
--- a/knapweedrill_lab/src/command/minion.rs
+++ b/knapweedrill_lab/src/command/minion.rs
@@ -6,7 +6,7 @@
 use knapweedrill_lab::stand_in::minion::{MinionOptions, MinionStandIn};
 use lexopt::{Arg, ValueExt};
 
-use super::termination;
+use super::termination::Termination;
 
 #[derive(Debug, Default)]
 struct Arguments {
@@ -24,8 +24,10 @@
 /// Returns an error if the arguments are wrong or the address can't be bound.
 pub(super) fn run(parser: lexopt::Parser) -> Result<()> {
     let options = parse(parser)?.into_options()?;
+    let termination = Termination::catch()?;
     let _minion = MinionStandIn::start(options).wrap_err("the minion can't listen")?;
-    Ok(termination::wait()?)
+    termination.wait();
+    Ok(())
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<Arguments> {
--- a/knapweedrill_lab/src/command/termination.rs
+++ b/knapweedrill_lab/src/command/termination.rs
@@ -5,13 +5,25 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-/// Waits until the process is asked to end.
-///
-/// # Errors
-///
-/// Returns an error if the signals can't be caught.
-pub(super) fn wait() -> io::Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    signals.forever().next();
-    Ok(())
+/// Catches the signals that ask the process to end.
+#[derive(Debug)]
+pub(super) struct Termination {
+    signals: Signals,
+}
+
+impl Termination {
+    /// Catches the signals from now on; called before a stand-in answers its first request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signals can't be caught.
+    pub(super) fn catch() -> io::Result<Self> {
+        let signals = Signals::new([SIGINT, SIGTERM])?;
+        Ok(Self { signals })
+    }
+
+    /// Waits until the process is asked to end.
+    pub(super) fn wait(mut self) {
+        self.signals.forever().next();
+    }
 }
