fix(lab): tell an answer that broke off from a whole one

attohttpc returns a body that ends before its Content-Length as if it were whole (seen: one byte of 100 announced, no error). The harness compares the lengths, and the test of a broken answer passes.

--- a/knapweedrill_lab/src/harness/http_call.rs
+++ b/knapweedrill_lab/src/harness/http_call.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::{RequestBuilder, body::Text};
-use eyre::{Result, WrapErr, bail};
+use attohttpc::{RequestBuilder, Response, body::Text};
+use eyre::{Result, WrapErr, bail, ensure};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -78,12 +78,26 @@
 }
 
 /// Sends a request and reads the whole answer.
+///
+/// attohttpc takes a body that ends early as whole, so the length is compared here.
 pub(super) fn send<B: attohttpc::body::Body>(request: RequestBuilder<B>) -> Result<HttpAnswer> {
     let response = request.send()?;
-    Ok(HttpAnswer {
-        status: response.status().as_u16(),
-        body: response.text_utf8()?,
-    })
+    let status = response.status().as_u16();
+    let announced_bytes = content_length(&response);
+    let body = response.text_utf8()?;
+    if let Some(announced_bytes) = announced_bytes {
+        let body_bytes = body.len();
+        ensure!(
+            body_bytes == announced_bytes,
+            "the answer broke off after {body_bytes} of {announced_bytes} bytes"
+        );
+    }
+    Ok(HttpAnswer { status, body })
+}
+
+fn content_length(response: &Response) -> Option<usize> {
+    let value = response.headers().get("Content-Length")?;
+    value.to_str().ok()?.parse().ok()
 }
 
 fn with_timeouts(request: RequestBuilder, timeout: Duration) -> RequestBuilder {
