fix(lab): wait until a frozen process stands still

A stop signal takes effect on each thread in its own time, and a request sent just after it was answered in 2 of 10 runs of the tests.

--- a/knapweedrill_lab/src/harness/child_process.rs
+++ b/knapweedrill_lab/src/harness/child_process.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 use super::wait_until;
 
+/// How long a signal may take to have its effect.
+const SIGNAL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A process that the harness started; it is killed when this is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -83,7 +86,7 @@
     /// Returns an error if it does not end.
     pub fn kill(&mut self) -> Result<()> {
         self.signal(Signal::KILL)?;
-        self.wait_exit(Duration::from_secs(10)).map(|_| ())
+        self.wait_exit(SIGNAL_TIMEOUT).map(|_| ())
     }
 
     /// Asks it to stop as planned.
@@ -95,13 +98,18 @@
         self.signal(Signal::TERM)
     }
 
-    /// Freezes it.
+    /// Freezes it, and waits until all its threads stand still.
     ///
     /// # Errors
     ///
-    /// Returns an error if the signal can't be sent.
+    /// Returns an error if the signal can't be sent or does not take effect.
     pub fn freeze(&mut self) -> Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let pid = self.pid()?;
+        let what = format!("the freeze of {}", self.name);
+        wait_until(&what, SIGNAL_TIMEOUT, || {
+            is_stopped(pid) || !self.is_running()
+        })
     }
 
     /// Lets a frozen process go on.
@@ -132,14 +140,17 @@
         self.exit_status
     }
 
+    fn pid(&self) -> Result<Pid> {
+        let id = i32::try_from(self.child.id()).wrap_err("the process id is out of range")?;
+        Pid::from_raw(id).ok_or_else(|| eyre!("{} has no process id", self.name))
+    }
+
     fn signal(&mut self, signal: Signal) -> Result<()> {
         // Once the process is waited for, its id may belong to another.
         if self.poll_exit().is_some() {
             return Ok(());
         }
-        let id = i32::try_from(self.child.id()).wrap_err("the process id is out of range")?;
-        let pid = Pid::from_raw(id).ok_or_else(|| eyre!("{} has no process id", self.name))?;
-        kill_process(pid, signal).wrap_err_with(|| format!("can't signal {}", self.name))
+        kill_process(self.pid()?, signal).wrap_err_with(|| format!("can't signal {}", self.name))
     }
 }
 
@@ -152,3 +163,9 @@
         }
     }
 }
+
+/// Returns whether a child stands still, without taking the notice of it away.
+fn is_stopped(pid: Pid) -> bool {
+    let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+    matches!(waitid(WaitId::Pid(pid), options), Ok(Some(status)) if status.stopped())
+}
