--- a/knapweedrill/src/contract/fair_share/account.rs
+++ b/knapweedrill/src/contract/fair_share/account.rs
@@ -137,6 +137,11 @@
         };
     }
 
+    /// Returns whether a task of the team runs or has a promise.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.classes.iter().any(|account| !account.uses.is_empty())
+    }
+
     fn is_below_share(&self) -> bool {
         self.share_balance_s > 0.0
     }
--- a/knapweedrill/src/contract/fair_share/mod.rs
+++ b/knapweedrill/src/contract/fair_share/mod.rs
@@ -45,6 +45,9 @@
     /// Sets the shares and caps; a team that is not named has no share and no cap.
     pub fn set_teams(&mut self, teams: &[Team]) {
         self.teams = teams.to_vec();
+        self.accounts.retain(|name, account| {
+            account.is_in_use() || teams.iter().any(|team| team.name == *name)
+        });
         for team in teams {
             self.accounts
                 .entry(team.name.clone())
--- a/knapweedrill/src/entry/mod.rs
+++ b/knapweedrill/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller;
+mod demand_board;
 mod placement;
 mod queue;
 mod retry_budget;
@@ -9,6 +10,7 @@
 
 pub use admission::{Admission, AdmissionRefusal, JobSize};
 pub use caller::{CallerRequest, CallerResponse};
+pub use demand_board::{DemandBoard, SidecarDemands};
 pub use placement::{Candidate, Placement, PlacementPolicy};
 pub use queue::{QueueTotals, QueuedJob, QueuedTask, TakenTask, TaskQueue};
 pub use retry_budget::RetryBudget;
--- a/knapweedrill/tests/support/mod.rs
+++ b/knapweedrill/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Parts that several test files use.
 
+// Each test file uses a part of them.
+#![allow(dead_code)]
+
 use std::time::Duration;
 
 use knapweedrill::common::{Incarnation, JobId, TaskIndex};
