--- a/knapweedrill/src/sidecar/arbiter/demands.rs
+++ b/knapweedrill/src/sidecar/arbiter/demands.rs
@@ -1,6 +1,6 @@
 //! What the entries would run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
 use crate::common::Incarnation;
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Demands {
     flows: BTreeMap<Flow, FlowDemand>,
+    /// The entries that let a credit lapse and were not heard of since; they get none.
+    silent: BTreeSet<Incarnation>,
 }
 
 impl Demands {
@@ -45,24 +47,47 @@
 
     /// Drops all that `entry` demanded.
     pub(super) fn remove_entry(&mut self, entry: Incarnation) {
+        self.silent.remove(&entry);
         for flow_demand in self.flows.values_mut() {
             flow_demand.entries.remove(&entry);
         }
     }
 
+    /// Notes that a credit of `entry` lapsed; the task it was for still waits there.
+    pub(super) fn lapsed(&mut self, entry: Incarnation, flow: &Flow) {
+        self.silent.insert(entry);
+        let flow_demand = self.flows.entry(flow.clone()).or_default();
+        *flow_demand.entries.entry(entry).or_default() += 1;
+    }
+
+    /// Notes that `entry` was heard of.
+    pub(super) fn heard(&mut self, entry: Incarnation) {
+        self.silent.remove(&entry);
+    }
+
+    fn is_heard(&self, entry: Incarnation) -> bool {
+        !self.silent.contains(&entry)
+    }
+
     /// Returns the flows with waiting tasks.
     pub(super) fn flows(&self) -> impl Iterator<Item = &Flow> {
         self.flows
             .iter()
-            .filter(|(_, flow_demand)| !flow_demand.entries.is_empty())
+            .filter(|(_, demand)| demand.entries.keys().any(|entry| self.is_heard(*entry)))
             .map(|(flow, _)| flow)
     }
 
     /// Returns how many tasks of a flow wait at all entries.
     pub(super) fn task_count(&self, flow: &Flow) -> u32 {
-        self.flows
-            .get(flow)
-            .map_or(0, |flow_demand| flow_demand.entries.values().sum())
+        let Some(flow_demand) = self.flows.get(flow) else {
+            return 0;
+        };
+        flow_demand
+            .entries
+            .iter()
+            .filter(|(entry, _)| self.is_heard(**entry))
+            .map(|(_, task_count)| task_count)
+            .sum()
     }
 
     /// Takes one task off what `entry` demands of a flow.
@@ -84,11 +109,13 @@
         let after = flow_demand
             .last_served
             .map_or(Bound::Unbounded, Bound::Excluded);
-        let (&entry, _) = flow_demand
-            .entries
-            .range((after, Bound::Unbounded))
-            .next()
-            .or_else(|| flow_demand.entries.first_key_value())?;
+        let is_heard = |entry: &&Incarnation| !self.silent.contains(entry);
+        let later = flow_demand.entries.range((after, Bound::Unbounded));
+        let entry = later
+            .map(|(entry, _)| entry)
+            .find(is_heard)
+            .or_else(|| flow_demand.entries.keys().find(is_heard))
+            .copied()?;
         flow_demand.last_served = Some(entry);
         self.take_from(entry, flow);
         Some(entry)
--- a/knapweedrill/src/sidecar/arbiter/mod.rs
+++ b/knapweedrill/src/sidecar/arbiter/mod.rs
@@ -138,6 +138,7 @@
     /// Decides on a task that `entry` hands over.
     pub fn offer(&mut self, start: Start, entry: Incarnation, now: Instant) -> Offer {
         self.lapse(now);
+        self.demands.heard(entry);
         let flow = Flow::new(start.team.as_str(), start.class);
         if start.credited && self.use_credit(entry, &flow, now) {
             return self.accept(start, entry, flow, now);
@@ -282,6 +283,8 @@
 
     /// Takes back the oldest `credit_count` credits of an entry that has no use for them.
     pub fn return_credits(&mut self, entry: Incarnation, credit_count: u32, now: Instant) {
+        self.lapse(now);
+        self.demands.heard(entry);
         let mut left_count = credit_count;
         self.remove_credits(now, |credit| {
             let is_returned = credit.entry == entry && left_count > 0;
@@ -343,8 +346,17 @@
         }
     }
 
+    /// Takes back the credits that were not used in time.
+    ///
+    /// Their entry gets no other until it is heard of, so that it holds no slot back.
     fn lapse(&mut self, now: Instant) {
-        self.remove_credits(now, |credit| credit.expires_at <= now);
+        let lapsed = self
+            .credits
+            .extract_if(.., |credit| credit.expires_at <= now);
+        for credit in lapsed {
+            self.fair_share.released(&credit.flow, now);
+            self.demands.lapsed(credit.entry, &credit.flow);
+        }
     }
 }
 
--- a/knapweedrill/tests/slot_arbiter.rs
+++ b/knapweedrill/tests/slot_arbiter.rs
@@ -100,6 +100,26 @@
     assert_eq!(credit_count(&arbiter.grant(later), 2), 1);
 }
 
+#[test]
+fn silent_entry_gets_no_credit_until_it_is_heard_of() {
+    let mut now = Instant::now();
+    let mut arbiter = arbiter(1, 0);
+    arbiter.demands(1, vec![demand("a", Class::Normal, 2)], now);
+    assert_eq!(credit_count(&arbiter.grant(now), 1), 1);
+    now += ArbiterSettings::default().credit_lifetime;
+    assert_eq!(arbiter.grant(now), vec![]);
+    let late = credited(start(1, 0, "a", Class::Normal));
+    assert_eq!(
+        arbiter.offer(late.clone(), 1, now),
+        Offer::Run(late.clone())
+    );
+    arbiter.ended(late.task, RUN_TIME, now + RUN_TIME);
+    assert_eq!(credit_count(&arbiter.grant(now + RUN_TIME), 1), 1);
+    let left = start(1, 1, "a", Class::Normal);
+    arbiter.offer(credited(left), 1, now + RUN_TIME);
+    assert_eq!(arbiter.credit_count(), 0);
+}
+
 #[test]
 fn returned_credit_goes_to_another_entry_at_once() {
     let now = Instant::now();
