--- a/knapweedrill/tests/fair_share.rs
+++ b/knapweedrill/tests/fair_share.rs
@@ -156,6 +156,8 @@
     let sources = vec![
         Source::new("busy", Class::Normal, 100, 200.0),
         Source::new("idle", Class::Normal, 100, 200.0).active(60, 600),
+        // The team is known before it falls idle.
+        Source::new("idle", Class::Normal, 100, 10.0).active(0, 1),
     ];
     let bench = Bench::new(8, &teams, sources).run(Duration::from_secs(70));
     let after_s = bench.used_s(1);
@@ -163,6 +165,44 @@
     assert!((36.0..=49.0).contains(&after_s), "used {after_s}");
 }
 
+#[test]
+fn idle_team_saves_up_no_spare_capacity() {
+    let sources = vec![
+        Source::new("busy", Class::Normal, 100, 200.0),
+        Source::new("idle", Class::Normal, 100, 200.0).active(60, 600),
+        Source::new("idle", Class::Normal, 100, 10.0).active(0, 1),
+    ];
+    let bench = Bench::new(8, &[], sources).run(Duration::from_secs(70));
+    let after_s = bench.used_s(1);
+    assert!((36.0..=44.0).contains(&after_s), "used {after_s}");
+}
+
+#[test]
+fn use_of_spare_capacity_does_not_cost_the_guarantee() {
+    let teams = [team("early", 50, 100), team("late", 50, 100)];
+    let sources = vec![
+        Source::new("early", Class::Normal, 100, 200.0),
+        Source::new("late", Class::Urgent, 100, 400.0).active(60, 600),
+    ];
+    let bench = Bench::new(8, &teams, sources).run(Duration::from_secs(70));
+    let kept_s = 80.0 - bench.used_s(1);
+    // Four slots for ten seconds, of which up to two go by until the balances have met.
+    assert!(kept_s >= 32.0, "kept {kept_s}");
+}
+
+#[test]
+fn tasks_shorter_than_the_mean_are_charged_what_they_ran() {
+    let teams = [team("mixed", 50, 100), team("even", 50, 100)];
+    let sources = vec![
+        Source::new("mixed", Class::Normal, 950, 10.0),
+        Source::new("mixed", Class::Normal, 50, 10.0),
+        Source::new("even", Class::Normal, 100, 200.0),
+    ];
+    let bench = Bench::new(8, &teams, sources).run(Duration::from_secs(120));
+    let part = bench.used_s(2) / (120.0 * 8.0);
+    assert!((0.45..=0.55).contains(&part), "the even team got {part}");
+}
+
 #[test]
 fn cap_holds_a_lone_team_back() {
     let teams = [team("capped", 0, 25)];
--- a/knapweedrill/tests/slot_arbiter.rs
+++ b/knapweedrill/tests/slot_arbiter.rs
@@ -65,6 +65,16 @@
     );
 }
 
+#[test]
+fn uncredited_start_waits_behind_a_promised_slot() {
+    let now = Instant::now();
+    let mut arbiter = arbiter(1, 1);
+    arbiter.demands(1, vec![demand("a", Class::Normal, 1)], now);
+    arbiter.grant(now);
+    let rival = start(2, 0, "a", Class::Normal);
+    assert_eq!(arbiter.offer(rival, 2, now), Offer::Wait);
+}
+
 #[test]
 fn credits_go_round_the_entries() {
     let now = Instant::now();
