--- a/knapweedrill/tests/fair_share.rs
+++ b/knapweedrill/tests/fair_share.rs
@@ -194,8 +194,8 @@
 fn tasks_shorter_than_the_mean_are_charged_what_they_ran() {
     let teams = [team("mixed", 50, 100), team("even", 50, 100)];
     let sources = vec![
-        Source::new("mixed", Class::Normal, 950, 10.0),
-        Source::new("mixed", Class::Normal, 50, 10.0),
+        Source::new("mixed", Class::Normal, 950, 2.0),
+        Source::new("mixed", Class::Normal, 50, 200.0),
         Source::new("even", Class::Normal, 100, 200.0),
     ];
     let bench = Bench::new(8, &teams, sources).run(Duration::from_secs(120));
