--- a/knapweedrill/src/entry/queue/mod.rs
+++ b/knapweedrill/src/entry/queue/mod.rs
@@ -4,6 +4,7 @@
 mod queue_totals;
 mod queued_job;
 mod queued_task;
+mod taken_task;
 
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
@@ -19,17 +20,7 @@
 pub use queue_totals::QueueTotals;
 pub use queued_job::QueuedJob;
 pub use queued_task::QueuedTask;
-
-/// A task taken from the queue, with what a sidecar is told of its job.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TakenTask {
-    /// The team and class.
-    pub flow: Flow,
-    /// Which of the entry's tokens the job came under.
-    pub generation: Generation,
-    /// The task.
-    pub task: QueuedTask,
-}
+pub use taken_task::TakenTask;
 
 /// The tasks that wait at one entry for one service, by team and class.
 ///
