refactor(settings): use the types of telemetry and placement

Cause: log levels, log formats and placement policies stood twice. Change: the settings name the ones that are used.

--- a/knapweedrill_daemon/src/control/entry.rs
+++ b/knapweedrill_daemon/src/control/entry.rs
@@ -1,6 +1,6 @@
 //! The control state of an entry.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,9 @@
 use crate::settings::Settings;
 use crate::telemetry::{Counter, Gauge, Metrics, Timeline};
 
+/// How long a process that is lost goes on being dialled.
+const LOST_PEER_MEMORY: Duration = Duration::from_secs(30);
+
 /// The least time between two repeats of the configuration in the log.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,6 +48,8 @@
     actions: Vec<EntryAction>,
     progress: Progress,
     refreshed_at: Option<Instant>,
+    /// The processes that are lost, and since when.
+    lost: BTreeMap<Incarnation, Instant>,
 }
 
 /// A caller that waits for an answer.
@@ -98,6 +103,7 @@
             actions: Vec::new(),
             progress: Progress::Running,
             refreshed_at: None,
+            lost: BTreeMap::new(),
         }
     }
 
@@ -180,8 +186,8 @@
             }
             MembershipChange::MinionLost { sidecar } => {
                 self.note_lost(sidecar);
+                self.lost.insert(sidecar, now);
                 self.tell(EntryEvent::MinionLost { sidecar }, now);
-                self.unwant(sidecar, now);
             }
             MembershipChange::EntryFound(entry) => {
                 self.note_found(entry.incarnation, &entry.name);
@@ -192,7 +198,7 @@
             }
             MembershipChange::EntryLost { entry } => {
                 self.note_lost(entry);
-                self.unwant(entry, now);
+                self.lost.insert(entry, now);
             }
             MembershipChange::AnswersFor { successor, stopped } => {
                 self.tell(EntryEvent::AnswersFor { successor, stopped }, now);
@@ -214,13 +220,27 @@
     }
 
     fn want(&mut self, peer: WantedPeer, now: Instant) {
+        self.lost.remove(&peer.incarnation);
         let events = self.peers.want(peer, now);
         self.take_peer_events(events, now);
     }
 
-    fn unwant(&mut self, peer: Incarnation, now: Instant) {
-        let events = self.peers.unwant(peer, now);
-        self.take_peer_events(events, now);
+    /// Stops dialling processes that have been lost for long and have no session.
+    ///
+    /// Lost heartbeats alone end no session, since tasks may be under way on it.
+    fn unwant_lost(&mut self, now: Instant) {
+        let peers = &self.peers;
+        let gone: Vec<Incarnation> = self
+            .lost
+            .extract_if(.., |peer, since| {
+                now.duration_since(*since) > LOST_PEER_MEMORY && !peers.is_up(*peer)
+            })
+            .map(|(peer, _)| peer)
+            .collect();
+        for peer in gone {
+            let events = self.peers.unwant(peer, now);
+            self.take_peer_events(events, now);
+        }
     }
 
     fn take_call(&mut self, call: HttpCall, now: Instant) {
@@ -265,8 +285,7 @@
         let record_id = rand::random();
         if let Some(record) = self.configuration.due_refresh(record_id) {
             self.refreshed_at = Some(now);
-            self.log
-                .append(record_id, LogRecord::Configuration(record));
+            self.log.append(record_id, LogRecord::Configuration(record));
         }
     }
 
@@ -365,6 +384,7 @@
         self.take_changes(changes, now);
         self.tell(EntryEvent::Tick, now);
         self.pull_configuration(now);
+        self.unwant_lost(now);
         self.configuration.settle_empty_log(now);
         self.refresh_configuration(now);
         self.resolve_applies(now);
--- a/knapweedrill_daemon/src/control/operator.rs
+++ b/knapweedrill_daemon/src/control/operator.rs
@@ -2,16 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedrill::api::{
-    ApplyAnswer, ApplyOutcome, DrainAnswer, EventsAnswer, Parent, Peer,
-};
+use knapweedrill::api::{ApplyAnswer, ApplyOutcome, DrainAnswer, EventsAnswer, Parent, Peer};
 use knapweedrill::common::LogOffset;
-use knapweedrill::contract::{AppendFate, Configuration, ConfigurationRecord, ConfigurationVersion};
+use knapweedrill::contract::{
+    AppendFate, Configuration, ConfigurationRecord, ConfigurationVersion,
+};
 use knapweedrill::ini::IniProblem;
 
+use super::HttpCall;
 use super::configuration::configuration_reply;
 use super::entry::EntryControl;
-use super::HttpCall;
 use crate::http::{HttpReply, Responder};
 use crate::platform_log::{AppendError, LogRecord};
 
--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -9,9 +9,7 @@
 use knapweedrill::membership::{SidecarMembership, SidecarNews};
 use knapweedrill::message::{Message, Start};
 use knapweedrill::minion::Announcement;
-use knapweedrill::sidecar::{
-    MinionNotice, Sidecar, SidecarAction, SidecarCounter, SidecarEvent,
-};
+use knapweedrill::sidecar::{MinionNotice, Sidecar, SidecarAction, SidecarCounter, SidecarEvent};
 use knapweedrill_wire::Datagrams;
 
 use super::configuration::{ConfigurationKeeper, configuration_reply};
@@ -116,7 +114,8 @@
     }
 
     fn configured(&mut self, now: Instant) {
-        self.configuration.record_in_force(&self.timeline, &self.metrics);
+        self.configuration
+            .record_in_force(&self.timeline, &self.metrics);
         let configuration = self.configuration.configuration().clone();
         self.tell(SidecarEvent::Configured(configuration), now);
     }
--- a/knapweedrill_daemon/src/minion_calls/mod.rs
+++ b/knapweedrill_daemon/src/minion_calls/mod.rs
@@ -3,5 +3,5 @@
 mod call;
 mod pool;
 
-pub use call::{ATTEMPT_HEADER, MinionCall, TASK_HEADER};
+pub use call::{ATTEMPT_HEADER, CallEnd, MinionCall, TASK_HEADER};
 pub use pool::CallPool;
--- a/knapweedrill_daemon/src/process/common.rs
+++ b/knapweedrill_daemon/src/process/common.rs
@@ -43,7 +43,7 @@
 impl Common {
     /// Binds the addresses and starts the threads.
     pub(super) fn start(settings: &Settings) -> eyre::Result<Self> {
-        telemetry::init_logs(settings.logging.level.into(), settings.logging.format.into())?;
+        telemetry::init_logs(settings.logging.level, settings.logging.format)?;
         let incarnation: Incarnation = rand::random();
         let role = match settings.role {
             RoleSettings::Entry(_) => Role::Entry,
--- a/knapweedrill_daemon/src/process/entry.rs
+++ b/knapweedrill_daemon/src/process/entry.rs
@@ -28,7 +28,11 @@
         settings.seed_addresses.clone(),
         membership_settings(&settings),
     );
-    let entry = Entry::new(common.incarnation, entry_settings(&settings), Instant::now());
+    let entry = Entry::new(
+        common.incarnation,
+        entry_settings(&settings),
+        Instant::now(),
+    );
     let mut control = EntryControl::new(EntryParts {
         entry,
         peers: common.peers(&settings),
@@ -72,6 +76,6 @@
         .kept_keys(limits.kept_keys)
         .answer_bytes(usize::try_from(limits.answer_bytes).unwrap_or(usize::MAX))
         .shutdown_deadline(limits.shutdown_deadline)
-        .placement(settings.placement.into())
+        .placement(settings.placement)
         .seed(rand::random())
 }
--- a/knapweedrill_daemon/src/process/sidecar.rs
+++ b/knapweedrill_daemon/src/process/sidecar.rs
@@ -12,11 +12,7 @@
 use crate::settings::{MinionSettings, Settings};
 
 /// Runs a sidecar until its planned stop has ended.
-pub(super) fn run(
-    settings: Settings,
-    common: Common,
-    minion: MinionSettings,
-) -> eyre::Result<()> {
+pub(super) fn run(settings: Settings, common: Common, minion: MinionSettings) -> eyre::Result<()> {
     let announcement = announcement(&settings, &common, minion);
     let membership = SidecarMembership::new(
         announcement,
--- a/knapweedrill_daemon/src/settings/logging.rs
+++ b/knapweedrill_daemon/src/settings/logging.rs
@@ -3,6 +3,8 @@
 use knapweedrill::ini::IniReader;
 use knapweedrill_derive::value;
 
+use crate::telemetry::{LogFormat, LogLevel};
+
 /// How log lines are written.
 #[value]
 #[derive(Default)]
@@ -13,34 +15,6 @@
     pub format: LogFormat,
 }
 
-/// The severity of a log line.
-#[value]
-#[derive(Copy, Eq, Default)]
-pub enum LogLevel {
-    /// Something failed.
-    Error,
-    /// Something is degraded.
-    Warn,
-    /// Something changed its state.
-    #[default]
-    Info,
-    /// Detail for finding faults.
-    Debug,
-    /// All detail.
-    Trace,
-}
-
-/// The form of log lines.
-#[value]
-#[derive(Copy, Eq, Default)]
-pub enum LogFormat {
-    /// One JSON object a line.
-    #[default]
-    Json,
-    /// Text for people.
-    Text,
-}
-
 const LEVEL_CHOICES: [(&str, LogLevel); 5] = [
     ("error", LogLevel::Error),
     ("warn", LogLevel::Warn),
--- a/knapweedrill_daemon/src/settings/mod.rs
+++ b/knapweedrill_daemon/src/settings/mod.rs
@@ -32,14 +32,14 @@
 pub use knapweedrill::ini::IniError as SettingsError;
 pub use limits::LimitSettings;
 pub use listen::ListenSettings;
-pub use logging::{LogFormat, LogLevel, LoggingSettings};
-pub use placement::Placement;
+pub use logging::LoggingSettings;
 pub use process::ProcessSettings;
 pub use role::{LogServiceSettings, MinionSettings, RoleSettings};
 pub use timing::TimingSettings;
 
 use std::net::SocketAddr;
 
+use knapweedrill::entry::PlacementPolicy;
 use knapweedrill::ini::IniReader;
 use knapweedrill_derive::value;
 
@@ -66,7 +66,7 @@
     /// How log lines are written.
     pub logging: LoggingSettings,
     /// How an entry chooses a minion for a task.
-    pub placement: Placement,
+    pub placement: PlacementPolicy,
 }
 
 impl Settings {
@@ -90,7 +90,7 @@
         let timing = TimingSettings::read(reader);
         let statsd_address = read_metrics(reader);
         let logging = LoggingSettings::read(reader);
-        let placement = Placement::read(reader);
+        let placement = placement::read(reader);
         Some(Self {
             process: process?,
             role: role?,
--- a/knapweedrill_daemon/src/telemetry/logs.rs
+++ b/knapweedrill_daemon/src/telemetry/logs.rs
@@ -18,6 +18,8 @@
     Info,
     /// Details for developers.
     Debug,
+    /// All details.
+    Trace,
 }
 
 impl LogLevel {
@@ -28,6 +30,7 @@
             Self::Warn => "warn",
             Self::Info => "info",
             Self::Debug => "debug",
+            Self::Trace => "trace",
         }
     }
 
@@ -37,6 +40,7 @@
             Self::Warn => LevelFilter::Warn,
             Self::Info => LevelFilter::Info,
             Self::Debug => LevelFilter::Debug,
+            Self::Trace => LevelFilter::Trace,
         }
     }
 }
@@ -45,9 +49,9 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LogFormat {
     /// Text for a reader at a terminal.
-    #[default]
     Text,
     /// One JSON object a line.
+    #[default]
     Json,
 }
 
--- a/knapweedrill_daemon/tests/settings.rs
+++ b/knapweedrill_daemon/tests/settings.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use knapweedrill::entry::PlacementPolicy;
 use knapweedrill_daemon::settings::{
-    LimitSettings, LogFormat, LogLevel, LoggingSettings, Placement, RoleSettings, Settings,
-    TimingSettings,
+    LimitSettings, LoggingSettings, RoleSettings, Settings, TimingSettings,
 };
+use knapweedrill_daemon::telemetry::{LogFormat, LogLevel};
 use test_case::test_case;
 
 const ENTRY: &str = "
@@ -58,7 +59,7 @@
     assert_eq!(settings.limits, LimitSettings::default());
     assert_eq!(settings.timing, TimingSettings::default());
     assert_eq!(settings.logging, LoggingSettings::default());
-    assert_eq!(settings.placement, Placement::LateBindingBySpeed);
+    assert_eq!(settings.placement, PlacementPolicy::LateBindingBySpeed);
     assert_eq!(settings.statsd_address, None);
 }
 
@@ -113,7 +114,7 @@
     assert_eq!(settings.statsd_address.unwrap().port(), 8125);
     assert_eq!(settings.logging.level, LogLevel::Debug);
     assert_eq!(settings.logging.format, LogFormat::Text);
-    assert_eq!(settings.placement, Placement::RoundRobin);
+    assert_eq!(settings.placement, PlacementPolicy::RoundRobin);
 }
 
 #[test_case("role = entry", "role = both", "line 3: [process] role: 'both' is not valid; allowed: entry, sidecar"; "role")]
