--- a/knapweedrill_lab/src/checker/rule/not_run_is_true.rs
+++ b/knapweedrill_lab/src/checker/rule/not_run_is_true.rs
@@ -21,15 +21,15 @@
     let job = submission.task_id(0).job;
     let start_us = starts
         .job_starts_us(job)
-        .find(|start_us| is_false(submission, *start_us, history))?;
+        .find(|start_us| contradicts(submission, *start_us, history))?;
     Some(Violation::FalseNotRun { job, start_us })
 }
 
-/// Returns whether a start gives the answer the lie.
+/// Returns whether a start contradicts the answer.
 ///
 /// A start before the submission always does. A later one does unless the caller submitted the
 /// job another time, and that submission was not refused: a refused job may be tried again.
-fn is_false(submission: &Submission, start_us: u64, history: &History) -> bool {
+fn contradicts(submission: &Submission, start_us: u64, history: &History) -> bool {
     start_us < submission.submitted_us || !is_explained(submission, start_us, history)
 }
 
