--- /dev/null
+++ b/knapweedrill_cli/src/command/run.rs
@@ -0,0 +1,218 @@
+//! Runs a command.
+
+use std::collections::BTreeMap;
+use std::io::{IsTerminal, stderr};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use indicatif::{ProgressBar, ProgressStyle};
+use knapweedrill::api::{JobAnswer, JobRequest, Parent};
+use knapweedrill::contract::{Configuration, OwnerToken};
+
+use super::{Action, Arguments, ExitStatus, TimelineFilter, help, merge, report};
+use crate::client::{Client, ClientBuilder, Submission};
+
+/// How long `apply --wait` waits until the file is in force everywhere.
+const APPLY_WAIT: Duration = Duration::from_secs(30);
+
+/// Runs the command of the arguments.
+pub(super) fn run(arguments: Arguments) -> eyre::Result<ExitStatus> {
+    let client = || ClientBuilder::new(arguments.entries.clone()).build();
+    let is_json = arguments.is_json;
+    match arguments.action {
+        Action::Help => {
+            print!("{}", help::HELP);
+            Ok(ExitStatus::Success)
+        }
+        Action::Version => {
+            println!("knapweedrill {}", env!("CARGO_PKG_VERSION"));
+            Ok(ExitStatus::Success)
+        }
+        Action::Submit {
+            spec,
+            key,
+            token,
+            wait,
+        } => {
+            let key = key.unwrap_or_else(random_key);
+            let submission = Submission {
+                key,
+                token,
+                spec,
+                wait,
+            };
+            submit(&mut client()?, submission, is_json)
+        }
+        Action::SubmitFile { file, key, token } => {
+            let submission = read_submission(&file, key, token)?;
+            submit(&mut client()?, submission, is_json)
+        }
+        Action::Status { job, wait } => {
+            let answer = client()?.status(job.token, job.team, job.key, wait)?;
+            report_job(&answer, is_json)
+        }
+        Action::Cancel { job } => {
+            let answer = client()?.cancel(job.token, job.team, job.key)?;
+            report_job(&answer, is_json)
+        }
+        Action::Check { file } => check(&file),
+        Action::Apply {
+            file,
+            parent,
+            is_waiting,
+        } => apply(&mut client()?, &file, parent, is_waiting, is_json),
+        Action::Show => {
+            let answer = client()?.show()?;
+            if is_json {
+                report::json(&answer)?;
+            } else {
+                report::show(&answer)?;
+            }
+            Ok(ExitStatus::Success)
+        }
+        Action::Drain { process } => {
+            let answer = client()?.drain(process)?;
+            if is_json {
+                report::json(&answer)?;
+            } else {
+                println!("{} stops within {} ms", answer.process, answer.deadline_ms);
+            }
+            Ok(ExitStatus::Success)
+        }
+        Action::Timeline { filter } => timeline(&mut client()?, &filter, is_json),
+    }
+}
+
+fn submit(client: &mut Client, submission: Submission, is_json: bool) -> eyre::Result<ExitStatus> {
+    let bar = progress_bar(submission.spec.tasks.len());
+    let team = submission.spec.team.clone();
+    let key = submission.key.clone();
+    let report = client.submit_with_progress(submission, |answer| {
+        bar.set_position(u64::from(answer.ended_count.unwrap_or(0)));
+    });
+    bar.finish_and_clear();
+    let report = report?;
+    let job = report.token.job_id(&team, &key);
+    eprintln!("job {job:032x} --owner {} --key {key}", report.token);
+    report_job(&report.answer, is_json)
+}
+
+fn progress_bar(task_count: usize) -> ProgressBar {
+    if !stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new(task_count as u64);
+    bar.set_style(ProgressStyle::default_bar());
+    bar
+}
+
+fn report_job(answer: &JobAnswer, is_json: bool) -> eyre::Result<ExitStatus> {
+    if is_json {
+        report::json(answer)?;
+    } else {
+        report::job(answer)?;
+    }
+    Ok(answer.outcome.into())
+}
+
+fn read_submission(
+    file: &Path,
+    key: Option<String>,
+    token: Option<OwnerToken>,
+) -> eyre::Result<Submission> {
+    let request: JobRequest = serde_json::from_str(&read(file)?)
+        .wrap_err_with(|| format!("{} is not a job", file.display()))?;
+    let wait = request.wait();
+    Ok(Submission {
+        key: key.unwrap_or_else(random_key),
+        token,
+        spec: request.into_spec()?,
+        wait,
+    })
+}
+
+fn check(file: &Path) -> eyre::Result<ExitStatus> {
+    match Configuration::parse(&read(file)?, file.display().to_string()) {
+        Ok(_) => {
+            println!("{}: no problems", file.display());
+            Ok(ExitStatus::Success)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Ok(ExitStatus::InvalidFile)
+        }
+    }
+}
+
+fn apply(
+    client: &mut Client,
+    file: &Path,
+    parent: Parent,
+    is_waiting: bool,
+    is_json: bool,
+) -> eyre::Result<ExitStatus> {
+    let wait = if is_waiting {
+        APPLY_WAIT
+    } else {
+        Duration::ZERO
+    };
+    let answer = client.apply(read(file)?, parent, wait)?;
+    if is_json {
+        report::json(&answer)?;
+    } else {
+        report::apply(&answer)?;
+    }
+    Ok(answer.outcome.into())
+}
+
+fn timeline(
+    client: &mut Client,
+    filter: &TimelineFilter,
+    is_json: bool,
+) -> eyre::Result<ExitStatus> {
+    let mut events = Vec::new();
+    let mut is_asked: BTreeMap<SocketAddr, bool> = client
+        .entries()
+        .iter()
+        .map(|entry| (*entry, false))
+        .collect();
+    let mut status = ExitStatus::Success;
+    while let Some(process) = next_process(&mut is_asked) {
+        match client.events_of(process) {
+            Ok(answer) => {
+                events.extend(answer.events);
+                for peer in answer.peers {
+                    is_asked.entry(peer.http_address).or_insert(false);
+                }
+            }
+            Err(error) => {
+                eprintln!("knapweedrill: the time line lacks a process: {error}");
+                status = ExitStatus::Error;
+            }
+        }
+    }
+    for event in merge(events, filter) {
+        if is_json {
+            report::json(&event)?;
+        } else {
+            report::event(&event)?;
+        }
+    }
+    Ok(status)
+}
+
+fn next_process(is_asked: &mut BTreeMap<SocketAddr, bool>) -> Option<SocketAddr> {
+    let (process, is_asked) = is_asked.iter_mut().find(|(_, is_asked)| !**is_asked)?;
+    *is_asked = true;
+    Some(*process)
+}
+
+fn random_key() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
+}
--- a/knapweedrill_cli/src/main.rs
+++ b/knapweedrill_cli/src/main.rs
@@ -1,3 +1,9 @@
 //! The command-line tool `knapweedrill`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use knapweedrill_cli::command;
+
+fn main() -> ExitCode {
+    command::main(std::env::args_os().skip(1)).into()
+}
