--- a/knapweedrill_cli/src/client/core.rs
+++ b/knapweedrill_cli/src/client/core.rs
@@ -278,14 +278,10 @@
         }
     }
 
-    fn send_once(&mut self, request: &Request<'_>, wait: Duration) -> Result<Answer, ClientError> {
+    fn send_once(&self, request: &Request<'_>, wait: Duration) -> Result<Answer, ClientError> {
         let entries = &self.settings.entries;
         let entry = entries[self.next_entry % entries.len()];
-        let result = self.send_to(entry, request, wait);
-        if result.is_err() {
-            self.next_entry = self.next_entry.wrapping_add(1);
-        }
-        result
+        self.send_to(entry, request, wait)
     }
 
     fn send_to(
@@ -304,7 +300,8 @@
         })
     }
 
-    /// Pauses for at least `pause_min`, longer with each failure, by a random amount.
+    /// Turns to the next entry after a pause of at least `pause_min`, which is longer with each
+    /// failure and random in part.
     fn pause(&mut self, failed_count: u32, pause_min: Duration) {
         self.next_entry = self.next_entry.wrapping_add(1);
         let doublings = failed_count.saturating_sub(1).min(16);
