--- a/knapweedrill_daemon/src/minion_calls/call.rs
+++ b/knapweedrill_daemon/src/minion_calls/call.rs
@@ -62,14 +62,29 @@
         match response {
             Err(error) => failed_call(&error),
             Ok(response) if !response.is_success() => failed(TaskFailure::MinionError),
-            Ok(response) => match response.bytes() {
-                Ok(result) => RunResult::Sent(TaskOutcome::Done { result }),
-                Err(error) => failed_call(&error),
-            },
+            Ok(response) => read_result(response),
         }
     }
 }
 
+/// Reads the result, which must be as long as the minion has announced.
+///
+/// The HTTP client takes a body that breaks off as whole.
+fn read_result(response: attohttpc::Response) -> RunResult {
+    let announced: Option<usize> = response
+        .headers()
+        .get("Content-Length")
+        .and_then(|length| length.to_str().ok())
+        .and_then(|length| length.parse().ok());
+    match response.bytes() {
+        Ok(result) if announced.is_some_and(|length| length != result.len()) => {
+            failed(TaskFailure::ConnectionLost)
+        }
+        Ok(result) => RunResult::Sent(TaskOutcome::Done { result }),
+        Err(error) => failed_call(&error),
+    }
+}
+
 /// Returns the text by which the minion knows a task.
 fn task_text(task: &TaskId) -> String {
     format!("{:016x}-{:032x}-{}", task.owner, task.job, task.index)
