test(wire): follow the types of the hand-over

Cause: kept keys no longer carry team and key, since the job's identifier covers both. Change: the codec tests build the new types.

--- a/knapweedrill_wire/tests/codec.rs
+++ b/knapweedrill_wire/tests/codec.rs
@@ -41,9 +41,7 @@
         roster: 3,
     };
     let key = KeptKey {
-        token,
-        team: "team".into(),
-        key: "key".into(),
+        generation: token.generation,
         job: token.job_id("team", "key"),
         content_hash: 4,
         state,
@@ -52,6 +50,7 @@
         from: 1,
         part: 0,
         is_last: true,
+        expired_up_to: Some(1),
         keys: vec![key],
     })
 }
