feat(metrics): count messages by kind and tell them over HTTP

Cause: messages a task could not be read off a running process. Change: a counter for each kind of message and GET /v1/metrics; the descriptor limit is raised at start.

--- a/knapweedrill/src/api/call.rs
+++ b/knapweedrill/src/api/call.rs
@@ -16,11 +16,12 @@
 const EVENTS_PATH: &str = "/v1/events";
 const DRAIN_PATH: &str = "/v1/drain";
 const MINION_PATH: &str = "/v1/minion";
+const METRICS_PATH: &str = "/v1/metrics";
 const HEALTH_PATH: &str = "/healthz";
 const READY_PATH: &str = "/readyz";
 
 const PATHS_ALLOWED: &str = "/v1/owner, /v1/jobs/KEY, /v1/configuration, /v1/show, /v1/events, \
-                             /v1/drain, /v1/minion, /healthz, /readyz";
+                             /v1/drain, /v1/minion, /v1/metrics, /healthz, /readyz";
 
 /// A call of the HTTP interface, with all that its path and query say.
 ///
@@ -77,6 +78,8 @@
     /// `POST /v1/minion`: announces a minion to its sidecar; the body is a
     /// [`super::MinionRequest`].
     Minion,
+    /// `GET /v1/metrics`: tells the counters, gauges and timers of the process.
+    Metrics,
     /// `GET /healthz`: tells whether the process works.
     Health,
     /// `GET /readyz`: tells whether the process takes callers' requests.
@@ -132,6 +135,7 @@
             EVENTS_PATH => Self::Events,
             DRAIN_PATH => Self::Drain,
             MINION_PATH => Self::Minion,
+            METRICS_PATH => Self::Metrics,
             HEALTH_PATH => Self::Health,
             READY_PATH => Self::Ready,
             _ => {
@@ -156,6 +160,7 @@
             | Self::Configuration
             | Self::Show
             | Self::Events
+            | Self::Metrics
             | Self::Health
             | Self::Ready => Method::Get,
             Self::Submit { .. } | Self::Apply { .. } | Self::Drain | Self::Minion => Method::Post,
@@ -183,6 +188,7 @@
             Self::Events => EVENTS_PATH.to_owned(),
             Self::Drain => DRAIN_PATH.to_owned(),
             Self::Minion => MINION_PATH.to_owned(),
+            Self::Metrics => METRICS_PATH.to_owned(),
             Self::Health => HEALTH_PATH.to_owned(),
             Self::Ready => READY_PATH.to_owned(),
         }
--- a/knapweedrill_daemon/src/control/api_gate.rs
+++ b/knapweedrill_daemon/src/control/api_gate.rs
@@ -14,6 +14,7 @@
 use super::Published;
 use super::replies::job_reply;
 use crate::http::{HttpReply, HttpRequest, Responder};
+use crate::telemetry::Metrics;
 
 const OK: u16 = 200;
 const BAD_REQUEST: u16 = 400;
@@ -75,12 +76,17 @@
 pub struct ApiGate {
     role: Role,
     published: Arc<Published>,
+    metrics: Arc<Metrics>,
 }
 
 impl ApiGate {
     /// Creates the gate of a process of that role.
-    pub fn new(role: Role, published: Arc<Published>) -> Self {
-        Self { role, published }
+    pub fn new(role: Role, published: Arc<Published>, metrics: Arc<Metrics>) -> Self {
+        Self {
+            role,
+            published,
+            metrics,
+        }
     }
 
     /// Reads a call, and returns it if the control thread is to deal with it.
@@ -114,6 +120,10 @@
         match call {
             ApiCall::Owner => self.hand_out_token(responder),
             ApiCall::Ready => self.tell_ready(responder),
+            ApiCall::Metrics => {
+                responder.respond(HttpReply::json(OK, &self.metrics.snapshot()));
+                None
+            }
             ApiCall::Health => {
                 responder.respond(HttpReply::text(OK, "ok"));
                 None
--- a/knapweedrill_daemon/src/control/peers.rs
+++ b/knapweedrill_daemon/src/control/peers.rs
@@ -9,7 +9,7 @@
 use knapweedrill::message::{Frame, Message, Role};
 use knapweedrill_wire::{LinkEvent, Links};
 
-use crate::telemetry::Timeline;
+use crate::telemetry::{Counter, Metrics, Timeline};
 
 /// What the links have brought.
 #[derive(Debug)]
@@ -41,15 +41,22 @@
     table: LinkTable,
     links: Links,
     timeline: Arc<Timeline>,
+    metrics: Arc<Metrics>,
 }
 
 impl Peers {
     /// Puts a link table in charge of the links.
-    pub fn new(table: LinkTable, links: Links, timeline: Arc<Timeline>) -> Self {
+    pub fn new(
+        table: LinkTable,
+        links: Links,
+        timeline: Arc<Timeline>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             table,
             links,
             timeline,
+            metrics,
         }
     }
 
@@ -134,6 +141,7 @@
                 session,
                 message,
             } => {
+                self.metrics.count(counter_of(&message), 1);
                 let clock = self.timeline.stamp();
                 self.links.send(
                     link,
@@ -169,3 +177,29 @@
         }
     }
 }
+
+fn counter_of(message: &Message) -> Counter {
+    match message {
+        Message::Start { .. } => Counter::StartMessages,
+        Message::Reports { .. } => Counter::ReportMessages,
+        Message::Demands(_) => Counter::DemandMessages,
+        Message::Slots { .. } => Counter::SlotMessages,
+        Message::ReturnCredit(_) => Counter::ReturnMessages,
+        Message::Cancel(_) => Counter::CancelMessages,
+        Message::Reconcile(_)
+        | Message::Verdicts(_)
+        | Message::Fence { .. }
+        | Message::Fenced(_) => Counter::SettleMessages,
+        Message::Relay(_)
+        | Message::RelayAnswer(_)
+        | Message::HandOver(_)
+        | Message::HandOverTaken { .. }
+        | Message::AnswersFor { .. } => Counter::RelayMessages,
+        Message::Hello(_)
+        | Message::Ping
+        | Message::Pong
+        | Message::Roster(_)
+        | Message::ConfigurationPull { .. }
+        | Message::ConfigurationPush { .. } => Counter::UpkeepMessages,
+    }
+}
--- a/knapweedrill_daemon/src/process/common.rs
+++ b/knapweedrill_daemon/src/process/common.rs
@@ -15,7 +15,7 @@
 
 use super::signals;
 use crate::control::{ApiGate, ControlEvent, Peers, Published};
-use crate::http::{HttpLimits, HttpServer};
+use crate::http::{self, HttpLimits, HttpServer};
 use crate::settings::{RoleSettings, Settings};
 use crate::telemetry::{self, Metrics, StatsdFlusher, Timeline};
 
@@ -43,6 +43,7 @@
 impl Common {
     /// Binds the addresses and starts the threads.
     pub(super) fn start(settings: &Settings) -> eyre::Result<Self> {
+        http::raise_descriptor_limit()?;
         telemetry::init_logs(settings.logging.level, settings.logging.format)?;
         let incarnation: Incarnation = rand::random();
         let role = match settings.role {
@@ -60,7 +61,7 @@
         let published = Arc::new(Published::new());
         let links = start_links(settings, sender.clone())?;
         let datagrams = start_datagrams(settings, sender.clone())?;
-        let gate = ApiGate::new(role, Arc::clone(&published));
+        let gate = ApiGate::new(role, Arc::clone(&published), Arc::clone(&metrics));
         let http = start_http(settings, Arc::clone(&metrics), gate, sender.clone())?;
         let statsd = StatsdFlusher::builder(Arc::clone(&metrics))
             .address(settings.statsd_address)
@@ -95,7 +96,12 @@
             .ping_interval(settings.timing.ping)
             .silence_timeout(settings.timing.silent);
         let table = LinkTable::new(identity, sessions, rand::random());
-        Peers::new(table, self.links.clone(), Arc::clone(&self.timeline))
+        Peers::new(
+            table,
+            self.links.clone(),
+            Arc::clone(&self.timeline),
+            Arc::clone(&self.metrics),
+        )
     }
 
     /// Returns where the process can be reached.
--- a/knapweedrill_daemon/src/telemetry/counter.rs
+++ b/knapweedrill_daemon/src/telemetry/counter.rs
@@ -77,6 +77,24 @@
     TaskMessagesReceived = "task_traffic.messages_received",
     /// Bytes of messages that carried tasks or results and were received.
     TaskBytesReceived = "task_traffic.bytes_received",
+    /// Messages that start tasks, sent by an entry.
+    StartMessages = "messages.start",
+    /// Messages that report tasks, sent by a sidecar.
+    ReportMessages = "messages.reports",
+    /// Messages that tell what waits, sent by an entry without a task to carry them.
+    DemandMessages = "messages.demands",
+    /// Messages that grant credits, sent by a sidecar without a report to carry them.
+    SlotMessages = "messages.slots",
+    /// Messages that return credits.
+    ReturnMessages = "messages.return_credit",
+    /// Messages that cancel jobs.
+    CancelMessages = "messages.cancel",
+    /// Messages that settle tasks in doubt and fence jobs.
+    SettleMessages = "messages.settle",
+    /// Messages between entries about callers' requests and kept keys.
+    RelayMessages = "messages.relay",
+    /// Messages that keep sessions, rosters and configurations.
+    UpkeepMessages = "messages.upkeep",
     /// Messages that had no effect: bounced starts and returned credits.
     MessagesWasted = "messages.wasted",
 
