--- /dev/null
+++ b/knapweedrill/tests/key_table.rs
@@ -0,0 +1,109 @@
+//! A key that was used is never taken for a new one.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use knapweedrill::entry::{KeyTable, Lookup};
+use knapweedrill::job::Refusal;
+use knapweedrill::message::KeptState;
+use proptest::prelude::*;
+
+const KEPT: Duration = Duration::from_secs(300);
+const ANSWER_BYTES: usize = 1_000;
+
+fn complete(bytes: usize) -> KeptState {
+    KeptState::Complete {
+        results: vec![vec![7; bytes]],
+    }
+}
+
+#[test]
+fn a_resubmission_finds_the_job_and_then_its_answer() {
+    let now = Instant::now();
+    let mut keys = KeyTable::new(ANSWER_BYTES, 100);
+    assert_eq!(keys.lookup(1, 5), Lookup::New);
+    keys.begin(1, 5, 77, now);
+    assert_eq!(keys.lookup(1, 5), Lookup::Live { content_hash: 77 });
+    keys.end(1, 5, complete(3), now);
+    let state = complete(3);
+    assert_eq!(
+        keys.lookup(1, 5),
+        Lookup::Ended {
+            content_hash: 77,
+            state: &state
+        }
+    );
+}
+
+#[test]
+fn an_answer_beyond_the_budget_is_dropped_and_its_key_stays() {
+    let now = Instant::now();
+    let mut keys = KeyTable::new(ANSWER_BYTES, 100);
+    keys.insert(1, 5, 0, complete(900), now);
+    keys.insert(1, 6, 0, complete(900), now);
+    assert!(matches!(
+        keys.lookup(1, 5),
+        Lookup::Ended {
+            state: KeptState::CompleteEvicted,
+            ..
+        }
+    ));
+    assert!(keys.answer_bytes() <= ANSWER_BYTES);
+}
+
+#[test]
+fn a_generation_with_a_live_job_is_kept() {
+    let now = Instant::now();
+    let mut keys = KeyTable::new(ANSWER_BYTES, 100);
+    keys.begin(1, 5, 0, now);
+    keys.expire(KEPT, now + KEPT * 2);
+    assert_eq!(keys.lookup(1, 5), Lookup::Live { content_hash: 0 });
+}
+
+#[test]
+fn a_refusal_is_kept_like_any_other_end() {
+    let now = Instant::now();
+    let mut keys = KeyTable::new(ANSWER_BYTES, 100);
+    let state = KeptState::NotRun {
+        refusal: Refusal::Overloaded,
+        retry_after: None,
+    };
+    keys.insert(1, 5, 0, state.clone(), now);
+    assert_eq!(
+        keys.lookup(1, 5),
+        Lookup::Ended {
+            content_hash: 0,
+            state: &state
+        }
+    );
+}
+
+proptest! {
+    #[test]
+    fn a_used_key_is_known_or_expired_and_memory_is_bounded(
+        steps in prop::collection::vec((0..60u64, 0..6u32, 0..40u128, 0..400usize), 1..200),
+    ) {
+        let mut now = Instant::now();
+        let mut keys = KeyTable::new(ANSWER_BYTES, 30);
+        let mut used: HashMap<(u32, u128), usize> = HashMap::new();
+        for (after_s, generation, job, bytes) in steps {
+            now += Duration::from_secs(after_s);
+            if keys.lookup(generation, job) == Lookup::New {
+                prop_assert!(!used.contains_key(&(generation, job)));
+                used.insert((generation, job), bytes);
+                keys.insert(generation, job, 0, complete(bytes), now);
+            }
+            keys.expire(KEPT, now);
+            prop_assert!(keys.key_count() <= 30 + 1);
+            prop_assert!(keys.answer_bytes() <= ANSWER_BYTES);
+            for ((generation, job), bytes) in &used {
+                match keys.lookup(*generation, *job) {
+                    Lookup::Expired => {}
+                    Lookup::Ended { state: KeptState::CompleteEvicted, .. } => {}
+                    Lookup::Ended { state, .. } => prop_assert_eq!(state, &complete(*bytes)),
+                    other => prop_assert!(false, "a used key is {other:?}"),
+                }
+            }
+        }
+    }
+}
