test(checker): hold a refused job to not running for ever

Cause: the rule let a refused job run when the same token and key were tried again, though the owner keeps its refusals. Change: only a malformed request may name a job that runs later. Ruled out: exempting malformed requests altogether, which would be laxer than before.

--- a/knapweedrill_lab/src/checker/rule/not_run_is_true.rs
+++ b/knapweedrill_lab/src/checker/rule/not_run_is_true.rs
@@ -4,6 +4,9 @@
 use crate::checker::{History, RuleReport, Submission, Violation};
 use crate::harness::JobOutcome;
 
+/// The reason of the answer to a malformed request.
+const INVALID_REASON: &str = "invalid";
+
 /// Checks every answer that says that a job was not run.
 pub(super) fn check(history: &History, starts: &StartIndex, report: &mut RuleReport) {
     for submission in history.submissions() {
@@ -27,10 +30,14 @@
 
 /// Returns whether a start contradicts the answer.
 ///
-/// A start before the submission always does. A later one does unless the caller submitted the
-/// job another time, and that submission was not refused: a refused job may be tried again.
+/// The owner keeps its refusals, so no copy of a refused request may run, before or later; a
+/// client that tries again does so under a new token, which names another job. Only a malformed
+/// request may name a job that another submission has asked for properly.
 fn contradicts(submission: &Submission, start_us: u64, history: &History) -> bool {
-    start_us < submission.submitted_us || !is_explained(submission, start_us, history)
+    let is_malformed = submission.answer.reason() == Some(INVALID_REASON);
+    !is_malformed
+        || start_us < submission.submitted_us
+        || !is_explained(submission, start_us, history)
 }
 
 fn is_explained(submission: &Submission, start_us: u64, history: &History) -> bool {
--- a/knapweedrill_lab/tests/checker_starts.rs
+++ b/knapweedrill_lab/tests/checker_starts.rs
@@ -212,18 +212,24 @@
     kept(&history(vec![submission], vec![]), Rule::NotRunIsTrue);
 }
 
-#[test]
-fn a_refused_job_that_is_tried_again_keeps_not_run_is_true() {
+fn refused_and_tried_again(reason: &str) -> History {
     let mut refused = submission();
-    refused.answer = without_results(JobOutcome::NotRun, "overloaded");
+    refused.answer = without_results(JobOutcome::NotRun, reason);
     let mut again = submission();
     again.submitted_us = 3 * SECOND_US;
     again.answered_us = 4 * SECOND_US;
     let start = start(&again, 3 * SECOND_US + 1);
-    kept(
-        &history(vec![refused, again], vec![start]),
-        Rule::NotRunIsTrue,
-    );
+    history(vec![refused, again], vec![start])
+}
+
+#[test]
+fn a_malformed_job_that_is_put_right_keeps_not_run_is_true() {
+    kept(&refused_and_tried_again("invalid"), Rule::NotRunIsTrue);
+}
+
+#[test]
+fn a_refused_job_that_runs_when_it_is_tried_again_breaks_not_run_is_true() {
+    broken(&refused_and_tried_again("overloaded"), Rule::NotRunIsTrue);
 }
 
 #[test_case(START_US; "before the answer")]
