fix(sidecar): give every call of the minion a thread at once

Cause: the pool of call threads counted idle threads on the threads themselves. A call that began between another's being taken up and that thread's being counted busy got no thread and waited for the other's end. Ruled out: a lock around both steps, since the owner hears of every end anyway and can count alone. Change: the owner counts calls that have not ended; a call that cannot be made is reported as not sent, where it was lost before. Conclusion: calls that begin together run together.

--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -1,7 +1,7 @@
 //! The control state of a sidecar.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use knapweedrill::api::{DrainAnswer, ErrorAnswer, EventsAnswer, MinionRequest, Peer};
 use knapweedrill::common::{Attempt, Incarnation};
@@ -9,7 +9,9 @@
 use knapweedrill::membership::{SidecarMembership, SidecarNews};
 use knapweedrill::message::{Message, Start};
 use knapweedrill::minion::Announcement;
-use knapweedrill::sidecar::{MinionNotice, Sidecar, SidecarAction, SidecarCounter, SidecarEvent};
+use knapweedrill::sidecar::{
+    MinionNotice, RunResult, Sidecar, SidecarAction, SidecarCounter, SidecarEvent,
+};
 use knapweedrill_wire::Datagrams;
 
 use super::configuration::{ConfigurationKeeper, configuration_reply};
@@ -197,7 +199,7 @@
         for action in std::mem::take(&mut self.actions) {
             match action {
                 SidecarAction::Send { peer, message } => self.peers.send(peer, message, now),
-                SidecarAction::Run(start) => self.call_minion(start),
+                SidecarAction::Run(start) => self.call_minion(start, now),
                 // A call can't be taken back; its result is dropped by the owner.
                 SidecarAction::Abandon(_) => {}
                 SidecarAction::AnnounceNow => self.announce(now),
@@ -210,19 +212,31 @@
         }
     }
 
-    fn call_minion(&mut self, start: Start) {
+    fn call_minion(&mut self, start: Start, now: Instant) {
         let Some(minion) = self.sidecar.minion() else {
-            return;
+            return self.call_not_made(start.task, start.attempt, now);
         };
         let call = MinionCall {
             address: minion.address,
             start,
         };
+        let (task, attempt) = (call.start.task, call.start.attempt);
         if let Err(error) = self.calls.begin(call) {
             log::error!("can't call the minion: {error}");
+            self.call_not_made(task, attempt, now);
         }
     }
 
+    fn call_not_made(&mut self, task: TaskId, attempt: Attempt, now: Instant) {
+        let event = SidecarEvent::CallEnded {
+            task,
+            attempt,
+            result: RunResult::NotSent,
+            run_time: Duration::ZERO,
+        };
+        self.tell(event, now);
+    }
+
     fn announce(&mut self, now: Instant) {
         let announcement = self.announcement(now);
         self.membership.announce(announcement);
@@ -295,6 +309,7 @@
                 result,
                 run_time,
             } => {
+                self.calls.ended();
                 let event = SidecarEvent::CallEnded {
                     task,
                     attempt,
--- a/knapweedrill_daemon/src/minion_calls/pool.rs
+++ b/knapweedrill_daemon/src/minion_calls/pool.rs
@@ -1,10 +1,10 @@
 //! The threads that call the minion.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
 use crossbeam::channel::{self, Receiver, Sender};
+use eyre::WrapErr;
 use knapweedrill::common::Attempt;
 use knapweedrill::job::TaskId;
 
@@ -12,13 +12,15 @@
 
 /// Runs calls, each on a thread of its own, and keeps the threads for later calls.
 ///
-/// The sidecar never has more calls under way than the minion has slots, which bounds the number
-/// of threads.
+/// The owner tells the pool of each end that it has heard of, so the pool counts calls without
+/// sharing the count: with a thread for each call that has not ended, none waits for another. The
+/// sidecar never has more calls under way than the minion has slots, which bounds the threads.
 #[derive(Debug)]
 pub struct CallPool<F> {
     calls: Sender<MinionCall>,
     queue: Receiver<MinionCall>,
-    idle_count: Arc<AtomicUsize>,
+    running_count: usize,
+    thread_count: usize,
     on_end: Arc<F>,
 }
 
@@ -32,7 +34,8 @@
         Self {
             calls,
             queue,
-            idle_count: Arc::default(),
+            running_count: 0,
+            thread_count: 0,
             on_end: Arc::new(on_end),
         }
     }
@@ -42,30 +45,41 @@
     /// # Errors
     ///
     /// Fails if a thread is needed and none can be started; then the call is not made.
-    pub fn begin(&self, call: MinionCall) -> eyre::Result<()> {
-        if self.idle_count.load(Ordering::Acquire) <= self.calls.len() {
+    pub fn begin(&mut self, call: MinionCall) -> eyre::Result<()> {
+        if self.running_count == self.thread_count {
             self.add_thread()?;
         }
+        self.running_count += 1;
         self.calls
             .send(call)
-            .map_err(|_| eyre::eyre!("the queue of calls is closed"))
+            .wrap_err("the queue of calls is closed")
     }
 
-    fn add_thread(&self) -> eyre::Result<()> {
+    /// Takes note that the end of a call has been heard of.
+    pub fn ended(&mut self) {
+        self.running_count = self.running_count.saturating_sub(1);
+    }
+
+    /// Returns how many threads the pool has.
+    pub fn thread_count(&self) -> usize {
+        self.thread_count
+    }
+
+    fn add_thread(&mut self) -> eyre::Result<()> {
         let queue = self.queue.clone();
-        let idle_count = Arc::clone(&self.idle_count);
         let on_end = Arc::clone(&self.on_end);
-        idle_count.fetch_add(1, Ordering::AcqRel);
         thread::Builder::new()
             .name("minion-call".into())
-            .spawn(move || {
-                for call in queue {
-                    idle_count.fetch_sub(1, Ordering::AcqRel);
-                    let end = call.run();
-                    idle_count.fetch_add(1, Ordering::AcqRel);
-                    on_end(call.start.task, call.start.attempt, end);
-                }
-            })?;
+            .spawn(move || run_all(&queue, &*on_end))
+            .wrap_err("can't start a thread for a call of the minion")?;
+        self.thread_count += 1;
         Ok(())
     }
 }
+
+fn run_all(queue: &Receiver<MinionCall>, on_end: &impl Fn(TaskId, Attempt, CallEnd)) {
+    for call in queue {
+        let end = call.run();
+        on_end(call.start.task, call.start.attempt, end);
+    }
+}
