feat(lab): run failure cases on real processes

The subcommand 'faults' starts a cluster with concurrent callers, makes a fault happen and holds the collected history against the checker. First cases: an entry that owns running jobs is killed, and an entry that has handed out nothing yet.

--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod faults;
 mod log;
 mod minion;
 mod termination;
@@ -11,6 +12,8 @@
 usage: knapweedrill-lab COMMAND
 
 commands:
+  faults [--case NAME] [--seed N] [--json]
+      runs one failure case, or all of them, and checks what was observed
   log --listen ADDRESS [--retention-records N]
       serves an append-only log
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
@@ -23,6 +26,7 @@
 /// Returns an error if the arguments are wrong or the subcommand fails.
 pub(crate) fn run(mut parser: lexopt::Parser) -> Result<()> {
     match parser.next()? {
+        Some(Arg::Value(name)) if name == "faults" => faults::run(parser),
         Some(Arg::Value(name)) if name == "log" => log::run(parser),
         Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
         Some(Arg::Short('h') | Arg::Long("help")) => {
--- /dev/null
+++ b/knapweedrill_lab/src/faults/entry/killed.rs
@@ -0,0 +1,29 @@
+//! An entry that owns running jobs is killed; its jobs are submitted again through another.
+
+use std::thread;
+use std::time::Duration;
+
+use eyre::Result;
+
+use crate::faults::fault_case::Seed;
+use crate::faults::fault_run::entry_name;
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::harness::{ClusterBuilder, MinionSpec};
+
+const WARM_UP: Duration = Duration::from_millis(1500);
+const AFTERMATH: Duration = Duration::from_millis(3500);
+const VICTIM: usize = 0;
+
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+    let cluster = ClusterBuilder::new()
+        .entries(3)
+        .minions(3, &MinionSpec::new());
+    let mut run = FaultRun::start(case, seed, cluster)?;
+    run.start_callers(&CallPlan::new(), WARM_UP);
+    run.kill_entry(VICTIM)?;
+    if let Some(callers) = run.callers() {
+        callers.remove_entry(&entry_name(VICTIM));
+    }
+    thread::sleep(AFTERMATH);
+    run.finish()
+}
--- /dev/null
+++ b/knapweedrill_lab/src/faults/entry/mod.rs
@@ -0,0 +1,4 @@
+//! Failure cases of entries.
+
+pub(super) mod killed;
+pub(super) mod killed_before_start;
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -88,6 +88,18 @@
         http_call::send(request)
     }
 
+    /// Cancels a job and returns the answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer; the job may be cancelled.
+    pub fn cancel(&self, token: &OwnerToken, team: &str, key: &str) -> Result<HttpAnswer> {
+        let path = format!("/v1/jobs/{key}?team={team}");
+        let request =
+            http_call::delete(self.address, &path).header(OWNER_HEADER, token.to_string());
+        http_call::send(request)
+    }
+
     /// Applies a configuration whole and returns the answer, whatever its status.
     ///
     /// # Errors
--- a/knapweedrill_lab/src/harness/http_call.rs
+++ b/knapweedrill_lab/src/harness/http_call.rs
@@ -56,6 +56,12 @@
     send(with_timeouts(request, CALL_TIMEOUT))
 }
 
+/// Prepares a `DELETE` of a path.
+pub(super) fn delete(address: SocketAddr, path: &str) -> RequestBuilder {
+    let request = attohttpc::delete(format!("http://{address}{path}"));
+    with_timeouts(request, CALL_TIMEOUT)
+}
+
 /// Prepares a `POST` of a text with a total timeout.
 pub(super) fn post(
     address: SocketAddr,
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! was observed with what the system guarantees.
 
 pub mod checker;
+pub mod faults;
 pub mod harness;
 pub mod stand_in;
 pub mod wall_clock;
--- /dev/null
+++ b/knapweedrill_lab/tests/faults_entry.rs
@@ -0,0 +1,11 @@
+//! Failure cases of entries on real processes.
+
+use knapweedrill_lab::faults::FaultCase;
+use test_case::test_case;
+
+#[test_case(FaultCase::EntryKilled, 1)]
+#[test_case(FaultCase::EntryKilledBeforeStart, 1)]
+fn an_entry_is_killed(case: FaultCase, seed: u64) {
+    let report = case.run(seed).expect("the case can be carried out");
+    assert!(report.is_passed(), "{report}");
+}
