--- a/knapweedrill_lab/src/faults/fault_run.rs
+++ b/knapweedrill_lab/src/faults/fault_run.rs
@@ -10,11 +10,13 @@
 use super::fault_case::Seed;
 use super::{CallPlan, Callers, FaultCase, FaultReport};
 use crate::checker::{History, PlannedStop, Submission};
-use crate::harness::{Cluster, ClusterBuilder, EntryApi};
+use crate::harness::{Cluster, ClusterBuilder, EntryApi, JobOutcome, JobRequest, wait_until};
+use crate::stand_in::minion::TaskPayload;
 use crate::wall_clock::wall_us;
 
 /// How long processes may still tell of what they did after the last answer.
 const SETTLE: Duration = Duration::from_millis(300);
+const SERVING_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A cluster under load whose history is collected.
 #[derive(Debug)]
@@ -29,17 +31,19 @@
 }
 
 impl FaultRun {
-    /// Starts a cluster without callers.
+    /// Starts a cluster without callers, and waits until every entry gets jobs done.
     ///
     /// # Errors
     ///
     /// Returns an error if the cluster does not start.
     pub fn start(case: FaultCase, seed: Seed, cluster: ClusterBuilder) -> Result<Self> {
+        let cluster = cluster.start()?;
+        wait_serving(&cluster)?;
         Ok(Self {
             case,
             seed,
             callers: None,
-            cluster: cluster.start()?,
+            cluster,
             history: History::new(),
         })
     }
@@ -208,6 +212,28 @@
     }
 }
 
+/// Waits until every entry gets a job done on the minions.
+fn wait_serving(cluster: &Cluster) -> Result<()> {
+    if cluster.minions().is_empty() {
+        return Ok(());
+    }
+    for entry in cluster.entries() {
+        let mut try_number = 0;
+        wait_until("an entry that serves", SERVING_TIMEOUT, || {
+            try_number += 1;
+            is_served(entry.api(), &format!("probe-{try_number}"))
+        })?;
+    }
+    Ok(())
+}
+
+fn is_served(api: EntryApi, key: &str) -> bool {
+    let payload = TaskPayload::new(Duration::ZERO, key);
+    let job = JobRequest::new("tin-a", "proof").task(&payload);
+    let answer = api.owner().and_then(|token| api.submit(&token, key, &job));
+    answer.is_ok_and(|answer| answer.outcome == JobOutcome::Complete)
+}
+
 /// Returns the name of an entry.
 pub(super) fn entry_name(number: usize) -> ProcessName {
     format!("entry-{number}").into()
