fix(daemon): decide that a log holds no configuration only at its end

Cause: an entry that found only records after a cut by retention took the first of them as the start of all configurations after 2 s, also while the log did not answer, while more of it was unread, and while a peer named a version. It could then accept a record that all others reject.

Ruled out: leaving it to the fold, which knows neither the state of the log nor peers.

Change: the wait runs only while the log answers, was read to its end and no live peer names a version, and starts anew after each break. The end of the log is an empty page, since a page may be short. The old test by next_offset also paused after each page of a log that tells the page's end there. An append that failed with 408 or with 5xx other than 503 is unknown, and no longer 'not applied'.

--- a/knapweedrill_daemon/src/control/configuration.rs
+++ b/knapweedrill_daemon/src/control/configuration.rs
@@ -32,6 +32,7 @@
     presences: Vec<LogRecord>,
     kept: Option<(LogOffset, LogOffset)>,
     is_log_lost: bool,
+    is_at_log_end: bool,
     empty_since: Option<Instant>,
     pulled_at: Option<Instant>,
 }
@@ -88,8 +89,13 @@
     }
 
     /// Decides that there is no configuration yet if log and peers have known none for a while.
-    pub fn settle_empty_log(&mut self, now: Instant) {
-        if self.fold.version().is_some() || self.kept.is_none() {
+    ///
+    /// `peer_version` is the newest version that a live peer has named. All the while the log has
+    /// to answer and be read to its end, since what is not read may hold a configuration.
+    pub fn settle_empty_log(&mut self, peer_version: Option<ConfigurationVersion>, now: Instant) {
+        let is_known = self.fold.version().is_some() || peer_version.is_some();
+        if is_known || self.is_log_lost || !self.is_at_log_end {
+            self.empty_since = None;
             return;
         }
         let since = *self.empty_since.get_or_insert(now);
@@ -179,6 +185,7 @@
     fn fold_page(&mut self, page: LogPage, timeline: &Timeline) {
         self.fold.log_begins_at(page.first_offset);
         self.kept = Some((page.first_offset, page.next_offset));
+        self.is_at_log_end = page.is_at_end();
         let mut read_to = self.fold.next_offset();
         for entry in page.records {
             read_to = entry.offset + 1;
--- a/knapweedrill_daemon/src/control/entry.rs
+++ b/knapweedrill_daemon/src/control/entry.rs
@@ -345,6 +345,12 @@
         }
     }
 
+    fn settle_empty_log(&mut self, now: Instant) {
+        let ahead = self.membership.ahead(None);
+        let peer_version = ahead.map(|source| source.version);
+        self.configuration.settle_empty_log(peer_version, now);
+    }
+
     fn publish(&self) {
         self.published
             .set(self.entry.owner_token(), self.entry.is_ready());
@@ -385,7 +391,7 @@
         self.tell(EntryEvent::Tick, now);
         self.pull_configuration(now);
         self.unwant_lost(now);
-        self.configuration.settle_empty_log(now);
+        self.settle_empty_log(now);
         self.refresh_configuration(now);
         self.resolve_applies(now);
         self.publish();
--- a/knapweedrill_daemon/src/platform_log/entry.rs
+++ b/knapweedrill_daemon/src/platform_log/entry.rs
@@ -22,3 +22,12 @@
     /// The records.
     pub records: Vec<LogEntry>,
 }
+
+impl LogPage {
+    /// Returns whether the log had nothing more when it answered.
+    ///
+    /// Only an empty page tells, since a log may return fewer records than were asked for.
+    pub fn is_at_end(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- a/knapweedrill_daemon/src/platform_log/http_log.rs
+++ b/knapweedrill_daemon/src/platform_log/http_log.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use attohttpc::StatusCode;
 use eyre::WrapErr;
 use knapweedrill::common::LogOffset;
 use serde::Deserialize;
@@ -47,8 +48,7 @@
             .send()
             .map_err(|error| append_error(&error))?;
         if !response.is_success() {
-            let status = response.status();
-            return Err(AppendError::NotAppended(format!("status {status}")));
+            return Err(status_error(response.status()));
         }
         let bytes = response.bytes().map_err(|error| append_error(&error))?;
         let appended: Appended = serde_json::from_slice(&bytes)
@@ -71,6 +71,17 @@
     }
 }
 
+/// Tells a refusal from a failure on the way back of an append that may have taken effect.
+fn status_error(status: StatusCode) -> AppendError {
+    let message = format!("status {status}");
+    match status {
+        StatusCode::REQUEST_TIMEOUT => AppendError::Unknown(message),
+        StatusCode::SERVICE_UNAVAILABLE => AppendError::NotAppended(message),
+        status if status.is_client_error() => AppendError::NotAppended(message),
+        _ => AppendError::Unknown(message),
+    }
+}
+
 /// Tells a connection that never came about from an append that may have taken effect.
 fn append_error(error: &attohttpc::Error) -> AppendError {
     match error.kind() {
--- a/knapweedrill_daemon/src/platform_log/tail.rs
+++ b/knapweedrill_daemon/src/platform_log/tail.rs
@@ -49,9 +49,8 @@
         match log.read(next) {
             Ok(page) => {
                 pause = POLL_INTERVAL;
-                let read_up_to = page.records.last().map(|record| record.offset + 1);
-                let is_at_end = read_up_to.is_none_or(|offset| offset >= page.next_offset);
-                next = read_up_to.unwrap_or(next);
+                let is_at_end = page.is_at_end();
+                next = page.records.last().map_or(next, |record| record.offset + 1);
                 on_news(LogNews::Page(page));
                 if !is_at_end {
                     continue;
