feat(lab): a load tool with seeded open-loop arrivals

Response against ideal, throughput against the same team alone, messages a task by kind, refusals, processor time and memory by role, and the checker at the end of each run.

--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod load;
 mod log;
 mod minion;
 mod termination;
@@ -14,7 +15,9 @@
   log --listen ADDRESS [--retention-records N]
       serves an append-only log
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
-      serves as a minion beside a sidecar";
+      serves as a minion beside a sidecar
+  load --scenario NAME --seed N [--policy P|all] [--seconds S] [--hint-sigma F] [--json]
+      measures the system under load; prints a report of each run";
 
 /// Runs the subcommand that the arguments name.
 ///
@@ -25,6 +28,7 @@
     match parser.next()? {
         Some(Arg::Value(name)) if name == "log" => log::run(parser),
         Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
+        Some(Arg::Value(name)) if name == "load" => load::run(parser),
         Some(Arg::Short('h') | Arg::Long("help")) => {
             println!("{USAGE}");
             Ok(())
--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, ensure};
+use knapweedrill::entry::PlacementPolicy;
 
 use super::{
     AddressPlan, ChildProcess, ClusterBuilder, DaemonRole, DaemonSettings, EntryApi, HTTP_PORT,
@@ -50,6 +51,7 @@
     plan: AddressPlan,
     seeds: Vec<SocketAddr>,
     failure_domain_count: usize,
+    placement: PlacementPolicy,
     started_count: usize,
     directory: ScratchDirectory,
 }
@@ -185,6 +187,7 @@
             plan,
             seeds: Vec::new(),
             failure_domain_count: builder.failure_domain_count,
+            placement: builder.placement,
             started_count: 0,
             directory,
         })
@@ -254,7 +257,8 @@
         let settings = DaemonSettings::new(name, role, http, link)
             .worker(format!("worker-{}", self.started_count))
             .failure_domain(format!("fd-{}", failure_domain.unwrap_or(turn)))
-            .seeds(self.seeds.iter().copied());
+            .seeds(self.seeds.iter().copied())
+            .placement(self.placement);
         let path = self.directory.path().join(format!("{name}.ini"));
         fs::write(&path, settings.to_ini())
             .wrap_err_with(|| format!("can't write {}", path.display()))?;
--- a/knapweedrill_lab/src/harness/cluster_builder.rs
+++ b/knapweedrill_lab/src/harness/cluster_builder.rs
@@ -1,6 +1,7 @@
 //! What a cluster is made of.
 
 use knapweedrill::common::ServiceName;
+use knapweedrill::entry::PlacementPolicy;
 
 const DEFAULT_SERVICE: &str = "embossing";
 const DEFAULT_ENTRIES: usize = 2;
@@ -91,6 +92,7 @@
     pub(super) failure_domain_count: usize,
     pub(super) retention_records: usize,
     pub(super) configuration: Option<String>,
+    pub(super) placement: PlacementPolicy,
 }
 
 impl ClusterBuilder {
@@ -102,6 +104,7 @@
             failure_domain_count: DEFAULT_FAILURE_DOMAINS,
             retention_records: DEFAULT_RETENTION_RECORDS,
             configuration: Some(DEFAULT_CONFIGURATION.to_owned()),
+            placement: PlacementPolicy::default(),
         }
     }
 
@@ -147,6 +150,12 @@
         self
     }
 
+    /// Sets how tasks are placed.
+    pub fn placement(mut self, placement: PlacementPolicy) -> Self {
+        self.placement = placement;
+        self
+    }
+
     /// Applies no configuration at the start, and does not wait until processes are ready.
     pub fn without_configuration(mut self) -> Self {
         self.configuration = None;
--- a/knapweedrill_lab/src/harness/daemon_settings.rs
+++ b/knapweedrill_lab/src/harness/daemon_settings.rs
@@ -4,10 +4,15 @@
 use std::net::SocketAddr;
 
 use knapweedrill::common::{ProcessName, ServiceName};
+use knapweedrill::entry::PlacementPolicy;
 use knapweedrill::failure_domain::FailureDomainName;
 use knapweedrill::worker::WorkerName;
 
+use crate::load::policy_name;
+
 const DEFAULT_FAILURE_DOMAIN: &str = "fd-1";
+/// How many tasks may queue at a sidecar under early binding.
+const EARLY_PREFETCH_COUNT: u32 = 1_000;
 const DEFAULT_WORKER: &str = "worker-1";
 
 /// What a daemon is.
@@ -35,6 +40,7 @@
     http: SocketAddr,
     link: SocketAddr,
     seeds: Vec<SocketAddr>,
+    placement: PlacementPolicy,
 }
 
 impl DaemonSettings {
@@ -53,6 +59,7 @@
             http,
             link,
             seeds: Vec::new(),
+            placement: PlacementPolicy::default(),
         }
     }
 
@@ -74,6 +81,12 @@
         self
     }
 
+    /// Sets how tasks are placed.
+    pub fn placement(mut self, placement: PlacementPolicy) -> Self {
+        self.placement = placement;
+        self
+    }
+
     /// Returns the text of the settings file.
     pub fn to_ini(&self) -> String {
         let mut text = String::new();
@@ -97,6 +110,21 @@
             DaemonRole::Entry { log } => writeln!(text, "[log]\naddress = {log}")?,
             DaemonRole::Sidecar { service } => writeln!(text, "[minion]\nservice = {service}")?,
         }
+        self.write_policy(text)?;
         writeln!(text, "[logging]\nlevel = info\nformat = json")
     }
+
+    /// Writes how tasks are placed; under early binding they queue at the sidecars.
+    fn write_policy(&self, text: &mut String) -> std::fmt::Result {
+        match &self.role {
+            DaemonRole::Entry { .. } => {
+                let placement = policy_name(self.placement);
+                writeln!(text, "[policy]\nplacement = {placement}")
+            }
+            DaemonRole::Sidecar { .. } if !self.placement.is_late_binding() => {
+                writeln!(text, "[limits]\nprefetch_count = {EARLY_PREFETCH_COUNT}")
+            }
+            DaemonRole::Sidecar { .. } => Ok(()),
+        }
+    }
 }
