--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod checker;
 pub mod faults;
 pub mod harness;
+pub mod load;
 pub mod stand_in;
 pub mod wall_clock;
