feat(telemetry): count bytes by kind of message and wire what had no source

Control and task traffic were named as counters and never counted. Frames are now counted by the kind of their message where they are encoded and decoded, and datagrams where they are sent and received. Gauges of queues and membership, counters of sessions, datagrams, ejections, the log and cancelled jobs, and timers of jobs, waits, runs, log calls and control rounds get a source. The timer of a configuration's delay is removed: a record does not carry when it was published. The control state runs on a thread named control, so that its processor time can be told apart.

--- a/knapweedrill/src/entry/action.rs
+++ b/knapweedrill/src/entry/action.rs
@@ -1,5 +1,7 @@
 //! What an entry wants done.
 
+use std::time::Duration;
+
 use knapweedrill_derive::{key, value};
 
 use super::CallerResponse;
@@ -28,6 +30,13 @@
     Record(EventKind),
     /// Count something.
     Count(EntryCounter),
+    /// Tells how long something took.
+    Time {
+        /// What.
+        timer: EntryTimer,
+        /// How long.
+        duration: Duration,
+    },
     /// Nothing is left to do; the process may end.
     Stopped,
 }
@@ -58,3 +67,12 @@
     /// Messages that the sender's role does not send; dropped.
     Unexpected,
 }
+
+/// What an entry times.
+#[key]
+pub enum EntryTimer {
+    /// From the acceptance of a job to its end.
+    JobResponse,
+    /// From the acceptance of a task's job to the hand-out of the task.
+    TaskWait,
+}
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -18,7 +18,7 @@
 use super::placement::Candidate;
 use super::queue::{QueuedJob, QueuedTask, TakenTask, TaskQueue};
 use super::sidecar_view::{OutTask, SidecarView};
-use super::{EntryAction, EntryCounter};
+use super::{EntryAction, EntryCounter, EntryTimer};
 
 /// When a caller may try again while no more keys can be kept.
 const KEYS_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -362,6 +362,10 @@
             credited,
             payload: queued.payload.clone(),
         };
+        actions.push(EntryAction::Time {
+            timer: EntryTimer::TaskWait,
+            duration: now.saturating_duration_since(live.accepted_at),
+        });
         actions.push(EntryAction::Count(EntryCounter::HandedOut));
         actions.push(EntryAction::Record(EventKind::TaskHandedOut {
             task: queued.task,
--- a/knapweedrill/src/entry/live_job.rs
+++ b/knapweedrill/src/entry/live_job.rs
@@ -20,6 +20,7 @@
     pub(super) kind: KindName,
     pub(super) service: ServiceName,
     pub(super) class: Class,
+    pub(super) accepted_at: Instant,
     pub(super) deadline_at: Instant,
     pub(super) tasks: Vec<LiveTask>,
     pub(super) waiters: SmallVec<[Waiter; 2]>,
--- a/knapweedrill/src/entry/mod.rs
+++ b/knapweedrill/src/entry/mod.rs
@@ -24,7 +24,7 @@
 mod token_mint;
 
 pub use self::core::Entry;
-pub use action::{EntryAction, EntryCounter};
+pub use action::{EntryAction, EntryCounter, EntryTimer};
 pub use admission::{Admission, AdmissionRefusal, JobSize};
 pub use caller::{CallerRequest, CallerResponse};
 pub use demand_board::{DemandBoard, SidecarDemands};
--- a/knapweedrill/src/entry/overview.rs
+++ b/knapweedrill/src/entry/overview.rs
@@ -4,6 +4,7 @@
 
 use knapweedrill_derive::value;
 
+use super::QueueTotals;
 use super::core::Entry;
 use crate::common::{Incarnation, TeamName};
 
@@ -30,6 +31,16 @@
 }
 
 impl Entry {
+    /// Returns how much waits in all queues.
+    pub fn queue_totals(&self) -> QueueTotals {
+        let queues = self.services.values().map(|work| work.queue.totals());
+        queues.fold(QueueTotals::default(), |sum, queue| QueueTotals {
+            task_count: sum.task_count + queue.task_count,
+            payload_bytes: sum.payload_bytes + queue.payload_bytes,
+            expected_work: sum.expected_work + queue.expected_work,
+        })
+    }
+
     /// Returns a minion by its sidecar, if the entry knows it.
     pub fn minion_overview(&self, sidecar: Incarnation) -> Option<MinionOverview> {
         let view = self.sidecars.get(&sidecar)?;
--- a/knapweedrill/src/entry/submit.rs
+++ b/knapweedrill/src/entry/submit.rs
@@ -15,7 +15,7 @@
 use super::live_job::{LiveJob, LiveTask, LiveTaskState, Waiter};
 use super::queue::QueuedTask;
 use super::timers::Timer;
-use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, Requester};
+use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, EntryTimer, Requester};
 
 /// When a caller may try again whose service has no minion or whose entry is stopping.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -298,6 +298,7 @@
             service: kind.map(|kind| kind.service.clone()).unwrap_or_default(),
             kind: spec.kind,
             class,
+            accepted_at: now,
             deadline_at: now + deadline,
             tasks,
             waiters: smallvec![],
@@ -388,6 +389,10 @@
             return;
         };
         self.dequeue(&live);
+        actions.push(EntryAction::Time {
+            timer: EntryTimer::JobResponse,
+            duration: now.saturating_duration_since(live.accepted_at),
+        });
         for sidecar in live.sidecars() {
             self.send_cancel(sidecar, job, actions);
         }
--- a/knapweedrill/src/membership/directory.rs
+++ b/knapweedrill/src/membership/directory.rs
@@ -21,6 +21,7 @@
     heard: Presence<EntryBeat>,
     candidates: Candidates,
     seeds: Vec<SocketAddr>,
+    stale_count: u64,
 }
 
 impl Directory {
@@ -36,6 +37,7 @@
             heard: Presence::new(expected),
             candidates: Candidates::default(),
             seeds,
+            stale_count: 0,
         }
     }
 
@@ -55,7 +57,11 @@
         beat: &EntryBeat,
         now: Instant,
     ) -> Vec<MembershipChange> {
-        if !self.is_genuine(datagram, beat) || !self.heard.is_fresh(datagram) {
+        if !self.is_genuine(datagram, beat) {
+            return Vec::new();
+        }
+        if !self.heard.is_fresh(datagram) {
+            self.stale_count += 1;
             return Vec::new();
         }
         self.candidates.remove(datagram.sender);
@@ -81,6 +87,11 @@
             .collect()
     }
 
+    /// Returns how many heartbeats were late or doubled.
+    pub(super) fn stale_count(&self) -> u64 {
+        self.stale_count
+    }
+
     pub(super) fn live(&self) -> impl Iterator<Item = &PeerAddress> {
         self.heard.live().map(|beat| &beat.own)
     }
--- a/knapweedrill/src/membership/entry.rs
+++ b/knapweedrill/src/membership/entry.rs
@@ -27,6 +27,7 @@
     /// Sidecars that were just found and have not heard this entry.
     greeted: Vec<SocketAddr>,
     has_told_stop: bool,
+    stale_count: u64,
     next_beat_at: Option<Instant>,
     sequence: u64,
     entry_turn: Rotation,
@@ -46,6 +47,7 @@
             minions: Presence::new(expected),
             greeted: Vec::new(),
             has_told_stop: false,
+            stale_count: 0,
             next_beat_at: None,
             sequence: 0,
             entry_turn: Rotation::default(),
@@ -123,6 +125,11 @@
             .chain(self.minions.configurations())
     }
 
+    /// Returns how many heartbeats were late or doubled.
+    pub fn stale_count(&self) -> u64 {
+        self.stale_count + self.entries.stale_count()
+    }
+
     /// Returns the minions that are live.
     pub fn minions(&self) -> impl Iterator<Item = &Announcement> {
         self.minions.live()
@@ -144,7 +151,11 @@
         now: Instant,
     ) -> Vec<MembershipChange> {
         let sidecar: Incarnation = announcement.sidecar;
-        if datagram.sender != sidecar || !self.minions.is_fresh(datagram) {
+        if datagram.sender != sidecar {
+            return Vec::new();
+        }
+        if !self.minions.is_fresh(datagram) {
+            self.stale_count += 1;
             return Vec::new();
         }
         let before = self.minions.hear(datagram, announcement.clone(), now);
--- a/knapweedrill/src/membership/sidecar.rs
+++ b/knapweedrill/src/membership/sidecar.rs
@@ -82,6 +82,11 @@
             .filter(|source| Some(source.version) > own)
     }
 
+    /// Returns how many heartbeats were late or doubled.
+    pub fn stale_count(&self) -> u64 {
+        self.entries.stale_count()
+    }
+
     /// Returns the entries that are live.
     pub fn entries(&self) -> impl Iterator<Item = &PeerAddress> {
         self.entries.live()
--- a/knapweedrill_daemon/src/control/configuration.rs
+++ b/knapweedrill_daemon/src/control/configuration.rs
@@ -34,6 +34,7 @@
     is_log_lost: bool,
     empty_since: Option<Instant>,
     pulled_at: Option<Instant>,
+    rejected_count: u64,
 }
 
 #[derive(Debug)]
@@ -162,6 +163,11 @@
         metrics.set(Gauge::ConfigurationVersion, version);
     }
 
+    /// Returns how many records of the log were void.
+    pub fn rejected_count(&self) -> u64 {
+        self.rejected_count
+    }
+
     fn note_log(&mut self, is_lost: bool, timeline: &Timeline) {
         if self.is_log_lost == is_lost {
             return;
@@ -206,6 +212,7 @@
                 | FoldOutcome::RejectedHash
                 | FoldOutcome::RejectedRefresh
         ) {
+            self.rejected_count += 1;
             timeline.record(EventKind::ConfigurationRejected { offset });
         }
     }
--- a/knapweedrill_daemon/src/control/entry.rs
+++ b/knapweedrill_daemon/src/control/entry.rs
@@ -6,9 +6,11 @@
 
 use knapweedrill::common::{Incarnation, RequestId};
 use knapweedrill::entry::{
-    CallerRequest, CallerResponse, Entry, EntryAction, EntryCounter, EntryEvent, Requester,
+    CallerRequest, CallerResponse, Entry, EntryAction, EntryCounter, EntryEvent, EntryTimer,
+    Requester,
 };
 use knapweedrill::event::EventKind;
+use knapweedrill::job::{Failure, Outcome, Refusal};
 use knapweedrill::link::WantedPeer;
 use knapweedrill::membership::{EntryMembership, EntryNews, MembershipChange};
 use knapweedrill::message::Message;
@@ -21,7 +23,7 @@
 use crate::http::Responder;
 use crate::platform_log::{LogNews, LogRecord, LogWriter};
 use crate::settings::Settings;
-use crate::telemetry::{Counter, Gauge, Metrics, Timeline};
+use crate::telemetry::{Counter, Gauge, Metrics, Timeline, Timer};
 
 /// How long a process that is lost goes on being dialled.
 const LOST_PEER_MEMORY: Duration = Duration::from_secs(30);
@@ -29,6 +31,9 @@
 /// The least time between two repeats of the configuration in the log.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often levels and counts that are kept elsewhere are published.
+pub(super) const METRICS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The control state of an entry.
 pub struct EntryControl {
     pub(super) settings: Settings,
@@ -48,6 +53,7 @@
     actions: Vec<EntryAction>,
     progress: Progress,
     refreshed_at: Option<Instant>,
+    metrics_due_at: Instant,
     /// The processes that are lost, and since when.
     lost: BTreeMap<Incarnation, Instant>,
 }
@@ -103,6 +109,7 @@
             actions: Vec::new(),
             progress: Progress::Running,
             refreshed_at: None,
+            metrics_due_at: Instant::now(),
             lost: BTreeMap::new(),
         }
     }
@@ -303,15 +310,49 @@
                 EntryAction::Respond { request, response } => self.respond(request, response),
                 EntryAction::Send { peer, message } => self.peers.send(peer, message, now),
                 EntryAction::Record(event) => {
+                    self.count_event(&event);
                     self.timeline.record(event);
                 }
-                EntryAction::Count(counter) => self.metrics.count(counter_of(counter), 1),
+                EntryAction::Count(counter) => self.count(counter),
+                EntryAction::Time { timer, duration } => {
+                    self.metrics.time(timer_of(timer), duration);
+                }
                 EntryAction::Stopped => self.progress = Progress::Stopped,
             }
         }
     }
 
+    fn count(&self, counter: EntryCounter) {
+        self.metrics.count(counter_of(counter), 1);
+        if matches!(
+            counter,
+            EntryCounter::NotStarted | EntryCounter::CreditReturned
+        ) {
+            self.metrics.count(Counter::MessagesWasted, 1);
+        }
+    }
+
+    fn count_event(&self, event: &EventKind) {
+        let counter = match event {
+            EventKind::MinionEjected { .. } => Counter::MinionsEjected,
+            EventKind::MinionReadmitted { .. } => Counter::MinionsReadmitted,
+            EventKind::JobFailed {
+                failure: Failure::Cancelled,
+                ..
+            }
+            | EventKind::JobNotRun {
+                refusal: Refusal::Cancelled,
+                ..
+            } => Counter::JobsCancelled,
+            _ => return,
+        };
+        self.metrics.count(counter, 1);
+    }
+
     fn respond(&mut self, request: RequestId, response: CallerResponse) {
+        if is_overloaded(&response) {
+            self.metrics.count(Counter::AdmissionRefused, 1);
+        }
         if let Some(waiting) = self.waiting.remove(&request) {
             self.replies
                 .send(waiting.responder, waiting.request, response);
@@ -345,10 +386,31 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self, now: Instant) {
         self.published
             .set(self.entry.owner_token(), self.entry.is_ready());
+        if now < self.metrics_due_at {
+            return;
+        }
+        self.metrics_due_at = now + METRICS_INTERVAL;
+        self.peers.publish(&self.datagrams);
         let metrics = &self.metrics;
+        let queued = self.entry.queue_totals();
+        metrics.set(Gauge::QueuedTasks, u64::from(queued.task_count));
+        metrics.set(Gauge::QueuedBytes, queued.payload_bytes);
+        metrics.set(
+            Gauge::KnownEntries,
+            self.membership.entries().count() as u64,
+        );
+        metrics.set(
+            Gauge::KnownMinions,
+            self.membership.minions().count() as u64,
+        );
+        metrics.raise(Counter::DatagramsStale, self.membership.stale_count());
+        metrics.raise(
+            Counter::ConfigurationsRejected,
+            self.configuration.rejected_count(),
+        );
         metrics.set(Gauge::JobsInFlight, self.entry.live_job_count() as u64);
         metrics.set(Gauge::KeptKeys, self.entry.key_count() as u64);
         metrics.set(Gauge::KeptAnswerBytes, self.entry.answer_bytes() as u64);
@@ -388,7 +450,7 @@
         self.configuration.settle_empty_log(now);
         self.refresh_configuration(now);
         self.resolve_applies(now);
-        self.publish();
+        self.publish(now);
     }
 
     fn flush(&mut self, now: Instant) -> Progress {
@@ -399,6 +461,25 @@
     }
 }
 
+fn is_overloaded(response: &CallerResponse) -> bool {
+    matches!(
+        response,
+        CallerResponse::Ended {
+            outcome: Outcome::NotRun {
+                refusal: Refusal::Overloaded,
+                ..
+            }
+        }
+    )
+}
+
+fn timer_of(timer: EntryTimer) -> Timer {
+    match timer {
+        EntryTimer::JobResponse => Timer::JobResponse,
+        EntryTimer::TaskWait => Timer::TaskWait,
+    }
+}
+
 fn counter_of(counter: EntryCounter) -> Counter {
     match counter {
         EntryCounter::JobAccepted => Counter::JobsAccepted,
--- a/knapweedrill_daemon/src/control/peers.rs
+++ b/knapweedrill_daemon/src/control/peers.rs
@@ -7,9 +7,9 @@
 use knapweedrill::event::EventKind;
 use knapweedrill::link::{LinkAction, LinkTable, LinkTableEvent, WantedPeer};
 use knapweedrill::message::{Frame, Message, Role};
-use knapweedrill_wire::{LinkEvent, Links};
+use knapweedrill_wire::{Datagrams, LinkEvent, Links};
 
-use crate::telemetry::{Counter, Metrics, Timeline};
+use crate::telemetry::{Counter, Metrics, Timeline, publish_sessions, publish_traffic};
 
 /// What the links have brought.
 #[derive(Debug)]
@@ -119,6 +119,12 @@
         &self.links
     }
 
+    /// Publishes what has gone over links and datagrams.
+    pub fn publish(&self, datagrams: &Datagrams) {
+        publish_traffic(&self.metrics, &self.links, datagrams);
+        publish_sessions(&self.metrics, self.table.counts());
+    }
+
     fn carry_out(&mut self, actions: Vec<LinkAction>) -> Vec<PeerEvent> {
         actions
             .into_iter()
@@ -141,7 +147,6 @@
                 session,
                 message,
             } => {
-                self.metrics.count(counter_of(&message), 1);
                 let clock = self.timeline.stamp();
                 self.links.send(
                     link,
@@ -169,6 +174,7 @@
             }
             LinkAction::PeerDown { peer, session } => {
                 log::info!(session; "session with {peer:016x} closed");
+                self.metrics.count(Counter::SessionsClosed, 1);
                 self.timeline
                     .record(EventKind::SessionClosed { peer, session });
                 Some(PeerEvent::Down { peer })
@@ -177,29 +183,3 @@
         }
     }
 }
-
-fn counter_of(message: &Message) -> Counter {
-    match message {
-        Message::Start { .. } => Counter::StartMessages,
-        Message::Reports { .. } => Counter::ReportMessages,
-        Message::Demands(_) => Counter::DemandMessages,
-        Message::Slots { .. } => Counter::SlotMessages,
-        Message::ReturnCredit(_) => Counter::ReturnMessages,
-        Message::Cancel(_) => Counter::CancelMessages,
-        Message::Reconcile(_)
-        | Message::Verdicts(_)
-        | Message::Fence { .. }
-        | Message::Fenced(_) => Counter::SettleMessages,
-        Message::Relay(_)
-        | Message::RelayAnswer(_)
-        | Message::HandOver(_)
-        | Message::HandOverTaken { .. }
-        | Message::AnswersFor { .. } => Counter::RelayMessages,
-        Message::Hello(_)
-        | Message::Ping
-        | Message::Pong
-        | Message::Roster(_)
-        | Message::ConfigurationPull { .. }
-        | Message::ConfigurationPush { .. } => Counter::UpkeepMessages,
-    }
-}
--- a/knapweedrill_daemon/src/control/run.rs
+++ b/knapweedrill_daemon/src/control/run.rs
@@ -1,10 +1,13 @@
 //! The loop of the control thread.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
+use eyre::WrapErr;
 
 use super::ControlEvent;
+use crate::telemetry::{Metrics, Timer};
 
 /// How often time-outs are looked at.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -33,14 +36,45 @@
     fn flush(&mut self, now: Instant) -> Progress;
 }
 
-/// Runs the control state until it has stopped or nobody can send events any more.
-pub fn run(control: &mut impl Control, events: &Receiver<ControlEvent>) {
+/// The name of the control thread, by which its processor time can be told apart.
+const THREAD_NAME: &str = "control";
+
+/// Runs the control state on a thread of its own until it has stopped or nobody can send events
+/// any more.
+///
+/// # Errors
+///
+/// Fails if the thread can't be started.
+///
+/// # Panics
+///
+/// Panics if the control thread does.
+pub fn run(
+    control: &mut (impl Control + Send),
+    events: &Receiver<ControlEvent>,
+    metrics: &Metrics,
+) -> eyre::Result<()> {
+    thread::scope(|scope| {
+        let thread = thread::Builder::new()
+            .name(THREAD_NAME.into())
+            .spawn_scoped(scope, move || run_rounds(control, events, metrics))
+            .wrap_err("can't start the control thread")?;
+        thread
+            .join()
+            .unwrap_or_else(|panic| std::panic::resume_unwind(panic));
+        Ok(())
+    })
+}
+
+fn run_rounds(control: &mut impl Control, events: &Receiver<ControlEvent>, metrics: &Metrics) {
     let mut next_tick = Instant::now();
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
-        match events.recv_timeout(wait) {
+        let event = events.recv_timeout(wait);
+        let began = Instant::now();
+        match event {
             Ok(event) => {
-                let now = Instant::now();
+                let now = began;
                 control.handle(event, now);
                 for event in events.try_iter().take(BATCH_EVENT_COUNT) {
                     control.handle(event, now);
@@ -54,7 +88,9 @@
             control.tick(now);
             next_tick = now + TICK_INTERVAL;
         }
-        if control.flush(now) == Progress::Stopped {
+        let progress = control.flush(now);
+        metrics.time(Timer::ControlRound, began.elapsed());
+        if progress == Progress::Stopped {
             return;
         }
     }
--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -13,12 +13,13 @@
 use knapweedrill_wire::Datagrams;
 
 use super::configuration::{ConfigurationKeeper, configuration_reply};
+use super::entry::METRICS_INTERVAL;
 use super::run::{Control, Progress};
 use super::{ControlEvent, HttpCall, PeerEvent, Peers, Published};
 use crate::http::{HttpReply, Responder};
 use crate::minion_calls::{CallEnd, CallPool, MinionCall};
 use crate::settings::Settings;
-use crate::telemetry::{Counter, Gauge, Metrics, Timeline};
+use crate::telemetry::{Counter, Gauge, Metrics, Timeline, Timer};
 
 const OK: u16 = 200;
 const CONFLICT: u16 = 409;
@@ -37,6 +38,7 @@
     metrics: Arc<Metrics>,
     actions: Vec<SidecarAction>,
     progress: Progress,
+    metrics_due_at: Instant,
 }
 
 /// What a sidecar's control state is made of.
@@ -80,6 +82,7 @@
             metrics: parts.metrics,
             actions: Vec::new(),
             progress: Progress::Running,
+            metrics_due_at: Instant::now(),
         }
     }
 
@@ -265,12 +268,22 @@
         }
     }
 
-    fn publish(&self, now: Instant) {
+    fn publish(&mut self, now: Instant) {
         self.published
             .set(None, self.configuration.version().is_some());
+        if now < self.metrics_due_at {
+            return;
+        }
+        self.metrics_due_at = now + METRICS_INTERVAL;
+        self.peers.publish(&self.datagrams);
+        let metrics = &self.metrics;
         let report = self.sidecar.slot_report(now);
-        self.metrics
-            .set(Gauge::FreeSlots, u64::from(report.free_count));
+        metrics.set(Gauge::FreeSlots, u64::from(report.free_count));
+        metrics.set(
+            Gauge::KnownEntries,
+            self.membership.entries().count() as u64,
+        );
+        metrics.raise(Counter::DatagramsStale, self.membership.stale_count());
     }
 }
 
@@ -295,6 +308,7 @@
                 result,
                 run_time,
             } => {
+                self.metrics.time(Timer::TaskRun, run_time);
                 let event = SidecarEvent::CallEnded {
                     task,
                     attempt,
--- a/knapweedrill_daemon/src/platform_log/mod.rs
+++ b/knapweedrill_daemon/src/platform_log/mod.rs
@@ -4,12 +4,14 @@
 mod http_log;
 mod record;
 mod tail;
+mod timed_log;
 mod writer;
 
 pub use entry::{LogEntry, LogPage};
 pub use http_log::HttpLog;
 pub use record::LogRecord;
 pub use tail::{LogNews, tail};
+pub use timed_log::TimedLog;
 pub use writer::LogWriter;
 
 use knapweedrill::common::LogOffset;
--- a/knapweedrill_daemon/src/process/entry.rs
+++ b/knapweedrill_daemon/src/process/entry.rs
@@ -9,7 +9,7 @@
 
 use super::common::{Common, membership_settings};
 use crate::control::{ControlEvent, EntryControl, EntryParts, Replies, run as run_control};
-use crate::platform_log::{HttpLog, LogRecord, LogWriter, PlatformLog, tail};
+use crate::platform_log::{HttpLog, LogRecord, LogWriter, PlatformLog, TimedLog, tail};
 use crate::settings::{LogServiceSettings, Settings};
 
 /// Runs an entry until its planned stop has ended.
@@ -18,7 +18,10 @@
     common: Common,
     log: &LogServiceSettings,
 ) -> eyre::Result<()> {
-    let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(log.address));
+    let log: Arc<dyn PlatformLog> = Arc::new(TimedLog::new(
+        HttpLog::new(log.address),
+        Arc::clone(&common.metrics),
+    ));
     let is_stopped = Arc::new(AtomicBool::new(false));
     let writer = start_log(&common, &log, &is_stopped)?;
     let own = common.address(&settings);
@@ -45,7 +48,7 @@
         metrics: Arc::clone(&common.metrics),
         settings,
     });
-    run_control(&mut control, &common.events);
+    run_control(&mut control, &common.events, &common.metrics)?;
     is_stopped.store(true, Ordering::Release);
     let links = common.links.clone();
     let datagrams = common.datagrams.clone();
--- a/knapweedrill_daemon/src/process/sidecar.rs
+++ b/knapweedrill_daemon/src/process/sidecar.rs
@@ -40,7 +40,7 @@
         metrics: Arc::clone(&common.metrics),
         settings,
     });
-    run_control(&mut control, &common.events);
+    run_control(&mut control, &common.events, &common.metrics)?;
     let links = common.links.clone();
     let datagrams = common.datagrams.clone();
     let timeline = Arc::clone(&common.timeline);
--- a/knapweedrill_daemon/src/telemetry/counter.rs
+++ b/knapweedrill_daemon/src/telemetry/counter.rs
@@ -77,24 +77,64 @@
     TaskMessagesReceived = "task_traffic.messages_received",
     /// Bytes of messages that carried tasks or results and were received.
     TaskBytesReceived = "task_traffic.bytes_received",
-    /// Messages that start tasks, sent by an entry.
+    /// Messages sent that start tasks.
     StartMessages = "messages.start",
-    /// Messages that report tasks, sent by a sidecar.
-    ReportMessages = "messages.reports",
-    /// Messages that tell what waits, sent by an entry without a task to carry them.
-    DemandMessages = "messages.demands",
-    /// Messages that grant credits, sent by a sidecar without a report to carry them.
-    SlotMessages = "messages.slots",
-    /// Messages that return credits.
-    ReturnMessages = "messages.return_credit",
-    /// Messages that cancel jobs.
+    /// Messages sent that report tasks.
+    ReportsMessages = "messages.reports",
+    /// Messages sent that tell what waits, without a task to carry it.
+    DemandsMessages = "messages.demands",
+    /// Messages sent that grant credits, without a report to carry them.
+    SlotsMessages = "messages.slots",
+    /// Messages sent that return credits.
+    ReturnCreditMessages = "messages.return_credit",
+    /// Messages sent that cancel jobs.
     CancelMessages = "messages.cancel",
-    /// Messages that settle tasks in doubt and fence jobs.
+    /// Messages sent that settle tasks in doubt and fence jobs.
     SettleMessages = "messages.settle",
-    /// Messages between entries about callers' requests and kept keys.
+    /// Messages sent that pass callers' requests and answers on.
     RelayMessages = "messages.relay",
-    /// Messages that keep sessions, rosters and configurations.
-    UpkeepMessages = "messages.upkeep",
+    /// Messages sent that hand kept keys over.
+    HandOverMessages = "messages.hand_over",
+    /// Messages sent that tell rosters.
+    RosterMessages = "messages.roster",
+    /// Messages sent that ask for configurations or carry them.
+    ConfigurationMessages = "messages.configuration",
+    /// Messages sent that open sessions and keep them.
+    SessionMessages = "messages.session",
+    /// Bytes sent in messages that start tasks.
+    StartBytes = "bytes.start",
+    /// Bytes sent in messages that report tasks.
+    ReportsBytes = "bytes.reports",
+    /// Bytes sent in messages that tell what waits, without a task to carry it.
+    DemandsBytes = "bytes.demands",
+    /// Bytes sent in messages that grant credits, without a report to carry them.
+    SlotsBytes = "bytes.slots",
+    /// Bytes sent in messages that return credits.
+    ReturnCreditBytes = "bytes.return_credit",
+    /// Bytes sent in messages that cancel jobs.
+    CancelBytes = "bytes.cancel",
+    /// Bytes sent in messages that settle tasks in doubt and fence jobs.
+    SettleBytes = "bytes.settle",
+    /// Bytes sent in messages that pass callers' requests and answers on.
+    RelayBytes = "bytes.relay",
+    /// Bytes sent in messages that hand kept keys over.
+    HandOverBytes = "bytes.hand_over",
+    /// Bytes sent in messages that tell rosters.
+    RosterBytes = "bytes.roster",
+    /// Bytes sent in messages that ask for configurations or carry them.
+    ConfigurationBytes = "bytes.configuration",
+    /// Bytes sent in messages that open sessions and keep them.
+    SessionBytes = "bytes.session",
+    /// Heartbeats that were sent.
+    DatagramsSent = "datagrams.sent",
+    /// Bytes of heartbeats that were sent.
+    DatagramBytesSent = "datagrams.bytes_sent",
+    /// Heartbeats that were received.
+    DatagramsReceived = "datagrams.received",
+    /// Bytes of heartbeats of entries that were received.
+    EntryDatagramBytesReceived = "datagrams.entry_bytes_received",
+    /// Bytes of heartbeats of sidecars that were received.
+    SidecarDatagramBytesReceived = "datagrams.sidecar_bytes_received",
     /// Messages that had no effect: bounced starts and returned credits.
     MessagesWasted = "messages.wasted",
 
--- a/knapweedrill_daemon/src/telemetry/metrics.rs
+++ b/knapweedrill_daemon/src/telemetry/metrics.rs
@@ -44,6 +44,11 @@
         self.counters[counter as usize].fetch_add(n, Ordering::Relaxed);
     }
 
+    /// Raises a counter that is kept elsewhere to its value there.
+    pub fn raise(&self, counter: Counter, value: u64) {
+        self.counters[counter as usize].fetch_max(value, Ordering::Relaxed);
+    }
+
     /// Returns the value of a counter.
     pub fn counter(&self, counter: Counter) -> u64 {
         self.counters[counter as usize].load(Ordering::Relaxed)
--- a/knapweedrill_daemon/src/telemetry/mod.rs
+++ b/knapweedrill_daemon/src/telemetry/mod.rs
@@ -8,6 +8,7 @@
 mod statsd;
 mod timeline;
 mod timer;
+mod traffic;
 
 pub use counter::Counter;
 pub use gauge::Gauge;
@@ -17,3 +18,4 @@
 pub use statsd::{StatsdFlusher, StatsdFlusherBuilder};
 pub use timeline::Timeline;
 pub use timer::Timer;
+pub use traffic::{publish_sessions, publish_traffic};
--- a/knapweedrill_daemon/src/telemetry/timer.rs
+++ b/knapweedrill_daemon/src/telemetry/timer.rs
@@ -13,8 +13,6 @@
     LogCall,
     /// One round of the control thread.
     ControlRound,
-    /// From the publication of a configuration to its being in force here.
-    ConfigurationDelay,
 }
 
 impl Timer {
@@ -25,7 +23,6 @@
         Self::TaskRun,
         Self::LogCall,
         Self::ControlRound,
-        Self::ConfigurationDelay,
     ];
 
     /// Returns the name under which the timer is published.
@@ -36,7 +33,6 @@
             Self::TaskRun => "tasks.run",
             Self::LogCall => "log.call",
             Self::ControlRound => "control.round",
-            Self::ConfigurationDelay => "configuration.delay",
         }
     }
 }
--- a/knapweedrill_wire/src/counters.rs
+++ b/knapweedrill_wire/src/counters.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use knapweedrill::message::MessageKind;
+
 /// A count that several threads raise.
 #[derive(Debug, Default)]
 pub(crate) struct Counter(AtomicU64);
@@ -76,6 +78,33 @@
     }
 }
 
+counters! {
+    /// What went over the links of a process in messages of one kind, prefixes included.
+    KindCounts, KindCounters {
+        /// Frames handed to the kernel.
+        frames_sent_count,
+        /// Bytes handed to the kernel.
+        bytes_sent_count,
+        /// Frames received and decoded.
+        frames_received_count,
+        /// Bytes of those.
+        bytes_received_count,
+    }
+}
+
+/// Counts what goes over the links of a process, in all and by the kind of message.
+#[derive(Debug, Default)]
+pub(crate) struct LinkMeter {
+    pub(crate) totals: LinkCounters,
+    kinds: [KindCounters; MessageKind::ALL.len()],
+}
+
+impl LinkMeter {
+    pub(crate) fn kind(&self, kind: MessageKind) -> &KindCounters {
+        &self.kinds[kind as usize]
+    }
+}
+
 counters! {
     /// What went over the datagram socket of a process since it started.
     DatagramCounts, DatagramCounters {
@@ -83,6 +112,8 @@
         datagrams_sent_count,
         /// Datagrams received and decoded.
         datagrams_received_count,
+        /// Bytes of announcements of minions among those received.
+        announcement_bytes_received_count,
         /// Bytes sent.
         bytes_sent_count,
         /// Bytes received, of malformed datagrams too.
--- a/knapweedrill_wire/src/datagrams.rs
+++ b/knapweedrill_wire/src/datagrams.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use knapweedrill::message::Datagram;
+use knapweedrill::message::{Datagram, DatagramBody};
 
 use crate::codec::{DATAGRAM_LENGTH_MAX_BYTES, decode_datagram, encode_datagram};
 use crate::counters::{DatagramCounters, DatagramCounts};
@@ -104,6 +104,10 @@
         match decode_datagram(bytes) {
             Ok(datagram) => {
                 self.counters.datagrams_received_count.increment();
+                if matches!(datagram.body, DatagramBody::Announce { .. }) {
+                    let counter = &self.counters.announcement_bytes_received_count;
+                    counter.add(bytes.len());
+                }
                 on_datagram(from, datagram);
             }
             Err(_) => self.counters.datagrams_malformed_count.increment(),
--- a/knapweedrill_wire/src/lib.rs
+++ b/knapweedrill_wire/src/lib.rs
@@ -14,7 +14,7 @@
     FRAME_LENGTH_MAX_BYTES, decode_datagram, decode_frame, encode_datagram, encode_frame,
     read_frame,
 };
-pub use counters::{DatagramCounts, LinkCounts};
+pub use counters::{DatagramCounts, KindCounts, LinkCounts};
 pub use datagrams::Datagrams;
 pub use knapweedrill::link::LinkNumber;
 pub use links::{LinkEvent, LinkSettings, Links};
--- a/knapweedrill_wire/src/links/connection.rs
+++ b/knapweedrill_wire/src/links/connection.rs
@@ -10,9 +10,10 @@
 
 use super::LinkSettings;
 use crate::codec::{
-    CodecError, FIRST_FRAME_LENGTH_MAX_BYTES, FRAME_LENGTH_MAX_BYTES, encode_frame, read_frame,
+    CodecError, FIRST_FRAME_LENGTH_MAX_BYTES, FRAME_HEADER_BYTES, FRAME_LENGTH_MAX_BYTES,
+    encode_frame, read_frame,
 };
-use crate::counters::LinkCounters;
+use crate::counters::LinkMeter;
 
 /// The length from which the writer adds no more frames to a write, in bytes.
 const BATCH_BYTES: usize = 256 << 10;
@@ -55,65 +56,80 @@
 }
 
 /// Reads frames until the connection ends or the other side breaks the framing.
-pub(super) fn read_all(
-    stream: &TcpStream,
-    counters: &LinkCounters,
-    mut on_frame: impl FnMut(Frame),
-) {
+pub(super) fn read_all(stream: &TcpStream, meter: &LinkMeter, mut on_frame: impl FnMut(Frame)) {
     let mut reader = BufReader::with_capacity(64 << 10, stream);
     let mut buffer = Vec::new();
     let mut limit_bytes = FIRST_FRAME_LENGTH_MAX_BYTES;
     loop {
         match read_frame(&mut reader, limit_bytes, &mut buffer) {
             Ok(frame) => {
-                counters.frames_received_count.increment();
+                meter.totals.frames_received_count.increment();
+                let kind = meter.kind(frame.message.kind());
+                kind.frames_received_count.increment();
+                kind.bytes_received_count
+                    .add(FRAME_HEADER_BYTES + buffer.len());
                 on_frame(frame);
             }
-            Err(error) => return count_error(&error, counters),
+            Err(error) => return count_error(&error, meter),
         }
         limit_bytes = FRAME_LENGTH_MAX_BYTES;
         give_back(&mut buffer);
     }
 }
 
-fn count_error(error: &CodecError, counters: &LinkCounters) {
+fn count_error(error: &CodecError, meter: &LinkMeter) {
     if error.is_malformed() {
-        counters.frames_malformed_count.increment();
+        meter.totals.frames_malformed_count.increment();
     }
 }
 
 /// Writes the frames of the queue until it is closed or the connection fails.
-pub(super) fn write_all(mut stream: &TcpStream, queue: &Receiver<Frame>, counters: &LinkCounters) {
+pub(super) fn write_all(mut stream: &TcpStream, queue: &Receiver<Frame>, meter: &LinkMeter) {
     let mut buffer = Vec::new();
     while let Ok(first) = queue.recv() {
-        let Some(frame_count) = fill(&mut buffer, first, queue) else {
-            counters.frames_unsendable_count.increment();
+        let Some(frame_count) = fill(&mut buffer, first, queue, meter) else {
+            meter.totals.frames_unsendable_count.increment();
             return;
         };
         if stream.write_all(&buffer).is_err() {
             return;
         }
-        counters.writes_count.increment();
-        counters.frames_sent_count.add(frame_count);
-        counters.bytes_sent_count.add(buffer.len());
+        meter.totals.writes_count.increment();
+        meter.totals.frames_sent_count.add(frame_count);
+        meter.totals.bytes_sent_count.add(buffer.len());
         buffer.clear();
         give_back(&mut buffer);
     }
 }
 
 /// Fills the buffer with what waits, and returns how many frames that is.
-fn fill(buffer: &mut Vec<u8>, first: Frame, queue: &Receiver<Frame>) -> Option<usize> {
-    encode_frame(&first, buffer).ok()?;
+fn fill(
+    buffer: &mut Vec<u8>,
+    first: Frame,
+    queue: &Receiver<Frame>,
+    meter: &LinkMeter,
+) -> Option<usize> {
+    add(buffer, &first, meter)?;
     let mut frame_count = 1;
     while buffer.len() < BATCH_BYTES
         && let Ok(frame) = queue.try_recv()
     {
-        encode_frame(&frame, buffer).ok()?;
+        add(buffer, &frame, meter)?;
         frame_count += 1;
     }
     Some(frame_count)
 }
 
+/// Adds a frame to the buffer and counts it.
+fn add(buffer: &mut Vec<u8>, frame: &Frame, meter: &LinkMeter) -> Option<()> {
+    let before_bytes = buffer.len();
+    encode_frame(frame, buffer).ok()?;
+    let kind = meter.kind(frame.message.kind());
+    kind.frames_sent_count.increment();
+    kind.bytes_sent_count.add(buffer.len() - before_bytes);
+    Some(())
+}
+
 fn give_back(buffer: &mut Vec<u8>) {
     if buffer.capacity() > BUFFER_KEEP_BYTES {
         *buffer = Vec::new();
--- a/knapweedrill_wire/src/links/mod.rs
+++ b/knapweedrill_wire/src/links/mod.rs
@@ -20,10 +20,10 @@
 use crossbeam::channel;
 use eyre::WrapErr;
 use knapweedrill::link::LinkNumber;
-use knapweedrill::message::Frame;
+use knapweedrill::message::{Frame, MessageKind};
 use socket2::SockRef;
 
-use crate::counters::{LinkCounters, LinkCounts};
+use crate::counters::{KindCounts, LinkCounts, LinkMeter};
 use connection::Connection;
 use places::{Place, Places};
 
@@ -43,7 +43,7 @@
     listener: TcpListener,
     settings: LinkSettings,
     on_event: Box<dyn Fn(LinkEvent) + Send + Sync>,
-    counters: LinkCounters,
+    meter: LinkMeter,
     connections: Mutex<HashMap<LinkNumber, Connection>>,
     next_link: AtomicU64,
     inbound: Places,
@@ -69,7 +69,7 @@
             listener,
             settings,
             on_event: Box::new(on_event),
-            counters: LinkCounters::default(),
+            meter: LinkMeter::default(),
             connections: Mutex::default(),
             next_link: AtomicU64::new(1),
             inbound: Places::new(settings.inbound_max_count),
@@ -91,7 +91,7 @@
     pub fn dial(&self, address: SocketAddr) -> bool {
         let is_begun = self.shared.begin_dial(address);
         if !is_begun {
-            self.shared.counters.dials_refused_count.increment();
+            self.shared.meter.totals.dials_refused_count.increment();
         }
         is_begun
     }
@@ -103,10 +103,10 @@
     pub fn send(&self, link: LinkNumber, frame: Frame) {
         let has_room = match self.shared.connections().get(&link) {
             Some(connection) => connection.try_send(frame),
-            None => return self.shared.counters.frames_unlinked_count.increment(),
+            None => return self.shared.meter.totals.frames_unlinked_count.increment(),
         };
         if !has_room {
-            self.shared.counters.queues_overflowed_count.increment();
+            self.shared.meter.totals.queues_overflowed_count.increment();
             self.close(link);
         }
     }
@@ -120,7 +120,12 @@
 
     /// Returns the counts so far.
     pub fn counts(&self) -> LinkCounts {
-        self.shared.counters.snapshot()
+        self.shared.meter.totals.snapshot()
+    }
+
+    /// Returns the counts so far of messages of one kind.
+    pub fn kind_counts(&self, kind: MessageKind) -> KindCounts {
+        self.shared.meter.kind(kind).snapshot()
     }
 
     /// Closes all links and accepts no more.
@@ -162,7 +167,7 @@
                 .and_then(|(stream, address)| self.take_in(stream, address))
                 .is_err()
             {
-                self.counters.accepts_failed_count.increment();
+                self.meter.totals.accepts_failed_count.increment();
                 thread::sleep(ACCEPT_FAILURE_PAUSE);
             }
         }
@@ -170,7 +175,7 @@
 
     fn take_in(self: &Arc<Self>, stream: TcpStream, address: SocketAddr) -> io::Result<()> {
         let Some(place) = self.inbound.take() else {
-            self.counters.connections_refused_count.increment();
+            self.meter.totals.connections_refused_count.increment();
             return Ok(());
         };
         self.open(stream, address, None, Some(place))
@@ -191,7 +196,7 @@
         let connected = TcpStream::connect_timeout(&address, self.settings.connect_timeout)
             .and_then(|stream| self.open(stream, address, Some(address), None));
         if connected.is_err() {
-            self.counters.dials_failed_count.increment();
+            self.meter.totals.dials_failed_count.increment();
             (self.on_event)(LinkEvent::DialFailed { address });
         }
     }
@@ -234,7 +239,7 @@
         thread::Builder::new()
             .name(format!("link-{link}-writer"))
             .spawn(move || {
-                connection::write_all(&stream, &waiting, &writer.counters);
+                connection::write_all(&stream, &waiting, &writer.meter);
                 writer.drop_connection(link);
                 // A writer that failed ends the reader too.
                 let _ = stream.shutdown(Shutdown::Both);
@@ -250,11 +255,11 @@
         opened: LinkEvent,
         place: Option<Place>,
     ) {
-        self.counters.connections_opened_count.increment();
+        self.meter.totals.connections_opened_count.increment();
         (self.on_event)(opened);
         // A connection that was made while the links were being stopped has escaped the closing.
         if !self.is_stopped() {
-            connection::read_all(stream, &self.counters, |frame| {
+            connection::read_all(stream, &self.meter, |frame| {
                 (self.on_event)(LinkEvent::Frame { link, frame });
             });
         }
