--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod minion;
+mod slopes;
 mod termination;
 
 use eyre::{Result, bail};
@@ -14,7 +15,9 @@
   log --listen ADDRESS [--retention-records N]
       serves an append-only log
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
-      serves as a minion beside a sidecar";
+      serves as a minion beside a sidecar
+  slopes [--json] [--quick]
+      measures how the cost of a daemon grows with what surrounds it";
 
 /// Runs the subcommand that the arguments name.
 ///
@@ -25,6 +28,7 @@
     match parser.next()? {
         Some(Arg::Value(name)) if name == "log" => log::run(parser),
         Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
+        Some(Arg::Value(name)) if name == "slopes" => slopes::run(parser),
         Some(Arg::Short('h') | Arg::Long("help")) => {
             println!("{USAGE}");
             Ok(())
