--- a/knapweedrill/tests/simulated/world.rs
+++ b/knapweedrill/tests/simulated/world.rs
@@ -542,7 +542,7 @@
                 self.network.send(entry, peer, message, due);
             }
             EntryAction::Stopped => self.entry_ended(entry),
-            EntryAction::Record(_) | EntryAction::Count(_) => {}
+            EntryAction::Record(_) | EntryAction::Count(_) | EntryAction::Time { .. } => {}
         }
     }
 
--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod log;
 mod minion;
+mod slopes;
 mod termination;
 
 use eyre::{Result, bail};
@@ -20,7 +21,9 @@
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
       serves as a minion beside a sidecar
   load --scenario NAME --seed N [--policy P|all] [--seconds S] [--hint-sigma F] [--json]
-      measures the system under load; prints a report of each run";
+      measures the system under load; prints a report of each run
+  slopes [--json] [--quick]
+      measures how the cost of a daemon grows with what surrounds it";
 
 /// Runs the subcommand that the arguments name.
 ///
@@ -33,6 +36,7 @@
         Some(Arg::Value(name)) if name == "log" => log::run(parser),
         Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
         Some(Arg::Value(name)) if name == "load" => load::run(parser),
+        Some(Arg::Value(name)) if name == "slopes" => slopes::run(parser),
         Some(Arg::Short('h') | Arg::Long("help")) => {
             println!("{USAGE}");
             Ok(())
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod faults;
 pub mod harness;
 pub mod load;
+pub mod slopes;
 pub mod stand_in;
 pub mod wall_clock;
