fix(lab): leave the default placement out of settings

Cause: the load tool's setting changed the form of every settings file, which a test of the harness pins. Change: the section is written only for another policy. Conclusion: the test stands as it was.

--- a/knapweedrill_lab/src/harness/daemon_settings.rs
+++ b/knapweedrill_lab/src/harness/daemon_settings.rs
@@ -117,6 +117,7 @@
     /// Writes how tasks are placed; under early binding they queue at the sidecars.
     fn write_policy(&self, text: &mut String) -> std::fmt::Result {
         match &self.role {
+            DaemonRole::Entry { .. } if self.placement == PlacementPolicy::default() => Ok(()),
             DaemonRole::Entry { .. } => {
                 let placement = policy_name(self.placement);
                 writeln!(text, "[policy]\nplacement = {placement}")
