--- a/knapweedrill_lab/src/faults/callers.rs
+++ b/knapweedrill_lab/src/faults/callers.rs
@@ -12,8 +12,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use super::CallPlan;
-use super::fault_case::Seed;
+use super::{CallPlan, Seed};
 use crate::checker::{CallerAnswer, ObservedCall, Submission};
 use crate::harness::{EntryApi, JobOutcome, JobRequest};
 use crate::stand_in::minion::TaskPayload;
--- a/knapweedrill_lab/src/faults/entry/killed.rs
+++ b/knapweedrill_lab/src/faults/entry/killed.rs
@@ -5,9 +5,8 @@
 
 use eyre::Result;
 
-use crate::faults::fault_case::Seed;
 use crate::faults::fault_run::entry_name;
-use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun, Seed};
 use crate::harness::{ClusterBuilder, MinionSpec};
 
 const WARM_UP: Duration = Duration::from_millis(1500);
--- a/knapweedrill_lab/src/faults/entry/killed_before_start.rs
+++ b/knapweedrill_lab/src/faults/entry/killed_before_start.rs
@@ -6,9 +6,9 @@
 use eyre::Result;
 
 use crate::checker::{ObservedCall, Submission};
-use crate::faults::fault_case::Seed;
+
 use crate::faults::fault_run::entry_name;
-use crate::faults::{FaultCase, FaultReport, FaultRun};
+use crate::faults::{FaultCase, FaultReport, FaultRun, Seed};
 use crate::harness::{ClusterBuilder, EntryApi, JobOutcome, JobRequest, MinionSpec};
 use crate::stand_in::minion::TaskPayload;
 
--- a/knapweedrill_lab/src/faults/fault_report.rs
+++ b/knapweedrill_lab/src/faults/fault_report.rs
@@ -5,9 +5,9 @@
 
 use knapweedrill_derive::{message, value};
 
-use super::FaultCase;
-use super::fault_case::Seed;
+use super::{FaultCase, Seed};
 use crate::checker::{CallerAnswer, History, Report, Submission, check};
+use crate::harness::JobOutcome;
 
 /// The result of a failure case.
 #[value]
@@ -62,6 +62,24 @@
         }
     }
 
+    /// Notes a job that did not end complete although the case expects it to.
+    pub fn expect_complete(&mut self, what: &str, outcome: Option<JobOutcome>) {
+        let is_complete = outcome == Some(JobOutcome::Complete);
+        self.expect(is_complete, format!("{what} is complete, not {outcome:?}"));
+    }
+
+    /// Notes it if a submission failed or was not answered.
+    pub fn expect_no_failure(&mut self) {
+        let failures: Vec<String> = self
+            .outcome_counts
+            .iter()
+            .filter(|(outcome, _)| outcome.starts_with("Failed") || *outcome == "unanswered")
+            .map(|(outcome, count)| format!("{count} {outcome}"))
+            .collect();
+        let text = format!("no submission fails: {}", failures.join(", "));
+        self.expect(failures.is_empty(), text);
+    }
+
     /// Returns whether no rule was broken and every expectation was met.
     pub fn is_passed(&self) -> bool {
         self.report.is_clean() && self.unmet.is_empty()
--- a/knapweedrill_lab/src/faults/fault_run.rs
+++ b/knapweedrill_lab/src/faults/fault_run.rs
@@ -3,12 +3,11 @@
 use std::thread;
 use std::time::Duration;
 
-use eyre::{Result, eyre};
+use eyre::{Result, ensure, eyre};
 use knapweedrill::api::EventsAnswer;
 use knapweedrill::common::{Incarnation, ProcessName};
 
-use super::fault_case::Seed;
-use super::{CallPlan, Callers, FaultCase, FaultReport};
+use super::{CallPlan, Callers, FaultCase, FaultReport, Seed};
 use crate::checker::{History, PlannedStop, Submission};
 use crate::harness::{Cluster, ClusterBuilder, EntryApi, JobOutcome, JobRequest, wait_until};
 use crate::stand_in::minion::TaskPayload;
@@ -16,6 +15,8 @@
 
 /// How long processes may still tell of what they did after the last answer.
 const SETTLE: Duration = Duration::from_millis(300);
+const BALANCER_DELAY: Duration = Duration::from_millis(200);
+const STOP_TIMEOUT: Duration = Duration::from_secs(25);
 const SERVING_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A cluster under load whose history is collected.
@@ -113,6 +114,33 @@
         self.cluster.entry(number).process().terminate()
     }
 
+    /// Stops an entry as planned; its callers turn away a moment later, as a balancer would.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry can't be signalled, or does not end well within 25 s.
+    pub fn retire_entry(&mut self, number: usize) -> Result<()> {
+        self.collect_events(self.cluster.entries()[number].api());
+        self.stop_entry(number)?;
+        thread::sleep(BALANCER_DELAY);
+        if let Some(callers) = self.callers() {
+            callers.remove_entry(&entry_name(number));
+        }
+        let process = self.cluster.entry(number).process();
+        let status = process.wait_exit(STOP_TIMEOUT)?;
+        ensure!(status.success(), "{} ended with {status}", process.name());
+        Ok(())
+    }
+
+    /// Waits until an entry gets jobs done.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not within `timeout`.
+    pub fn wait_entry_serves(&mut self, number: usize, timeout: Duration) -> Result<()> {
+        wait_serves(self.cluster.entry(number).api(), timeout)
+    }
+
     /// Notes that a sidecar is asked to stop now, and asks it.
     ///
     /// # Errors
@@ -218,15 +246,19 @@
         return Ok(());
     }
     for entry in cluster.entries() {
-        let mut try_number = 0;
-        wait_until("an entry that serves", SERVING_TIMEOUT, || {
-            try_number += 1;
-            is_served(entry.api(), &format!("probe-{try_number}"))
-        })?;
+        wait_serves(entry.api(), SERVING_TIMEOUT)?;
     }
     Ok(())
 }
 
+fn wait_serves(api: EntryApi, timeout: Duration) -> Result<()> {
+    let mut try_number = 0;
+    wait_until("an entry that serves", timeout, || {
+        try_number += 1;
+        is_served(api, &format!("probe-{try_number}"))
+    })
+}
+
 fn is_served(api: EntryApi, key: &str) -> bool {
     let payload = TaskPayload::new(Duration::ZERO, key);
     let job = JobRequest::new("tin-a", "proof").task(&payload);
--- a/knapweedrill_lab/src/faults/mod.rs
+++ b/knapweedrill_lab/src/faults/mod.rs
@@ -9,9 +9,15 @@
 mod fault_case;
 mod fault_report;
 mod fault_run;
+mod probe;
+mod sidecar;
+mod wave;
 
 pub use call_plan::CallPlan;
 pub use callers::Callers;
 pub use fault_case::{FaultCase, Seed};
 pub use fault_report::FaultReport;
 pub use fault_run::FaultRun;
+
+/// How long a process stands still: longer than every timeout of the system.
+const FREEZE: std::time::Duration = std::time::Duration::from_secs(8);
