feat(daemon): let a process advertise other addresses than it listens on

[listen] link_advertised and http_advertised are what others are told, for a VM behind address translation, and for proxies in failure tests.

--- a/knapweedrill_daemon/src/control/show.rs
+++ b/knapweedrill_daemon/src/control/show.rs
@@ -103,8 +103,8 @@
     fn entry_views(&self, versions: &Versions) -> Vec<EntryView> {
         let own = EntryView {
             name: self.settings.process.name.clone(),
-            http_address: self.settings.listen.http,
-            link_address: self.settings.listen.link,
+            http_address: self.settings.listen.reachable_http(),
+            link_address: self.settings.listen.reachable_link(),
             failure_domain: self.settings.process.failure_domain.clone(),
             is_suspect: false,
             is_stopping: self.entry.is_stopping(),
--- a/knapweedrill_daemon/src/process/common.rs
+++ b/knapweedrill_daemon/src/process/common.rs
@@ -111,8 +111,8 @@
             name: settings.process.name.clone(),
             role: self.role,
             failure_domain: settings.process.failure_domain.clone(),
-            link_address: settings.listen.link,
-            http_address: settings.listen.http,
+            link_address: settings.listen.reachable_link(),
+            http_address: settings.listen.reachable_http(),
         }
     }
 
--- a/knapweedrill_daemon/src/process/sidecar.rs
+++ b/knapweedrill_daemon/src/process/sidecar.rs
@@ -52,8 +52,8 @@
     Announcement {
         name: settings.process.name.clone(),
         sidecar: common.incarnation,
-        link_address: settings.listen.link,
-        http_address: settings.listen.http,
+        link_address: settings.listen.reachable_link(),
+        http_address: settings.listen.reachable_http(),
         service: minion.service,
         worker: settings.process.worker.clone(),
         failure_domain: settings.process.failure_domain.clone(),
--- a/knapweedrill_daemon/src/settings/listen.rs
+++ b/knapweedrill_daemon/src/settings/listen.rs
@@ -12,6 +12,10 @@
     pub http: SocketAddr,
     /// The address for links to other processes, over TCP, and for heartbeats, over UDP.
     pub link: SocketAddr,
+    /// The address at which others reach the HTTP interface, if it is another than `http`.
+    pub http_advertised: Option<SocketAddr>,
+    /// The address at which others reach `link`, if it is another, as behind address translation.
+    pub link_advertised: Option<SocketAddr>,
 }
 
 impl ListenSettings {
@@ -19,6 +23,8 @@
         let mut section = reader.section("listen");
         let http = section.address("http");
         let link = section.address("link");
+        let http_advertised = section.optional_address("http_advertised");
+        let link_advertised = section.optional_address("link_advertised");
         if http.is_some() && http == link {
             section.note(
                 "link",
@@ -32,6 +38,18 @@
         Some(Self {
             http: http?,
             link: link?,
+            http_advertised,
+            link_advertised,
         })
     }
+
+    /// Returns the address at which others reach the HTTP interface.
+    pub fn reachable_http(&self) -> SocketAddr {
+        self.http_advertised.unwrap_or(self.http)
+    }
+
+    /// Returns the address at which others reach the links and send heartbeats to.
+    pub fn reachable_link(&self) -> SocketAddr {
+        self.link_advertised.unwrap_or(self.link)
+    }
 }
--- a/knapweedrill_daemon/tests/settings.rs
+++ b/knapweedrill_daemon/tests/settings.rs
@@ -169,3 +169,13 @@
         );
     }
 }
+
+#[test]
+fn advertised_addresses_take_the_place_of_those_listened_on() {
+    let advertised = "link = 127.1.2.3:7001\nlink_advertised = 127.9.9.9:17001";
+    let text = ENTRY.replace("link = 127.1.2.3:7001", advertised);
+    let listen = Settings::parse(&text, "x.ini").unwrap().listen;
+    assert_eq!(listen.link.to_string(), "127.1.2.3:7001");
+    assert_eq!(listen.reachable_link().to_string(), "127.9.9.9:17001");
+    assert_eq!(listen.reachable_http(), listen.http);
+}
--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -6,7 +6,7 @@
 use eyre::{Report, Result, eyre};
 use knapweedrill_derive::key;
 
-use super::{FaultReport, entry};
+use super::{FaultReport, entry, log};
 
 /// Seeds the random choices of a run.
 pub type Seed = u64;
@@ -19,17 +19,48 @@
     EntryKilled,
     /// An entry is killed that has not handed out anything of a job.
     EntryKilledBeforeStart,
+    /// The log is down; an entry starts and operators apply meanwhile.
+    LogDown,
+    /// The log is down while the only entry is replaced.
+    LogDownWithoutPeers,
+    /// The log is slow.
+    LogSlow,
+    /// The answers of the log are lost after appends took effect.
+    LogAnswersLost,
+    /// Retention passes the newest configuration.
+    LogRetentionPassed,
+    /// The log holds records that are not valid.
+    LogRecordInvalid,
+    /// Operators race each other.
+    OperatorsRace,
 }
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 2] = [Self::EntryKilled, Self::EntryKilledBeforeStart];
+    pub const ALL: [Self; 9] = [
+        Self::EntryKilled,
+        Self::EntryKilledBeforeStart,
+        Self::LogDown,
+        Self::LogDownWithoutPeers,
+        Self::LogSlow,
+        Self::LogAnswersLost,
+        Self::LogRetentionPassed,
+        Self::LogRecordInvalid,
+        Self::OperatorsRace,
+    ];
 
     /// Returns the name of the case.
     pub fn name(self) -> &'static str {
         match self {
             Self::EntryKilled => "entry-killed",
             Self::EntryKilledBeforeStart => "entry-killed-before-start",
+            Self::LogDown => "log-down",
+            Self::LogDownWithoutPeers => "log-down-without-peers",
+            Self::LogSlow => "log-slow",
+            Self::LogAnswersLost => "log-answers-lost",
+            Self::LogRetentionPassed => "log-retention-passed",
+            Self::LogRecordInvalid => "log-record-invalid",
+            Self::OperatorsRace => "operators-race",
         }
     }
 
@@ -42,6 +73,13 @@
         match self {
             Self::EntryKilled => entry::killed::run(self, seed),
             Self::EntryKilledBeforeStart => entry::killed_before_start::run(self, seed),
+            Self::LogDown => log::down::run(self, seed),
+            Self::LogDownWithoutPeers => log::down_without_peers::run(self, seed),
+            Self::LogSlow => log::slow::run(self, seed),
+            Self::LogAnswersLost => log::answers_lost::run(self, seed),
+            Self::LogRetentionPassed => log::retention_passed::run(self, seed),
+            Self::LogRecordInvalid => log::record_invalid::run(self, seed),
+            Self::OperatorsRace => log::operators_race::run(self, seed),
         }
     }
 }
--- /dev/null
+++ b/knapweedrill_lab/src/faults/log/answers_lost.rs
@@ -0,0 +1,46 @@
+//! The answers of the log are lost after appends took effect.
+
+use std::time::Duration;
+
+use eyre::Result;
+use knapweedrill::api::{ApplyOutcome, Parent};
+
+use super::{Operator, finish, set_log};
+use crate::faults::fault_case::Seed;
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::harness::{ClusterBuilder, MinionSpec};
+use crate::stand_in::log::LogMode;
+
+const WARM_UP: Duration = Duration::from_millis(500);
+
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+    let cluster = ClusterBuilder::new()
+        .entries(2)
+        .minions(2, &MinionSpec::new());
+    let mut run = FaultRun::start(case, seed, cluster)?;
+    run.start_callers(&CallPlan::new().callers(2), WARM_UP);
+    let api = run.cluster.entry(0).api();
+    let before = api.configuration()?.version;
+    set_log(&mut run, LogMode::LoseAnswers, Duration::ZERO)?;
+    let (accepted, apply) = Operator::new("accepted", api).apply(Parent::Current)?;
+    run.history.add_apply(apply);
+    let stale = before.map_or(Parent::Empty, Parent::Version);
+    let (rejected, apply) = Operator::new("rejected", api).apply(stale)?;
+    run.history.add_apply(apply);
+    set_log(&mut run, LogMode::Up, Duration::ZERO)?;
+    let records = run.cluster.log().read(0)?.records;
+    let offset = records
+        .iter()
+        .find(|record| record.body.contains("applied by accepted"))
+        .map(|record| record.offset);
+    let mut report = finish(run)?;
+    report.expect(
+        accepted.outcome == ApplyOutcome::Accepted && accepted.version == offset,
+        format!("the change at offset {offset:?} is told as accepted; told {accepted:?}"),
+    );
+    report.expect(
+        rejected.outcome == ApplyOutcome::Rejected,
+        format!("the change with an old parent is told as rejected; told {rejected:?}"),
+    );
+    Ok(report)
+}
--- /dev/null
+++ b/knapweedrill_lab/src/faults/log/operators_race.rs
@@ -0,0 +1,59 @@
+//! Operators race each other through different entries.
+
+use std::thread;
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use knapweedrill::api::{ApplyOutcome, Parent};
+
+use super::{Operator, finish};
+use crate::faults::fault_case::Seed;
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::harness::{ClusterBuilder, MinionSpec};
+
+const WARM_UP: Duration = Duration::from_millis(500);
+const RACE_COUNT: u32 = 5;
+const ENTRY_COUNT: usize = 2;
+
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+    let cluster = ClusterBuilder::new()
+        .entries(ENTRY_COUNT)
+        .minions(2, &MinionSpec::new());
+    let mut run = FaultRun::start(case, seed, cluster)?;
+    run.start_callers(&CallPlan::new().callers(2), WARM_UP);
+    let mut told = Vec::new();
+    for race in 0..RACE_COUNT {
+        told.push(run_race(&mut run, race)?);
+    }
+    let mut report = finish(run)?;
+    for outcomes in told {
+        let mut sorted = outcomes.clone();
+        sorted.sort_unstable();
+        report.expect(
+            sorted == [ApplyOutcome::Accepted, ApplyOutcome::Rejected],
+            format!("one operator wins and the other is told; told {outcomes:?}"),
+        );
+    }
+    Ok(report)
+}
+
+/// Lets an operator at each entry replace the same configuration, and returns what each was told.
+fn run_race(run: &mut FaultRun, race: u32) -> Result<Vec<ApplyOutcome>> {
+    let current = run.cluster.entry(0).api().configuration()?.version;
+    let parent = current.map_or(Parent::Empty, Parent::Version);
+    let operators = (0..ENTRY_COUNT).map(|number| {
+        let api = run.cluster.entries()[number].api();
+        Operator::new(format!("{race}-{number}"), api).race(race)
+    });
+    let threads: Vec<_> = operators
+        .map(|operator| thread::spawn(move || operator.apply(parent)))
+        .collect();
+    let mut outcomes = Vec::new();
+    for thread in threads {
+        let applied = thread.join().map_err(|_| eyre!("an operator panicked"))?;
+        let (answer, apply) = applied?;
+        run.history.add_apply(apply);
+        outcomes.push(answer.outcome);
+    }
+    Ok(outcomes)
+}
--- /dev/null
+++ b/knapweedrill_lab/src/faults/log/slow.rs
@@ -0,0 +1,33 @@
+//! The log is slow, and an operator applies.
+
+use std::time::Duration;
+
+use eyre::Result;
+use knapweedrill::api::{ApplyOutcome, Parent};
+
+use super::{Operator, finish, set_log};
+use crate::faults::fault_case::Seed;
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::harness::{ClusterBuilder, MinionSpec};
+use crate::stand_in::log::LogMode;
+
+const WARM_UP: Duration = Duration::from_millis(500);
+const DELAY: Duration = Duration::from_millis(1500);
+
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+    let cluster = ClusterBuilder::new()
+        .entries(2)
+        .minions(2, &MinionSpec::new());
+    let mut run = FaultRun::start(case, seed, cluster)?;
+    run.start_callers(&CallPlan::new().callers(2), WARM_UP);
+    set_log(&mut run, LogMode::Slow, DELAY)?;
+    let operator = Operator::new("operator", run.cluster.entry(0).api());
+    let (answer, apply) = operator.apply(Parent::Current)?;
+    run.history.add_apply(apply);
+    let mut report = finish(run)?;
+    report.expect(
+        answer.outcome == ApplyOutcome::Accepted,
+        format!("a slow log accepts a change; told {answer:?}"),
+    );
+    Ok(report)
+}
--- a/knapweedrill_lab/src/faults/mod.rs
+++ b/knapweedrill_lab/src/faults/mod.rs
@@ -9,6 +9,7 @@
 mod fault_case;
 mod fault_report;
 mod fault_run;
+mod log;
 
 pub use call_plan::CallPlan;
 pub use callers::Callers;
--- a/knapweedrill_lab/src/harness/daemon_settings.rs
+++ b/knapweedrill_lab/src/harness/daemon_settings.rs
@@ -34,6 +34,7 @@
     failure_domain: FailureDomainName,
     http: SocketAddr,
     link: SocketAddr,
+    link_advertised: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
 }
 
@@ -52,6 +53,7 @@
             failure_domain: DEFAULT_FAILURE_DOMAIN.into(),
             http,
             link,
+            link_advertised: None,
             seeds: Vec::new(),
         }
     }
@@ -68,6 +70,12 @@
         self
     }
 
+    /// Sets the address at which others are told to reach the links.
+    pub fn link_advertised(mut self, address: SocketAddr) -> Self {
+        self.link_advertised = Some(address);
+        self
+    }
+
     /// Sets the link addresses of the entries that the daemon asks first.
     pub fn seeds(mut self, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
         self.seeds = seeds.into_iter().collect();
@@ -91,6 +99,9 @@
         writeln!(text, "worker = {}", self.worker)?;
         writeln!(text, "failure_domain = {}", self.failure_domain)?;
         writeln!(text, "[listen]\nhttp = {}\nlink = {}", self.http, self.link)?;
+        if let Some(address) = self.link_advertised {
+            writeln!(text, "link_advertised = {address}")?;
+        }
         let seeds: Vec<String> = self.seeds.iter().map(SocketAddr::to_string).collect();
         writeln!(text, "[seeds]\nentries = {}", seeds.join(", "))?;
         match &self.role {
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -1,8 +1,10 @@
 //! The HTTP interface of an entry, as far as the harness needs it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr, ensure};
+use knapweedrill::api::{ApiCall, ApplyAnswer, ConfigurationAnswer, Parent};
 use knapweedrill::contract::OwnerToken;
 use knapweedrill_derive::message;
 
@@ -10,6 +12,8 @@
 use super::{JobAnswer, JobRequest};
 
 const OWNER_HEADER: &str = "Knapweedrill-Owner";
+/// Longer than an entry looks for a record whose answer was lost.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Calls an entry's HTTP interface; each call opens a connection of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -111,6 +115,28 @@
         http_call::send(request).wrap_err("the configuration was not answered")
     }
 
+    /// Applies a configuration in place of `parent` and returns what the entry says of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer or it has another form; the configuration may be in
+    /// force.
+    pub fn apply_onto(&self, parent: Parent, text: &str) -> Result<ApplyAnswer> {
+        let wait = Duration::ZERO;
+        let path = ApiCall::Apply { parent, wait }.url();
+        let request = http_call::post(self.address, &path, text.to_owned(), APPLY_TIMEOUT);
+        http_call::send(request)?.json()
+    }
+
+    /// Returns the configuration that the process has in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer.
+    pub fn configuration(&self) -> Result<ConfigurationAnswer> {
+        self.get("/v1/configuration")?.json()
+    }
+
     /// Applies a configuration whole and expects it to be accepted.
     ///
     /// # Errors
