test(lab): failure cases of the network and of minions on real processes

Proxies stand in front of links and minions where a cluster asks for them. The stand-in for a minion can break off its answers and change its slots.

--- a/knapweedrill_lab/src/command/minion.rs
+++ b/knapweedrill_lab/src/command/minion.rs
@@ -15,6 +15,7 @@
     service: Option<String>,
     slots: Option<u32>,
     speed_percent: Option<u32>,
+    advertised: Option<SocketAddr>,
 }
 
 /// Serves as a minion until the process is asked to end.
@@ -39,6 +40,7 @@
             Arg::Long("service") => arguments.service = Some(parser.value()?.string()?),
             Arg::Long("slots") => arguments.slots = Some(parser.value()?.parse()?),
             Arg::Long("speed-percent") => arguments.speed_percent = Some(parser.value()?.parse()?),
+            Arg::Long("advertised") => arguments.advertised = Some(parser.value()?.parse()?),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -64,6 +66,9 @@
             ensure!(speed_percent > 0, "--speed-percent must be above 0");
             options = options.speed_percent(speed_percent);
         }
+        if let Some(advertised) = self.advertised {
+            options = options.advertised(advertised);
+        }
         Ok(options)
     }
 }
--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -6,7 +6,8 @@
 use eyre::{Report, Result, eyre};
 use knapweedrill_derive::key;
 
-use super::{FaultReport, entry, log};
+use super::network::link_silent::SilentLinks;
+use super::{FaultReport, entry, log, minion, network};
 
 /// Seeds the random choices of a run.
 pub type Seed = u64;
@@ -33,11 +34,35 @@
     LogRecordInvalid,
     /// Operators race each other.
     OperatorsRace,
+    /// The connection of a caller to an entry goes silent.
+    CallSilent,
+    /// The links between entries and sidecars go silent while new ones work.
+    LinkToSidecarSilent,
+    /// The links between entries go silent while new ones work.
+    LinkToEntrySilent,
+    /// Frames turn up late on old links.
+    LinkHeld,
+    /// The connections between a sidecar and its minion go silent.
+    MinionSilent,
+    /// Heartbeats are lost, doubled, late and out of order.
+    DatagramsDisturbed,
+    /// A stranger sends malformed frames and datagrams.
+    Stranger,
+    /// A minion fails everything.
+    MinionFailsEverything,
+    /// A minion never answers.
+    MinionNeverAnswers,
+    /// A minion answers after the deadline.
+    MinionAnswersLate,
+    /// A minion breaks off its answers.
+    MinionBreaksOff,
+    /// The slots of a minion are suddenly fewer.
+    MinionFewerSlots,
 }
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 21] = [
         Self::EntryKilled,
         Self::EntryKilledBeforeStart,
         Self::LogDown,
@@ -47,6 +72,18 @@
         Self::LogRetentionPassed,
         Self::LogRecordInvalid,
         Self::OperatorsRace,
+        Self::CallSilent,
+        Self::LinkToSidecarSilent,
+        Self::LinkToEntrySilent,
+        Self::LinkHeld,
+        Self::MinionSilent,
+        Self::DatagramsDisturbed,
+        Self::Stranger,
+        Self::MinionFailsEverything,
+        Self::MinionNeverAnswers,
+        Self::MinionAnswersLate,
+        Self::MinionBreaksOff,
+        Self::MinionFewerSlots,
     ];
 
     /// Returns the name of the case.
@@ -61,6 +98,18 @@
             Self::LogRetentionPassed => "log-retention-passed",
             Self::LogRecordInvalid => "log-record-invalid",
             Self::OperatorsRace => "operators-race",
+            Self::CallSilent => "call-silent",
+            Self::LinkToSidecarSilent => "link-to-sidecar-silent",
+            Self::LinkToEntrySilent => "link-to-entry-silent",
+            Self::LinkHeld => "link-held",
+            Self::MinionSilent => "minion-silent",
+            Self::DatagramsDisturbed => "datagrams-disturbed",
+            Self::Stranger => "stranger",
+            Self::MinionFailsEverything => "minion-fails-everything",
+            Self::MinionNeverAnswers => "minion-never-answers",
+            Self::MinionAnswersLate => "minion-answers-late",
+            Self::MinionBreaksOff => "minion-breaks-off",
+            Self::MinionFewerSlots => "minion-fewer-slots",
         }
     }
 
@@ -80,6 +129,22 @@
             Self::LogRetentionPassed => log::retention_passed::run(self, seed),
             Self::LogRecordInvalid => log::record_invalid::run(self, seed),
             Self::OperatorsRace => log::operators_race::run(self, seed),
+            Self::CallSilent => network::call_silent::run(self, seed),
+            Self::LinkToSidecarSilent => {
+                network::link_silent::run(self, seed, SilentLinks::ToSidecars)
+            }
+            Self::LinkToEntrySilent => {
+                network::link_silent::run(self, seed, SilentLinks::ToEntries)
+            }
+            Self::LinkHeld => network::link_held::run(self, seed),
+            Self::MinionSilent => network::minion_silent::run(self, seed),
+            Self::DatagramsDisturbed => network::datagrams_disturbed::run(self, seed),
+            Self::Stranger => network::stranger::run(self, seed),
+            Self::MinionFailsEverything => minion::fails_everything::run(self, seed),
+            Self::MinionNeverAnswers => minion::never_answers::run(self, seed),
+            Self::MinionAnswersLate => minion::answers_late::run(self, seed),
+            Self::MinionBreaksOff => minion::breaks_off::run(self, seed),
+            Self::MinionFewerSlots => minion::fewer_slots::run(self, seed),
         }
     }
 }
--- a/knapweedrill_lab/src/faults/fault_report.rs
+++ b/knapweedrill_lab/src/faults/fault_report.rs
@@ -8,6 +8,7 @@
 use super::FaultCase;
 use super::fault_case::Seed;
 use crate::checker::{CallerAnswer, History, Report, Submission, check};
+use crate::harness::JobOutcome;
 
 /// The result of a failure case.
 #[value]
@@ -62,6 +63,14 @@
         }
     }
 
+    /// Expects that jobs were submitted and that each was answered complete.
+    pub fn expect_all_complete(&mut self) {
+        let complete = format!("{:?}", JobOutcome::Complete);
+        let is_complete = self.outcome_counts.keys().eq([&complete]);
+        let counts = format!("all jobs are complete; answered {:?}", self.outcome_counts);
+        self.expect(is_complete, counts);
+    }
+
     /// Returns whether no rule was broken and every expectation was met.
     pub fn is_passed(&self) -> bool {
         self.report.is_clean() && self.unmet.is_empty()
--- a/knapweedrill_lab/src/faults/mod.rs
+++ b/knapweedrill_lab/src/faults/mod.rs
@@ -10,6 +10,8 @@
 mod fault_report;
 mod fault_run;
 mod log;
+mod minion;
+mod network;
 
 pub use call_plan::CallPlan;
 pub use callers::Callers;
--- /dev/null
+++ b/knapweedrill_lab/src/faults/network/datagrams_disturbed.rs
@@ -0,0 +1,38 @@
+//! Heartbeats are lost, doubled, late and out of order.
+
+use std::thread;
+use std::time::Duration;
+
+use eyre::Result;
+
+use crate::faults::fault_case::Seed;
+use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
+use crate::harness::{ClusterBuilder, MinionSpec};
+use crate::stand_in::cutting_proxy::DatagramFaults;
+
+const WARM_UP: Duration = Duration::from_millis(500);
+const DISTURBANCE: Duration = Duration::from_secs(4);
+
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+    let cluster = ClusterBuilder::new()
+        .entries(2)
+        .minions(2, &MinionSpec::new())
+        .proxies();
+    let mut run = FaultRun::start(case, seed, cluster)?;
+    run.start_callers(&CallPlan::new(), WARM_UP);
+    let faults = DatagramFaults::new()
+        .drop_percent(10)
+        .duplicate_percent(50)
+        .delay(Duration::from_millis(20))
+        .reorder(30, Duration::from_millis(500));
+    let entries = run.cluster.entries().iter();
+    let minions = run.cluster.minions().iter();
+    let proxies = entries.filter_map(|entry| entry.link_proxy());
+    for proxy in proxies.chain(minions.filter_map(|minion| minion.link_proxy())) {
+        proxy.datagrams().set_faults(faults);
+    }
+    thread::sleep(DISTURBANCE);
+    let mut report = run.finish()?;
+    report.expect_all_complete();
+    Ok(report)
+}
--- a/knapweedrill_lab/src/harness/address_plan.rs
+++ b/knapweedrill_lab/src/harness/address_plan.rs
@@ -13,6 +13,9 @@
 /// The port of a minion.
 pub const MINION_PORT: u16 = 7200;
 
+/// How far above a port the port of the proxy in front of it lies.
+pub const PROXY_PORT_OFFSET: u16 = 1000;
+
 /// How many addresses a harness process can hand out before they repeat.
 const HOST_COUNT: u32 = 254;
 
--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -8,10 +8,12 @@
 
 use super::{
     AddressPlan, ChildProcess, ClusterBuilder, DaemonRole, DaemonSettings, EntryApi, HTTP_PORT,
-    LINK_PORT, LOG_PORT, LogNode, MINION_PORT, MinionNode, MinionSpec, ScratchDirectory,
-    find_binary, wait_until,
+    LINK_PORT, LOG_PORT, LinkProxy, LogNode, MINION_PORT, MinionNode, MinionSpec,
+    PROXY_PORT_OFFSET, ScratchDirectory, find_binary, wait_until,
 };
 
+use crate::stand_in::cutting_proxy::StreamProxy;
+
 const DAEMON: &str = "knapweedrilld";
 const LAB: &str = "knapweedrill-lab";
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -21,6 +23,7 @@
 pub struct EntryNode {
     process: ChildProcess,
     ip: Ipv4Addr,
+    link_proxy: Option<LinkProxy>,
 }
 
 impl EntryNode {
@@ -34,6 +37,11 @@
         EntryApi::new(SocketAddr::from((self.ip, HTTP_PORT)))
     }
 
+    /// Returns the proxies in front of the links, if the cluster has proxies.
+    pub fn link_proxy(&self) -> Option<&LinkProxy> {
+        self.link_proxy.as_ref()
+    }
+
     /// Returns the address of the links.
     pub fn link_address(&self) -> SocketAddr {
         SocketAddr::from((self.ip, LINK_PORT))
@@ -50,6 +58,7 @@
     plan: AddressPlan,
     seeds: Vec<SocketAddr>,
     failure_domain_count: usize,
+    has_proxies: bool,
     started_count: usize,
     directory: ScratchDirectory,
 }
@@ -65,7 +74,7 @@
         let ips: Vec<Ipv4Addr> = (0..self.entry_count)
             .map(|_| cluster.plan.next_ip())
             .collect();
-        cluster.seeds = ips.iter().map(|ip| (*ip, LINK_PORT).into()).collect();
+        cluster.seeds = ips.iter().map(|ip| cluster.reachable_link(*ip)).collect();
         for ip in ips {
             cluster.start_entry_at(ip)?;
         }
@@ -141,9 +150,12 @@
         let address = SocketAddr::from((ip, MINION_PORT));
         let sidecar_address = SocketAddr::from((ip, HTTP_PORT));
         let sidecar = self.start_sidecar(number, ip, spec)?;
-        let minion = self.start_upstream(number, address, sidecar_address, spec)?;
-        self.minions
-            .push(MinionNode::new(minion, address, sidecar, sidecar_address));
+        let minion_proxy = self.start_minion_proxy(address)?;
+        let advertised = minion_proxy.as_ref().map_or(address, StreamProxy::address);
+        let minion = self.start_upstream(number, address, advertised, sidecar_address, spec)?;
+        let link_proxy = self.start_link_proxy(ip)?;
+        let node = MinionNode::new(minion, address, sidecar, sidecar_address);
+        self.minions.push(node.proxies(link_proxy, minion_proxy));
         Ok(number)
     }
 
@@ -185,6 +197,7 @@
             plan,
             seeds: Vec::new(),
             failure_domain_count: builder.failure_domain_count,
+            has_proxies: builder.has_proxies,
             started_count: 0,
             directory,
         })
@@ -196,7 +209,12 @@
             log: self.log.address(),
         };
         let process = self.start_daemon(&format!("entry-{number}"), role, ip, None)?;
-        self.entries.push(EntryNode { process, ip });
+        let link_proxy = self.start_link_proxy(ip)?;
+        self.entries.push(EntryNode {
+            process,
+            ip,
+            link_proxy,
+        });
         Ok(number)
     }
 
@@ -217,10 +235,12 @@
         &self,
         number: usize,
         address: SocketAddr,
+        advertised: SocketAddr,
         sidecar: SocketAddr,
         spec: &MinionSpec,
     ) -> Result<ChildProcess> {
         let listen = address.to_string();
+        let advertised = advertised.to_string();
         let sidecar = sidecar.to_string();
         let slots = spec.slots.to_string();
         let speed_percent = spec.speed_percent.to_string();
@@ -228,6 +248,8 @@
             "minion",
             "--listen",
             &listen,
+            "--advertised",
+            &advertised,
             "--sidecar",
             &sidecar,
             "--service",
@@ -252,6 +274,7 @@
         let http = SocketAddr::from((ip, HTTP_PORT));
         let link = SocketAddr::from((ip, LINK_PORT));
         let settings = DaemonSettings::new(name, role, http, link)
+            .link_advertised(self.reachable_link(ip))
             .worker(format!("worker-{}", self.started_count))
             .failure_domain(format!("fd-{}", failure_domain.unwrap_or(turn)))
             .seeds(self.seeds.iter().copied());
@@ -263,6 +286,32 @@
         ChildProcess::start(name, &program, arguments, self.directory.path())
     }
 
+    /// Returns the address at which others reach the links of the daemon at `ip`.
+    fn reachable_link(&self, ip: Ipv4Addr) -> SocketAddr {
+        let offset = if self.has_proxies {
+            PROXY_PORT_OFFSET
+        } else {
+            0
+        };
+        SocketAddr::from((ip, LINK_PORT + offset))
+    }
+
+    fn start_link_proxy(&self, ip: Ipv4Addr) -> Result<Option<LinkProxy>> {
+        if !self.has_proxies {
+            return Ok(None);
+        }
+        let target = SocketAddr::from((ip, LINK_PORT));
+        Ok(Some(LinkProxy::start(self.reachable_link(ip), target)?))
+    }
+
+    fn start_minion_proxy(&self, target: SocketAddr) -> Result<Option<StreamProxy>> {
+        if !self.has_proxies {
+            return Ok(None);
+        }
+        let listen = SocketAddr::new(target.ip(), target.port() + PROXY_PORT_OFFSET);
+        Ok(Some(StreamProxy::start(listen, target)?))
+    }
+
     /// Checks that no process exited while the cluster started.
     fn ensure_all_running(&mut self) -> Result<()> {
         ensure_running(self.log.process())?;
--- a/knapweedrill_lab/src/harness/cluster_builder.rs
+++ b/knapweedrill_lab/src/harness/cluster_builder.rs
@@ -91,6 +91,7 @@
     pub(super) failure_domain_count: usize,
     pub(super) retention_records: usize,
     pub(super) configuration: Option<String>,
+    pub(super) has_proxies: bool,
 }
 
 impl ClusterBuilder {
@@ -102,6 +103,7 @@
             failure_domain_count: DEFAULT_FAILURE_DOMAINS,
             retention_records: DEFAULT_RETENTION_RECORDS,
             configuration: Some(DEFAULT_CONFIGURATION.to_owned()),
+            has_proxies: false,
         }
     }
 
@@ -135,6 +137,12 @@
         self
     }
 
+    /// Puts proxies in front of the links of all daemons and in front of the minions.
+    pub fn proxies(mut self) -> Self {
+        self.has_proxies = true;
+        self
+    }
+
     /// Sets how many records the log keeps.
     pub fn retention_records(mut self, count: usize) -> Self {
         self.retention_records = count;
--- a/knapweedrill_lab/src/harness/minion_node.rs
+++ b/knapweedrill_lab/src/harness/minion_node.rs
@@ -4,8 +4,9 @@
 
 use eyre::Result;
 
-use super::{ChildProcess, EntryApi, http_call};
+use super::{ChildProcess, EntryApi, LINK_PORT, LinkProxy, http_call};
 use crate::stand_in::Accepted;
+use crate::stand_in::cutting_proxy::StreamProxy;
 use crate::stand_in::minion::{MinionControl, StartsAnswer};
 
 /// The processes of a minion and of the sidecar beside it.
@@ -15,6 +16,8 @@
     sidecar: ChildProcess,
     minion_address: SocketAddr,
     sidecar_address: SocketAddr,
+    link_proxy: Option<LinkProxy>,
+    minion_proxy: Option<StreamProxy>,
 }
 
 impl MinionNode {
@@ -30,9 +33,32 @@
             sidecar,
             minion_address,
             sidecar_address,
+            link_proxy: None,
+            minion_proxy: None,
         }
     }
 
+    /// Sets the proxies in front of the sidecar's links and of the minion.
+    pub(super) fn proxies(
+        mut self,
+        link_proxy: Option<LinkProxy>,
+        minion_proxy: Option<StreamProxy>,
+    ) -> Self {
+        self.link_proxy = link_proxy;
+        self.minion_proxy = minion_proxy;
+        self
+    }
+
+    /// Returns the proxies in front of the sidecar's links, if the cluster has proxies.
+    pub fn link_proxy(&self) -> Option<&LinkProxy> {
+        self.link_proxy.as_ref()
+    }
+
+    /// Returns the proxy between the sidecar and the minion, if the cluster has proxies.
+    pub fn minion_proxy(&self) -> Option<&StreamProxy> {
+        self.minion_proxy.as_ref()
+    }
+
     /// Returns the process of the minion.
     pub fn minion(&mut self) -> &mut ChildProcess {
         &mut self.minion
@@ -48,6 +74,11 @@
         self.minion_address
     }
 
+    /// Returns the address of the sidecar's links.
+    pub fn link_address(&self) -> SocketAddr {
+        SocketAddr::new(self.sidecar_address.ip(), LINK_PORT)
+    }
+
     /// Returns the HTTP interface of the sidecar.
     pub fn sidecar_api(&self) -> EntryApi {
         EntryApi::new(self.sidecar_address)
--- a/knapweedrill_lab/src/harness/mod.rs
+++ b/knapweedrill_lab/src/harness/mod.rs
@@ -9,12 +9,15 @@
 mod entry_api;
 mod http_call;
 mod job_request;
+mod link_proxy;
 mod log_control;
 mod minion_node;
 mod scratch_directory;
 mod wait;
 
-pub use address_plan::{AddressPlan, HTTP_PORT, LINK_PORT, LOG_PORT, MINION_PORT};
+pub use address_plan::{
+    AddressPlan, HTTP_PORT, LINK_PORT, LOG_PORT, MINION_PORT, PROXY_PORT_OFFSET,
+};
 pub use binary::find_binary;
 pub use child_process::ChildProcess;
 pub use cluster::{Cluster, EntryNode};
@@ -23,6 +26,7 @@
 pub use entry_api::{EntryApi, OwnerAnswer};
 pub use http_call::HttpAnswer;
 pub use job_request::{JobAnswer, JobOutcome, JobRequest, JobTask};
+pub use link_proxy::LinkProxy;
 pub use log_control::LogNode;
 pub use minion_node::MinionNode;
 pub use scratch_directory::ScratchDirectory;
--- a/knapweedrill_lab/src/stand_in/minion/announcer.rs
+++ b/knapweedrill_lab/src/stand_in/minion/announcer.rs
@@ -112,8 +112,8 @@
     let options = &state.options;
     let announcement = MinionAnnouncement {
         service: options.service.clone(),
-        address,
-        slots: options.slots,
+        address: options.advertised.unwrap_or(address),
+        slots: state.control().slots.unwrap_or(options.slots),
         speed_hint_percent: options.speed_percent,
         state: state.announced_state(),
     };
--- a/knapweedrill_lab/src/stand_in/minion/control.rs
+++ b/knapweedrill_lab/src/stand_in/minion/control.rs
@@ -16,6 +16,8 @@
     NeverAnswer,
     /// Runs each task slower than its speed says.
     Slow,
+    /// Runs each task and closes the connection within the answer.
+    BreakOff,
 }
 
 /// The body of `POST /control`.
@@ -27,6 +29,9 @@
     /// The run time in [`MinionMode::Slow`], in per cent of the usual.
     #[serde(default = "usual_percent")]
     pub run_time_percent: u64,
+    /// How many slots the minion announces from now on, if not those that it started with.
+    #[serde(default)]
+    pub slots: Option<u32>,
 }
 
 impl MinionControl {
@@ -35,6 +40,7 @@
         Self {
             mode,
             run_time_percent: usual_percent(),
+            slots: None,
         }
     }
 }
--- a/knapweedrill_lab/src/stand_in/minion/options.rs
+++ b/knapweedrill_lab/src/stand_in/minion/options.rs
@@ -15,6 +15,7 @@
     pub(super) service: ServiceName,
     pub(super) slots: u32,
     pub(super) speed_percent: u32,
+    pub(super) advertised: Option<SocketAddr>,
 }
 
 impl MinionOptions {
@@ -26,9 +27,16 @@
             service: service.into(),
             slots: DEFAULT_SLOTS,
             speed_percent: DEFAULT_SPEED_PERCENT,
+            advertised: None,
         }
     }
 
+    /// Sets the address that the sidecar is told, if it is not the one listened on.
+    pub fn advertised(mut self, address: SocketAddr) -> Self {
+        self.advertised = Some(address);
+        self
+    }
+
     /// Sets how many tasks the minion runs at once.
     pub fn slots(mut self, slots: u32) -> Self {
         self.slots = slots;
--- a/knapweedrill_lab/src/stand_in/minion/server.rs
+++ b/knapweedrill_lab/src/stand_in/minion/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of a minion.
 
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -81,7 +81,10 @@
     match (request.method(), path(&request)) {
         (Method::Post, "/run") => run(request, state),
         (Method::Get, "/starts") => respond_json(request, 200, &state.starts()),
-        (Method::Post, "/control") => set_control(request, state),
+        (Method::Post, "/control") => {
+            set_control(request, state);
+            announce_now(announcer);
+        }
         (Method::Post, "/leave") => {
             state.leave();
             announce_now(announcer);
@@ -113,16 +116,26 @@
             state.end(position);
             return respond_text(request, 500, "the minion fails everything");
         }
-        MinionMode::Normal | MinionMode::Slow => {}
+        MinionMode::Normal | MinionMode::Slow | MinionMode::BreakOff => {}
     }
     let payload: Option<TaskPayload> = body.and_then(|bytes| serde_json::from_slice(&bytes).ok());
     if let Some(payload) = &payload {
         thread::sleep(run_time(payload, control, state.options.speed_percent));
     }
     state.end(position);
+    if control.mode == MinionMode::BreakOff {
+        return break_off(request);
+    }
     respond_result(request, payload, task);
 }
 
+/// Announces more bytes than it sends; without its writer, the connection closes.
+fn break_off(request: Request) {
+    let mut writer = request.into_writer();
+    // A sidecar that is gone does not see the break.
+    let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nthe first part");
+}
+
 fn respond_result(request: Request, payload: Option<TaskPayload>, task: TaskLabel) {
     match payload {
         Some(payload) if payload.fail => respond_text(request, 500, "the payload asks to fail"),
--- a/knapweedrill_lab/tests/stand_in_minion.rs
+++ b/knapweedrill_lab/tests/stand_in_minion.rs
@@ -65,8 +65,8 @@
 fn the_run_time_follows_the_speed(speed_percent: u32, run_time_percent: u64, expected_ms: u64) {
     let minion = start(speed_percent);
     minion.control(MinionControl {
-        mode: MinionMode::Slow,
         run_time_percent,
+        ..MinionControl::new(MinionMode::Slow)
     });
     run(minion.address(), 0, &payload(100)).expect("it answers");
     let start = minion.starts().starts[0];
