--- a/knapweedrill_lab/src/faults/fault_report.rs
+++ b/knapweedrill_lab/src/faults/fault_report.rs
@@ -80,6 +80,14 @@
         self.expect(failures.is_empty(), text);
     }
 
+    /// Expects that jobs were submitted and that each was answered complete.
+    pub fn expect_all_complete(&mut self) {
+        let complete = format!("{:?}", JobOutcome::Complete);
+        let is_complete = self.outcome_counts.keys().eq([&complete]);
+        let counts = format!("all jobs are complete; answered {:?}", self.outcome_counts);
+        self.expect(is_complete, counts);
+    }
+
     /// Returns whether no rule was broken and every expectation was met.
     pub fn is_passed(&self) -> bool {
         self.report.is_clean() && self.unmet.is_empty()
--- a/knapweedrill_lab/src/harness/cluster_builder.rs
+++ b/knapweedrill_lab/src/harness/cluster_builder.rs
@@ -93,6 +93,7 @@
     pub(super) retention_records: usize,
     pub(super) configuration: Option<String>,
     pub(super) placement: PlacementPolicy,
+    pub(super) has_proxies: bool,
 }
 
 impl ClusterBuilder {
@@ -105,6 +106,7 @@
             retention_records: DEFAULT_RETENTION_RECORDS,
             configuration: Some(DEFAULT_CONFIGURATION.to_owned()),
             placement: PlacementPolicy::default(),
+            has_proxies: false,
         }
     }
 
@@ -138,6 +140,12 @@
         self
     }
 
+    /// Puts proxies in front of the links of all daemons and in front of the minions.
+    pub fn proxies(mut self) -> Self {
+        self.has_proxies = true;
+        self
+    }
+
     /// Sets how many records the log keeps.
     pub fn retention_records(mut self, count: usize) -> Self {
         self.retention_records = count;
--- a/knapweedrill_lab/src/load/disturbance.rs
+++ b/knapweedrill_lab/src/load/disturbance.rs
@@ -61,8 +61,8 @@
                 minion,
                 run_time_percent,
             } => cluster.minion(minion).control(MinionControl {
-                mode: MinionMode::Slow,
                 run_time_percent,
+                ..MinionControl::new(MinionMode::Slow)
             }),
             Self::Leave { minion } => cluster.minion(minion).leave(),
             Self::KillEntry { entry } => cluster.entry(entry).process().kill(),
