perf(entry): tell each sidecar a part of what waits

A sidecar that was first heard of without its minion's speed kept speed 1 for ever, and was never tried in light load.

Change: the demand board takes the place of the telling in the dispatcher; the fastest sidecars hear first. A sidecar takes in the demands of a message after its tasks, as the demands count what is left. A new hint of the speed replaces what was learned.

--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -8,6 +8,7 @@
 use crate::message::{Message, Role, RosterNotice, SlotReport};
 use crate::minion::{Announcement, MinionState};
 
+use super::demand_board::DemandBoard;
 use super::dispatch::{Batches, ServiceWork};
 use super::hand_over::{IncomingKeys, Stopping};
 use super::key_table::KeyTable;
@@ -46,6 +47,8 @@
     pub(super) incoming: BTreeMap<Incarnation, IncomingKeys>,
     /// Tasks on their way to sidecars.
     pub(super) batches: Batches,
+    /// What each sidecar was told of the work that waits.
+    pub(super) demand_board: DemandBoard,
 }
 
 impl Entry {
@@ -71,6 +74,7 @@
             stopping: None,
             incoming: BTreeMap::new(),
             batches: Batches::new(),
+            demand_board: DemandBoard::new(),
         }
     }
 
@@ -107,7 +111,7 @@
     /// Hands out what can be handed out, and tells sidecars what waits.
     pub fn flush(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
         self.dispatch(now, actions);
-        self.tell_demands(now, actions);
+        self.send_batches(now, actions);
         self.advance_stop(now, actions);
     }
 
@@ -237,6 +241,7 @@
             return;
         };
         view.session_opened();
+        self.demand_board.session_changed(peer);
         let tasks = view.tasks_in_doubt();
         if !tasks.is_empty() {
             actions.push(EntryAction::Send {
@@ -262,7 +267,7 @@
         if let Some(work) = self.services.get_mut(&announcement.service) {
             work.health.minion_found(sidecar);
         }
-        view.announcement = announcement;
+        view.announced(announcement);
         self.update_roster(sidecar, now, actions);
     }
 
--- a/knapweedrill/src/entry/demand_board/mod.rs
+++ b/knapweedrill/src/entry/demand_board/mod.rs
@@ -41,11 +41,11 @@
         self.told.remove(&sidecar);
     }
 
-    /// Counts down when a task was handed to the sidecar or a credit of it was returned.
-    pub fn used(&mut self, sidecar: Incarnation, flow: &Flow) {
+    /// Counts down when tasks were handed to the sidecar or credits of it were returned.
+    pub fn used(&mut self, sidecar: Incarnation, flow: &Flow, used_count: u32) {
         let told = self.told.get_mut(&sidecar);
         if let Some(task_count) = told.and_then(|told| told.get_mut(flow)) {
-            *task_count = task_count.saturating_sub(1);
+            *task_count = task_count.saturating_sub(used_count);
         }
     }
 
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -14,6 +14,7 @@
 
 use super::admission::{Admission, AdmissionRefusal, JobSize};
 use super::core::Entry;
+use super::demand_board::SidecarDemands;
 use super::live_job::{LiveJob, LiveTaskState};
 use super::placement::Candidate;
 use super::queue::{QueuedJob, QueuedTask, TakenTask, TaskQueue};
@@ -23,8 +24,8 @@
 /// When a caller may try again while no more keys can be kept.
 const KEYS_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// How long a sidecar goes without news of a change in numbers alone.
-const DEMAND_REFRESH: Duration = Duration::from_millis(200);
+/// How long a sidecar goes without news of work that waits.
+const DEMAND_REFRESH: Duration = Duration::from_secs(1);
 
 /// The work of one service at one entry.
 #[derive(Debug)]
@@ -219,6 +220,8 @@
         let may_start = self.may_start(sidecar, now);
         for credit in credits {
             if !may_start {
+                let flow = Flow::new(credit.team.as_str(), credit.class);
+                self.demand_board.used(sidecar, &flow, credit.task_count);
                 unused_count += credit.task_count;
                 continue;
             }
@@ -255,7 +258,9 @@
         let flow = Flow::new(credit.team.as_str(), credit.class);
         for used_count in 0..credit.task_count {
             let Some(taken) = self.take_queued(sidecar, Some(&flow)) else {
-                return credit.task_count - used_count;
+                let unused_count = credit.task_count - used_count;
+                self.demand_board.used(sidecar, &flow, unused_count);
+                return unused_count;
             };
             self.hand_out(sidecar, taken, true, now, actions);
         }
@@ -285,7 +290,6 @@
         for service in services {
             self.dispatch_service(&service, now, actions);
         }
-        self.send_batches(now, actions);
     }
 
     fn dispatch_service(&mut self, service: &str, now: Instant, actions: &mut Vec<EntryAction>) {
@@ -354,7 +358,7 @@
             task: queued.task,
             generation: taken.generation,
             attempt: queued.attempt,
-            team: taken.flow.team,
+            team: taken.flow.team.clone(),
             class: taken.flow.class,
             kind: live.kind.clone(),
             expected: queued.expected,
@@ -368,6 +372,7 @@
             attempt: queued.attempt,
             sidecar,
         }));
+        self.demand_board.used(sidecar, &taken.flow, 1);
         view.starts_sent_count += 1;
         view.start_sent_at = Some(now);
         view.out.insert(
@@ -380,71 +385,78 @@
         self.batches.entry(sidecar).or_default().push(start);
     }
 
-    fn send_batches(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+    /// Sends the tasks at hand, and tells sidecars what waits.
+    ///
+    /// The news of what waits rides on a message with tasks where one goes.
+    pub(super) fn send_batches(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        let mut updates = self.demand_updates(now);
         for (sidecar, tasks) in std::mem::take(&mut self.batches) {
-            let demands = self.changed_demands(sidecar, now);
+            let demands = updates.remove(&sidecar);
             actions.push(EntryAction::Send {
                 peer: sidecar,
                 message: Message::Start { tasks, demands },
             });
         }
+        for (sidecar, demands) in updates {
+            actions.push(EntryAction::Send {
+                peer: sidecar,
+                message: Message::Demands(demands),
+            });
+        }
     }
 
-    /// Tells sidecars what waits, where no task goes that could carry the news.
-    pub(super) fn tell_demands(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+    /// Returns what sidecars have to be told, by sidecar.
+    fn demand_updates(&mut self, now: Instant) -> BTreeMap<Incarnation, Vec<Demand>> {
         let is_anything_queued = self
             .services
             .values()
             .any(|work| work.queue.totals().task_count > 0);
         if !is_anything_queued {
-            return;
+            return BTreeMap::new();
         }
-        let sidecars: Vec<Incarnation> = self
-            .sidecars
-            .iter()
-            .filter(|(sidecar, view)| view.is_usable() && !self.is_ejected(**sidecar, view))
-            .map(|(sidecar, _)| *sidecar)
+        self.forget_old_demands(now);
+        let waiting = self.waiting();
+        let updates: BTreeMap<Incarnation, Vec<Demand>> = self
+            .demand_board
+            .update(&waiting)
+            .into_iter()
+            .map(|update| (update.sidecar, update.demands))
             .collect();
-        for sidecar in sidecars {
-            if !self.is_demand_news(sidecar, now) {
-                continue;
-            }
-            if let Some(demands) = self.changed_demands(sidecar, now) {
-                actions.push(EntryAction::Send {
-                    peer: sidecar,
-                    message: Message::Demands(demands),
-                });
+        for sidecar in updates.keys() {
+            if let Some(view) = self.sidecars.get_mut(sidecar) {
+                view.told_at = Some(now);
             }
         }
+        updates
     }
 
-    /// Returns whether what waits differs enough from what the sidecar was told.
-    ///
-    /// Work that is gone is no news: a credit for it comes back, which costs no more than telling.
-    fn is_demand_news(&self, sidecar: Incarnation, now: Instant) -> bool {
-        let Some(view) = self.sidecars.get(&sidecar) else {
-            return false;
-        };
-        let demands = self.demands_for(sidecar);
-        let is_due = view
-            .told_at
-            .is_none_or(|told| now.duration_since(told) >= DEMAND_REFRESH);
-        demands.iter().any(|demand| {
-            let told_count = told_count(&view.told_demands, demand);
-            told_count == 0 || (is_due && told_count < demand.task_count)
-        })
+    /// Lets sidecars hear again what waits that were told long ago.
+    fn forget_old_demands(&mut self, now: Instant) {
+        for (sidecar, view) in &mut self.sidecars {
+            let told_at = view.told_at;
+            if told_at.is_some_and(|told| now.duration_since(told) >= DEMAND_REFRESH) {
+                view.told_at = None;
+                self.demand_board.session_changed(*sidecar);
+            }
+        }
     }
 
-    /// Returns what waits for a sidecar if it differs from what the sidecar was told.
-    fn changed_demands(&mut self, sidecar: Incarnation, now: Instant) -> Option<Vec<Demand>> {
-        let demands = self.demands_for(sidecar);
-        let view = self.sidecars.get_mut(&sidecar)?;
-        if demands == view.told_demands {
-            return None;
-        }
-        view.told_demands = demands.clone();
-        view.told_at = Some(now);
-        Some(demands)
+    /// Returns what waits for each sidecar that takes tasks, the fastest first.
+    fn waiting(&self) -> Vec<SidecarDemands> {
+        let mut views: Vec<(&Incarnation, &SidecarView)> = self
+            .sidecars
+            .iter()
+            .filter(|(sidecar, view)| view.is_usable() && !self.is_ejected(**sidecar, view))
+            .collect();
+        views.sort_by_key(|(_, view)| std::cmp::Reverse(view.speed.percent()));
+        let views = views.into_iter();
+        views
+            .map(|(sidecar, view)| SidecarDemands {
+                sidecar: *sidecar,
+                slot_count: view.announcement.slots,
+                demands: self.demands_for(*sidecar),
+            })
+            .collect()
     }
 
     fn demands_for(&self, sidecar: Incarnation) -> Vec<Demand> {
@@ -487,9 +499,3 @@
     };
     actions.push(EntryAction::Record(event));
 }
-
-fn told_count(told: &[Demand], demand: &Demand) -> u32 {
-    told.iter()
-        .find(|other| other.team == demand.team && other.class == demand.class)
-        .map_or(0, |other| other.task_count)
-}
--- a/knapweedrill/src/entry/sidecar_view.rs
+++ b/knapweedrill/src/entry/sidecar_view.rs
@@ -9,7 +9,7 @@
 use super::queue::QueuedTask;
 use crate::common::Generation;
 use crate::job::TaskId;
-use crate::message::{Demand, SlotReport, TaskInDoubt};
+use crate::message::{SlotReport, TaskInDoubt};
 use crate::minion::{Announcement, MinionSpeed, MinionState};
 
 /// How long a start takes at the most, in all likelihood, to show in heartbeats.
@@ -32,9 +32,7 @@
     pub(super) start_sent_at: Option<Instant>,
     /// The attempts that are with the sidecar.
     pub(super) out: HashMap<TaskId, OutTask>,
-    /// What the sidecar was last told to be waiting.
-    pub(super) told_demands: Vec<Demand>,
-    /// When it was told.
+    /// When the sidecar was last told what waits.
     pub(super) told_at: Option<Instant>,
     /// How fast the minion is, as learned from the tasks that it ran.
     pub(super) speed: MinionSpeed,
@@ -61,11 +59,18 @@
             starts_sent_count: 0,
             start_sent_at: None,
             out: HashMap::new(),
-            told_demands: Vec::new(),
             told_at: None,
         }
     }
 
+    /// Takes in what the sidecar announces; a new hint of the speed replaces what was learned.
+    pub(super) fn announced(&mut self, announcement: Announcement) {
+        if announcement.speed_hint_percent != self.announcement.speed_hint_percent {
+            self.speed = MinionSpeed::new(announcement.speed_hint_percent);
+        }
+        self.announcement = announcement;
+    }
+
     /// Returns whether the sidecar takes new tasks.
     pub(super) fn is_usable(&self) -> bool {
         self.is_up && self.is_heard && self.announcement.state == MinionState::Serving
@@ -116,7 +121,6 @@
         self.down_since = None;
         self.starts_sent_count = 0;
         self.report.starts_seen_count = 0;
-        self.told_demands.clear();
         self.told_at = None;
     }
 
--- a/knapweedrill/src/sidecar/core.rs
+++ b/knapweedrill/src/sidecar/core.rs
@@ -224,12 +224,13 @@
             Message::Demands(demands) => self.arbiter.demands(peer, demands, now),
             Message::Start { tasks, demands } => {
                 self.note_starts(peer, tasks.len());
-                if let Some(demands) = demands {
-                    self.arbiter.demands(peer, demands, now);
-                }
                 for start in tasks {
                     self.offer(peer, start, now, actions);
                 }
+                // The demands count what waits after these tasks have left.
+                if let Some(demands) = demands {
+                    self.arbiter.demands(peer, demands, now);
+                }
             }
             Message::Cancel(job) => {
                 for start in self.arbiter.cancel(job, now) {
--- a/knapweedrill/tests/demand_board.rs
+++ b/knapweedrill/tests/demand_board.rs
@@ -52,7 +52,7 @@
 fn nothing_is_repeated_while_parts_last() {
     let mut board = DemandBoard::new();
     board.update(&waiting(4, 40));
-    board.used(2, &flow());
+    board.used(2, &flow(), 1);
     assert_eq!(board.update(&waiting(4, 39)), vec![]);
 }
 
@@ -61,7 +61,7 @@
     let mut board = DemandBoard::new();
     board.update(&waiting(4, 40));
     for _ in 0..10 {
-        board.used(2, &flow());
+        board.used(2, &flow(), 1);
     }
     assert_eq!(told(&board.update(&waiting(4, 30))), [(2, 8)]);
 }
@@ -70,7 +70,7 @@
 fn sidecars_hear_when_nothing_waits_any_more() {
     let mut board = DemandBoard::new();
     board.update(&waiting(3, 3));
-    board.used(0, &flow());
+    board.used(0, &flow(), 1);
     assert_eq!(told(&board.update(&waiting(3, 0))), [(1, 0), (2, 0)]);
     assert_eq!(board.update(&waiting(3, 0)), vec![]);
 }
--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -240,8 +240,8 @@
                 let ideal = ideal_of(planned);
                 work += planned.tasks.iter().map(|task| task.work).sum::<Duration>();
                 let ratio = job.response.as_secs_f64() / ideal.as_secs_f64().max(1e-6);
-                response_us.saturating_record(job.response.as_micros() as u64);
-                response_permille.saturating_record((ratio * 1_000.0) as u64);
+                record(&mut response_us, job.response.as_micros() as u64);
+                record(&mut response_permille, (ratio * 1_000.0) as u64);
             }
             Some(JobOutcome::Failed) => {
                 failed_count += 1;
@@ -322,6 +322,13 @@
     Histogram::new(SIGNIFICANT_DIGITS).expect("the number of digits is allowed")
 }
 
+/// Records a value; the histogram grows with it.
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram
+        .record(value)
+        .expect("a histogram that grows takes any value");
+}
+
 fn times(histogram: &Histogram<u64>) -> TimesReport {
     TimesReport {
         median: histogram.value_at_quantile(0.5),
