perf(entry): a slow minion gets a task that does not delay its job

Cause: work below its share gets each slot that frees, also on slow minions, and handed out its longest task there. Change: on a credit or free slot the entry takes the longest task that the minion ends no later than the job can end at best, or else the shortest.

--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -16,8 +16,8 @@
 use super::core::Entry;
 use super::demand_board::SidecarDemands;
 use super::live_job::{LiveJob, LiveTaskState};
-use super::placement::Candidate;
-use super::queue::{QueuedJob, QueuedTask, TakenTask, TaskQueue};
+use super::placement::{Candidate, PlacementPolicy};
+use super::queue::{MinionPace, QueuedJob, QueuedTask, TakenTask, TaskQueue};
 use super::sidecar_view::{OutTask, SidecarView};
 use super::{EntryAction, EntryCounter};
 
@@ -270,15 +270,38 @@
     /// Takes the next task that may go to a sidecar.
     fn take_queued(&mut self, sidecar: Incarnation, flow: Option<&Flow>) -> Option<TakenTask> {
         let joined = self.mint.joined(sidecar)?;
+        let pace = self.pace(sidecar);
         let service = &self.sidecars.get(&sidecar)?.announcement.service;
         let queue = &mut self.services.get_mut(service)?.queue;
         let is_eligible = |generation| joined <= generation;
         match flow {
-            Some(flow) => queue.take(flow, is_eligible),
-            None => queue.take_any(is_eligible),
+            Some(flow) => queue.take(flow, pace, is_eligible),
+            None => queue.take_any(pace, is_eligible),
         }
     }
 
+    /// Returns how fast a minion is beside the others of its service, if the policy asks for it.
+    fn pace(&self, sidecar: Incarnation) -> Option<MinionPace> {
+        if self.placement.policy() != PlacementPolicy::LateBindingBySpeed {
+            return None;
+        }
+        let view = self.sidecars.get(&sidecar)?;
+        let service = &view.announcement.service;
+        let mut pace = MinionPace {
+            speed_percent: view.speed.percent(),
+            fastest_percent: 0,
+            fleet_percent: 0,
+        };
+        let others = self.sidecars.values();
+        let usable = others.filter(|other| other.is_usable());
+        for other in usable.filter(|other| other.announcement.service == *service) {
+            let speed_percent = other.speed.percent();
+            pace.fastest_percent = pace.fastest_percent.max(speed_percent);
+            pace.fleet_percent += speed_percent * other.announcement.slots;
+        }
+        Some(pace)
+    }
+
     /// Starts what waits on slots that are free, the fastest first.
     pub(super) fn dispatch(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
         let services: Vec<ServiceName> = self
--- a/knapweedrill/src/entry/mod.rs
+++ b/knapweedrill/src/entry/mod.rs
@@ -32,7 +32,7 @@
 pub use key_table::{KeyTable, Lookup};
 pub use overview::{MinionOverview, TeamOverview};
 pub use placement::{Candidate, Placement, PlacementPolicy};
-pub use queue::{QueueTotals, QueuedJob, QueuedTask, TakenTask, TaskQueue};
+pub use queue::{MinionPace, QueueTotals, QueuedJob, QueuedTask, TakenTask, TaskQueue};
 pub use retry_budget::RetryBudget;
 pub use run_time::RunTimes;
 pub use settings::EntrySettings;
--- a/knapweedrill/src/entry/queue/mod.rs
+++ b/knapweedrill/src/entry/queue/mod.rs
@@ -1,12 +1,13 @@
 //! What waits at one entry for one service.
 
 mod flow_queue;
+mod minion_pace;
 mod queue_totals;
 mod queued_job;
 mod queued_task;
 mod taken_task;
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use flow_queue::FlowQueue;
@@ -17,6 +18,7 @@
 use crate::job::TaskId;
 use crate::message::Demand;
 
+pub use minion_pace::MinionPace;
 pub use queue_totals::QueueTotals;
 pub use queued_job::QueuedJob;
 pub use queued_task::QueuedTask;
@@ -25,7 +27,8 @@
 /// The tasks that wait at one entry for one service, by team and class.
 ///
 /// Among the jobs of one team and class the one with the least remaining work goes first, with
-/// aging; within a job the longest expected task goes first. Every operation on one task costs
+/// aging; within a job the longest expected task goes first, unless the minion is so slow that it
+/// would delay the job. Every operation on one task costs
 /// the logarithm of the number of jobs and tasks.
 #[derive(Debug)]
 pub struct TaskQueue {
@@ -75,7 +78,7 @@
             generation: job.generation,
             arrived: now.saturating_duration_since(self.epoch),
             remaining: Duration::ZERO,
-            tasks: BinaryHeap::with_capacity(job.tasks.len()),
+            tasks: BTreeMap::new(),
         };
         for task in job.tasks {
             self.totals.add(&task);
@@ -86,31 +89,39 @@
     }
 
     /// Takes the next task of a team and class whose job's generation is eligible.
+    ///
+    /// With the pace of the minion that it is for, it is one that does not delay its job there,
+    /// if the job has such a task.
     pub fn take(
         &mut self,
         flow: &Flow,
+        pace: Option<MinionPace>,
         is_eligible: impl Fn(Generation) -> bool,
     ) -> Option<TakenTask> {
         let job = self.flows.get(flow)?.next_job(is_eligible)?;
-        self.take_of(job)
+        self.take_of(job, pace)
     }
 
     /// Takes the next task of the most urgent class, from the teams in turn.
-    pub fn take_any(&mut self, is_eligible: impl Fn(Generation) -> bool) -> Option<TakenTask> {
+    pub fn take_any(
+        &mut self,
+        pace: Option<MinionPace>,
+        is_eligible: impl Fn(Generation) -> bool,
+    ) -> Option<TakenTask> {
         let flow = self
             .flows
             .iter()
             .filter(|(_, queue)| queue.task_count(&is_eligible) > 0)
             .min_by_key(|(flow, queue)| (flow.class, queue.served_number))
             .map(|(flow, _)| flow.clone())?;
-        self.take(&flow, is_eligible)
+        self.take(&flow, pace, is_eligible)
     }
 
-    fn take_of(&mut self, job: JobId) -> Option<TakenTask> {
+    fn take_of(&mut self, job: JobId, pace: Option<MinionPace>) -> Option<TakenTask> {
         let tasks = self.jobs.get_mut(&job)?;
         let queue = self.flows.get_mut(&tasks.flow)?;
         queue.leave(job, tasks);
-        let task = tasks.pop()?;
+        let task = tasks.pop(pace)?;
         queue.enter(job, tasks);
         self.served_number += 1;
         queue.served_number = self.served_number;
@@ -154,10 +165,10 @@
                 self.flows.remove(&tasks.flow);
             }
         }
-        for task in &tasks.tasks {
-            self.totals.remove(&task.0);
+        for task in tasks.tasks.values() {
+            self.totals.remove(task);
         }
-        tasks.tasks.iter().map(|task| task.0.task).collect()
+        tasks.tasks.values().map(|task| task.task).collect()
     }
 
     /// Returns what the entry would run on a minion that may run the eligible generations.
--- a/knapweedrill/tests/task_queue.rs
+++ b/knapweedrill/tests/task_queue.rs
@@ -37,7 +37,7 @@
 }
 
 fn take_jobs(queue: &mut TaskQueue, flow: &Flow) -> Vec<JobId> {
-    std::iter::from_fn(|| queue.take(flow, |_| true))
+    std::iter::from_fn(|| queue.take(flow, None, |_| true))
         .map(|taken| taken.task.task.job)
         .collect()
 }
@@ -47,7 +47,7 @@
     let now = Instant::now();
     let mut queue = TaskQueue::new(now);
     queue.push_job(job(1, 0, flow("a"), &[100, 900, 300, 900]), now);
-    let taken: Vec<u32> = std::iter::from_fn(|| queue.take(&flow("a"), |_| true))
+    let taken: Vec<u32> = std::iter::from_fn(|| queue.take(&flow("a"), None, |_| true))
         .map(|taken| taken.task.task.index)
         .collect();
     assert_eq!(taken, [1, 3, 2, 0]);
@@ -85,9 +85,12 @@
     queue.push_job(job(2, 2, flow("a"), &[100, 100]), now);
     let demands = queue.demands(|generation| generation == 2);
     assert_eq!(demands[0].task_count, 2);
-    let taken = queue.take(&flow("a"), |generation| generation == 2);
+    let taken = queue.take(&flow("a"), None, |generation| generation == 2);
     assert_eq!(taken.map(|taken| taken.task.task.job), Some(2));
-    assert_eq!(queue.take(&flow("a"), |generation| generation == 3), None);
+    assert_eq!(
+        queue.take(&flow("a"), None, |generation| generation == 3),
+        None
+    );
 }
 
 #[test]
@@ -98,7 +101,7 @@
     queue.push_job(job(2, 0, flow("b"), &[100; 3]), now);
     queue.push_job(job(3, 0, Flow::new("c", Class::Urgent), &[100]), now);
     queue.push_job(job(4, 0, Flow::new("c", Class::Bulk), &[100]), now);
-    let jobs: Vec<JobId> = std::iter::from_fn(|| queue.take_any(|_| true))
+    let jobs: Vec<JobId> = std::iter::from_fn(|| queue.take_any(None, |_| true))
         .map(|taken| taken.task.task.job)
         .collect();
     assert_eq!(jobs[0], 3);
@@ -111,9 +114,13 @@
     let now = Instant::now();
     let mut queue = TaskQueue::new(now);
     queue.push_job(job(1, 0, flow("a"), &[100, 900]), now);
-    let taken = queue.take(&flow("a"), |_| true).expect("a task waits");
+    let taken = queue
+        .take(&flow("a"), None, |_| true)
+        .expect("a task waits");
     assert!(queue.push_back(taken.task));
-    let again = queue.take(&flow("a"), |_| true).expect("a task waits");
+    let again = queue
+        .take(&flow("a"), None, |_| true)
+        .expect("a task waits");
     assert_eq!((again.task.task.index, again.task.attempt), (1, 1));
 }
 
@@ -122,7 +129,7 @@
     let now = Instant::now();
     let mut queue = TaskQueue::new(now);
     queue.push_job(job(1, 0, flow("a"), &[100]), now);
-    let taken = queue.take_any(|_| true).expect("a task waits");
+    let taken = queue.take_any(None, |_| true).expect("a task waits");
     assert_eq!(queue.demands(|_| true), vec![]);
     assert!(queue.push_back(taken.task));
     assert_eq!(queue.demands(|_| true)[0].task_count, 1);
@@ -133,11 +140,11 @@
     let now = Instant::now();
     let mut queue = TaskQueue::new(now);
     queue.push_job(job(1, 0, flow("a"), &[100; 5]), now);
-    let taken = queue.take_any(|_| true).expect("a task waits");
+    let taken = queue.take_any(None, |_| true).expect("a task waits");
     assert_eq!(queue.remove_job(1).len(), 4);
     assert!(!queue.push_back(taken.task));
     assert_eq!(queue.totals(), QueueTotals::default());
-    assert_eq!(queue.take_any(|_| true), None);
+    assert_eq!(queue.take_any(None, |_| true), None);
 }
 
 #[test]
@@ -148,7 +155,7 @@
         queue.push_job(job(id as JobId, 0, Flow::new("a", class), &[100; 3]), now);
     }
     queue.push_job(job(9, 0, flow("b"), &[100; 3]), now);
-    queue.take(&flow("a"), |_| true);
+    queue.take(&flow("a"), None, |_| true);
     assert_eq!(queue.work_ahead(&flow("a")), Duration::from_millis(500));
 }
 
@@ -173,7 +180,7 @@
                     queue.push_job(new, now + Duration::from_millis(expected_ms));
                 }
                 1 => {
-                    let taken = queue.take_any(|_| true);
+                    let taken = queue.take_any(None, |_| true);
                     prop_assert_eq!(taken.is_some(), !waiting.is_empty());
                     if let Some(taken) = taken {
                         prop_assert!(waiting.remove(&taken.task.task));
--- a/knapweedrill_lab/src/load/report.rs
+++ b/knapweedrill_lab/src/load/report.rs
@@ -25,6 +25,8 @@
     pub messages: MessageReport,
     /// What the processes used, by role.
     pub usage: Vec<RoleUsageReport>,
+    /// The tasks that each minion started, the slowest minion first.
+    pub minion_start_counts: Vec<u64>,
     /// Tasks that were started per second.
     pub starts_per_second: u64,
     /// How late a caller took a job up at worst; the callers are too few if it is large.
@@ -162,6 +164,7 @@
         for usage in &self.usage {
             writeln!(f, "  {usage}")?;
         }
+        writeln!(f, "  starts by minion: {:?}", self.minion_start_counts)?;
         write!(f, "  {} starts/s", self.starts_per_second)?;
         writeln!(f, ", callers late by up to {} us", self.caller_late_max_us)?;
         if let Some(start_count) = self.failing_minion_start_count {
--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -115,6 +115,9 @@
         hint_sigma_permille: (options.hint_sigma * 1_000.0) as u32,
         flows,
         usage: usage_reports(&phase, messages.started_count),
+        minion_start_counts: (0..cluster.minions().len())
+            .map(|number| history.starts_at(&minion_name(number)).len() as u64)
+            .collect(),
         starts_per_second: (messages.started_count as f64 / phase.elapsed.as_secs_f64()) as u64,
         messages,
         caller_late_max_us: late.unwrap_or_default().as_micros() as u64,
