--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -115,6 +115,9 @@
         hint_sigma_permille: (options.hint_sigma * 1_000.0) as u32,
         flows,
         usage: usage_reports(&phase, messages.started_count),
+        minion_start_counts: (0..cluster.minions().len())
+            .map(|number| history.starts_at(&minion_name(number)).len() as u64)
+            .collect(),
         starts_per_second: (messages.started_count as f64 / phase.elapsed.as_secs_f64()) as u64,
         messages,
         caller_late_max_us: late.unwrap_or_default().as_micros() as u64,
@@ -240,8 +243,8 @@
                 let ideal = ideal_of(planned);
                 work += planned.tasks.iter().map(|task| task.work).sum::<Duration>();
                 let ratio = job.response.as_secs_f64() / ideal.as_secs_f64().max(1e-6);
-                response_us.saturating_record(job.response.as_micros() as u64);
-                response_permille.saturating_record((ratio * 1_000.0) as u64);
+                record(&mut response_us, job.response.as_micros() as u64);
+                record(&mut response_permille, (ratio * 1_000.0) as u64);
             }
             Some(JobOutcome::Failed) => {
                 failed_count += 1;
@@ -322,6 +325,13 @@
     Histogram::new(SIGNIFICANT_DIGITS).expect("the number of digits is allowed")
 }
 
+/// Records a value; the histogram grows with it.
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram
+        .record(value)
+        .expect("a histogram that grows takes any value");
+}
+
 fn times(histogram: &Histogram<u64>) -> TimesReport {
     TimesReport {
         median: histogram.value_at_quantile(0.5),
