--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod checker;
 pub mod harness;
+pub mod ideal;
 pub mod stand_in;
 pub mod wall_clock;
