feat(lab): run a whole system with both users' work as a demo

'knapweedrill-lab demo' starts the log, three entries in three failure domains and ten minions of unlike speed with sidecars. Callers of both users submit; two operators race, a minion leaves and an entry stops as planned. The demo prints response against ideal, messages a task, each team's share and a line for each promise, and exits 0 only if all were checked and hold.

Cause: the README's command builds the lab alone, and the harness needed a daemon beside it.

--- a/knapweedrill_daemon/src/lib.rs
+++ b/knapweedrill_daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The parts of the daemon `knapweedrilld`, as a library that its tests can reach.
 
+pub mod command;
 pub mod control;
 pub mod http;
 pub mod minion_calls;
--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -1,9 +1,12 @@
 //! The subcommands.
 
+mod demo;
 mod log;
 mod minion;
 mod termination;
 
+use std::process::ExitCode;
+
 use eyre::{Result, bail};
 use lexopt::Arg;
 
@@ -11,6 +14,12 @@
 usage: knapweedrill-lab COMMAND
 
 commands:
+  demo [--seconds N] [--seed N] [--json]
+      runs a whole system on this machine and checks its promises
+  daemon --settings FILE [--check]
+      runs a process of knapweedrill, as knapweedrilld does
+  cli ARGUMENTS
+      runs the command-line tool, as knapweedrill does
   log --listen ADDRESS [--retention-records N]
       serves an append-only log
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
@@ -21,15 +30,24 @@
 /// # Errors
 ///
 /// Returns an error if the arguments are wrong or the subcommand fails.
-pub(crate) fn run(mut parser: lexopt::Parser) -> Result<()> {
-    match parser.next()? {
-        Some(Arg::Value(name)) if name == "log" => log::run(parser),
-        Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
-        Some(Arg::Short('h') | Arg::Long("help")) => {
+pub(crate) fn run(mut parser: lexopt::Parser) -> Result<ExitCode> {
+    let Some(argument) = parser.next()? else {
+        bail!("a command is missing\n{USAGE}");
+    };
+    let name = match argument {
+        Arg::Value(name) => name,
+        Arg::Short('h') | Arg::Long("help") => {
             println!("{USAGE}");
-            Ok(())
+            return Ok(ExitCode::SUCCESS);
         }
-        Some(other) => Err(other.unexpected().into()),
-        None => bail!("a command is missing\n{USAGE}"),
+        other => return Err(other.unexpected().into()),
+    };
+    match name.to_str() {
+        Some("demo") => demo::run(parser),
+        Some("daemon") => Ok(knapweedrill_daemon::command::main(parser.raw_args()?)),
+        Some("cli") => Ok(knapweedrill_cli::command::main(parser.raw_args()?).into()),
+        Some("log") => log::run(parser).map(|()| ExitCode::SUCCESS),
+        Some("minion") => minion::run(parser).map(|()| ExitCode::SUCCESS),
+        _ => bail!("there is no command {name:?}\n{USAGE}"),
     }
 }
--- /dev/null
+++ b/knapweedrill_lab/src/demo/shares.rs
@@ -0,0 +1,48 @@
+//! What each team had of the slots.
+
+use std::collections::BTreeMap;
+
+use knapweedrill::common::{JobId, TeamName};
+use knapweedrill_derive::message;
+
+use crate::checker::History;
+
+/// What a team had of the slots.
+#[message]
+pub struct TeamShare {
+    /// The team.
+    pub team: TeamName,
+    /// Its tasks that started.
+    pub task_count: usize,
+    /// The slot time of its tasks, in milliseconds.
+    pub slot_ms: u64,
+    /// The slot time of its tasks in that of all tasks, in per cent.
+    pub share_percent: u64,
+}
+
+/// Adds up the slot time of each team.
+pub(super) fn shares(history: &History) -> Vec<TeamShare> {
+    let teams: BTreeMap<JobId, &TeamName> = history
+        .submissions()
+        .iter()
+        .map(|submission| (submission.task_id(0).job, &submission.team))
+        .collect();
+    let mut used: BTreeMap<&TeamName, (usize, u64)> = BTreeMap::new();
+    for start in history.starts() {
+        let (Some(team), Some(end_us)) = (teams.get(&start.task.job), start.end_us) else {
+            continue;
+        };
+        let (task_count, slot_us) = used.entry(team).or_default();
+        *task_count += 1;
+        *slot_us += end_us.saturating_sub(start.start_us);
+    }
+    let all_us = used.values().map(|(_, slot_us)| slot_us).sum::<u64>();
+    used.into_iter()
+        .map(|(team, (task_count, slot_us))| TeamShare {
+            team: team.clone(),
+            task_count,
+            slot_ms: slot_us / 1_000,
+            share_percent: slot_us * 100 / all_us.max(1),
+        })
+        .collect()
+}
--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -12,7 +12,6 @@
     find_binary, wait_until,
 };
 
-const DAEMON: &str = "knapweedrilld";
 const LAB: &str = "knapweedrill-lab";
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -258,9 +257,8 @@
         let path = self.directory.path().join(format!("{name}.ini"));
         fs::write(&path, settings.to_ini())
             .wrap_err_with(|| format!("can't write {}", path.display()))?;
-        let arguments = ["--settings".to_owned(), path.display().to_string()];
-        let program = find_binary(DAEMON)?;
-        ChildProcess::start(name, &program, arguments, self.directory.path())
+        let path = path.display().to_string();
+        start_lab(name, &["daemon", "--settings", &path], &self.directory)
     }
 
     /// Checks that no process exited while the cluster started.
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, WrapErr, ensure};
+use knapweedrill::api::{ApplyAnswer, OWNER_HEADER, Parent};
 use knapweedrill::contract::OwnerToken;
 use knapweedrill_derive::message;
 
 use super::http_call::{self, CALL_TIMEOUT, HttpAnswer};
 use super::{JobAnswer, JobRequest};
 
-const OWNER_HEADER: &str = "Knapweedrill-Owner";
-
 /// Calls an entry's HTTP interface; each call opens a connection of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryApi {
@@ -99,6 +98,17 @@
         http_call::send(request).wrap_err("the configuration was not answered")
     }
 
+    /// Applies a configuration in place of `parent`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer; the configuration may be in force.
+    pub fn apply_over(&self, parent: Parent, text: &str) -> Result<ApplyAnswer> {
+        let path = format!("/v1/configuration?parent={parent}");
+        let request = http_call::post(self.address, &path, text.to_owned(), CALL_TIMEOUT);
+        http_call::send(request)?.json()
+    }
+
     /// Applies a configuration whole and expects it to be accepted.
     ///
     /// # Errors
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! was observed with what the system guarantees.
 
 pub mod checker;
+pub mod demo;
 pub mod harness;
 pub mod ideal;
 pub mod stand_in;
--- a/knapweedrill_lab/src/main.rs
+++ b/knapweedrill_lab/src/main.rs
@@ -6,7 +6,7 @@
 
 fn main() -> ExitCode {
     match command::run(lexopt::Parser::from_env()) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(report) => {
             eprintln!("knapweedrill-lab: {report:#}");
             ExitCode::FAILURE
