fix(contract): name an undeclared service beside other problems of a kind

Of a kind with a bad deadline the service was not checked, so a second try showed a problem that the first had kept back. Cause: the check ran over the kinds that could be read. It now runs where the service is read.

--- a/knapweedrill/src/contract/configuration/parse.rs
+++ b/knapweedrill/src/contract/configuration/parse.rs
@@ -58,7 +58,11 @@
         let mut reader = IniReader::new(text);
         let limits = read_limits(&mut reader);
         let services = read_named(&mut reader, "service", read_service);
-        let kinds = read_named(&mut reader, "kind", read_kind);
+        // A service with a problem of its own is declared all the same.
+        let declared = reader.names_after("service");
+        let kinds = read_named(&mut reader, "kind", |reader, section, name| {
+            read_kind(reader, section, name, &declared)
+        });
         let teams = read_named(&mut reader, "team", read_team);
         let configuration = Self {
             services,
@@ -66,27 +70,11 @@
             teams,
             limits,
         };
-        configuration.check_services(&mut reader);
         configuration.check_deadlines(&mut reader);
         configuration.check_shares(&mut reader);
         reader.finish(file, SECTIONS_ALLOWED, Some(configuration))
     }
 
-    fn check_services(&self, reader: &mut IniReader) {
-        let declared = reader.names_after("service");
-        for kind in &self.kinds {
-            // A service with a problem of its own is declared all the same.
-            if declared.contains(&kind.service) {
-                continue;
-            }
-            let problem = IniProblemKind::InvalidValue {
-                text: kind.service.clone(),
-                allowed: format!("a service of this file: {}", list(&declared)),
-            };
-            reader.note(&format!("kind {}", kind.name), Some("service"), problem);
-        }
-    }
-
     fn check_deadlines(&self, reader: &mut IniReader) {
         let max = self.limits.deadline_max;
         for kind in self.kinds.iter().filter(|kind| kind.deadline > max) {
@@ -156,9 +144,21 @@
     })
 }
 
-fn read_kind(reader: &mut IniReader, section: &str, name: String) -> Option<Kind> {
+fn read_kind(
+    reader: &mut IniReader,
+    section: &str,
+    name: String,
+    declared: &[String],
+) -> Option<Kind> {
     let mut section = reader.section(section);
     let service = section.name("service");
+    if let Some(service) = service.as_ref().filter(|name| !declared.contains(name)) {
+        let kind = IniProblemKind::InvalidValue {
+            text: service.clone(),
+            allowed: format!("a service of this file: {}", list(declared)),
+        };
+        section.note("service", kind);
+    }
     let class = section.choice_or("class", &CLASS_CHOICES, Class::default());
     let idempotent = section.choice_or("idempotent", &BOOLEAN_CHOICES, false);
     let deadline = section.milliseconds("deadline_ms", 1..=DAY_MS);
