fix(cli): align the columns of show and print every message

Seen by tests on a cluster that failed before: rows of 'show' did not line up with their titles, and 'status' of an unknown key printed 'unknown' without the message that says what it means. The tables have a type of their own.

--- a/knapweedrill_cli/src/command/mod.rs
+++ b/knapweedrill_cli/src/command/mod.rs
@@ -5,6 +5,8 @@
 mod help;
 mod report;
 mod run;
+mod show;
+mod table;
 mod timeline;
 
 pub use arguments::{Action, Arguments, JobName, UsageError};
--- a/knapweedrill_cli/src/command/report.rs
+++ b/knapweedrill_cli/src/command/report.rs
@@ -1,6 +1,6 @@
 //! Writes what a command found.
 
-use knapweedrill::api::{ApplyAnswer, Content, JobAnswer, ShowAnswer};
+use knapweedrill::api::{ApplyAnswer, Content, JobAnswer};
 use knapweedrill::event::Event;
 use serde::Serialize;
 
@@ -21,9 +21,11 @@
     if let (Some(ended_count), Some(task_count)) = (answer.ended_count, answer.task_count) {
         eprintln!("{ended_count} of {task_count} tasks have ended");
     }
-    if let Some(reason) = &answer.reason {
-        let message = answer.message.as_deref().unwrap_or_default();
-        eprintln!("{}: {message}", name(reason)?);
+    let message = answer.message.as_deref().unwrap_or_default();
+    match &answer.reason {
+        Some(reason) => eprintln!("{}: {message}", name(reason)?),
+        None if !message.is_empty() => eprintln!("{message}"),
+        None => {}
     }
     Ok(())
 }
@@ -50,68 +52,6 @@
     Ok(())
 }
 
-pub(super) fn show(answer: &ShowAnswer) -> eyre::Result<()> {
-    let version = |version: Option<u64>| version.map_or("none".to_owned(), |v| v.to_string());
-    println!(
-        "as {} sees it; configuration {}",
-        answer.process,
-        version(answer.configuration_version)
-    );
-    println!("\nSERVICE  SERVING  MINIONS  SLOTS");
-    for service in &answer.services {
-        println!(
-            "{}  {}  {}  {}",
-            service.name, service.serving_count, service.minion_count, service.slot_count
-        );
-    }
-    println!("\nMINION  SERVICE  FAILURE_DOMAIN  STATE  BUSY/SLOTS  SPEED_PERCENT  CONFIGURATION");
-    for minion in &answer.minions {
-        let state = match (minion.is_ejected, minion.is_suspect) {
-            (true, _) => "ejected".to_owned(),
-            (false, true) => "suspect".to_owned(),
-            (false, false) => name(&minion.state)?,
-        };
-        println!(
-            "{}  {}  {}  {state}  {}/{}  {}  {}",
-            minion.sidecar,
-            minion.service,
-            minion.failure_domain,
-            minion.busy_count,
-            minion.slot_count,
-            minion.speed_percent,
-            version(minion.configuration_version)
-        );
-    }
-    println!("\nTEAM  SHARE_PERCENT  CAP_PERCENT  USED_PERCENT  QUEUED  RUNNING");
-    for team in &answer.teams {
-        println!(
-            "{}  {}  {}  {}  {}  {}",
-            team.name,
-            team.share_percent,
-            team.cap_percent,
-            team.used_percent,
-            team.queued_count,
-            team.running_count
-        );
-    }
-    println!("\nENTRY  HTTP  FAILURE_DOMAIN  STATE  CONFIGURATION");
-    for entry in &answer.entries {
-        let state = match (entry.is_stopping, entry.is_suspect) {
-            (true, _) => "stopping",
-            (false, true) => "suspect",
-            (false, false) => "serving",
-        };
-        println!(
-            "{}  {}  {}  {state}  {}",
-            entry.name,
-            entry.http_address,
-            entry.failure_domain,
-            version(entry.configuration_version)
-        );
-    }
-    Ok(())
-}
-
 pub(super) fn event(event: &Event) -> eyre::Result<()> {
     println!(
         "{}.{:06}+{} {} {:016x} {}",
@@ -126,6 +66,6 @@
 }
 
 /// Returns the name of a variant as in JSON.
-fn name(value: &impl Serialize) -> eyre::Result<String> {
+pub(super) fn name(value: &impl Serialize) -> eyre::Result<String> {
     Ok(serde_json::to_string(value)?.trim_matches('"').to_owned())
 }
--- a/knapweedrill_cli/src/command/run.rs
+++ b/knapweedrill_cli/src/command/run.rs
@@ -11,6 +11,7 @@
 use knapweedrill::api::{JobAnswer, JobRequest, Parent};
 use knapweedrill::contract::{Configuration, OwnerToken};
 
+use super::show::show;
 use super::{Action, Arguments, ExitStatus, TimelineFilter, help, merge, report};
 use crate::client::{Client, ClientBuilder, Submission};
 
@@ -68,7 +69,7 @@
             if is_json {
                 report::json(&answer)?;
             } else {
-                report::show(&answer)?;
+                show(&answer)?;
             }
             Ok(ExitStatus::Success)
         }
