--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod demo;
 mod faults;
 mod load;
 mod log;
@@ -7,6 +8,8 @@
 mod slopes;
 mod termination;
 
+use std::process::ExitCode;
+
 use eyre::{Result, bail};
 use lexopt::Arg;
 
@@ -16,6 +19,12 @@
 commands:
   faults [--case NAME] [--seed N] [--json]
       runs one failure case, or all of them, and checks what was observed
+  demo [--seconds N] [--seed N] [--json]
+      runs a whole system on this machine and checks its promises
+  daemon --settings FILE [--check]
+      runs a process of knapweedrill, as knapweedrilld does
+  cli ARGUMENTS
+      runs the command-line tool, as knapweedrill does
   log --listen ADDRESS [--retention-records N]
       serves an append-only log
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
@@ -30,18 +39,27 @@
 /// # Errors
 ///
 /// Returns an error if the arguments are wrong or the subcommand fails.
-pub(crate) fn run(mut parser: lexopt::Parser) -> Result<()> {
-    match parser.next()? {
-        Some(Arg::Value(name)) if name == "faults" => faults::run(parser),
-        Some(Arg::Value(name)) if name == "log" => log::run(parser),
-        Some(Arg::Value(name)) if name == "minion" => minion::run(parser),
-        Some(Arg::Value(name)) if name == "load" => load::run(parser),
-        Some(Arg::Value(name)) if name == "slopes" => slopes::run(parser),
-        Some(Arg::Short('h') | Arg::Long("help")) => {
+pub(crate) fn run(mut parser: lexopt::Parser) -> Result<ExitCode> {
+    let Some(argument) = parser.next()? else {
+        bail!("a command is missing\n{USAGE}");
+    };
+    let name = match argument {
+        Arg::Value(name) => name,
+        Arg::Short('h') | Arg::Long("help") => {
             println!("{USAGE}");
-            Ok(())
+            return Ok(ExitCode::SUCCESS);
         }
-        Some(other) => Err(other.unexpected().into()),
-        None => bail!("a command is missing\n{USAGE}"),
+        other => return Err(other.unexpected().into()),
+    };
+    match name.to_str() {
+        Some("demo") => demo::run(parser),
+        Some("daemon") => Ok(knapweedrill_daemon::command::main(parser.raw_args()?)),
+        Some("cli") => Ok(knapweedrill_cli::command::main(parser.raw_args()?).into()),
+        Some("log") => log::run(parser).map(|()| ExitCode::SUCCESS),
+        Some("minion") => minion::run(parser).map(|()| ExitCode::SUCCESS),
+        Some("faults") => faults::run(parser).map(|()| ExitCode::SUCCESS),
+        Some("load") => load::run(parser).map(|()| ExitCode::SUCCESS),
+        Some("slopes") => slopes::run(parser).map(|()| ExitCode::SUCCESS),
+        _ => bail!("there is no command {name:?}\n{USAGE}"),
     }
 }
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, ensure};
-use knapweedrill::api::{ApiCall, ApplyAnswer, ConfigurationAnswer, Parent};
+use knapweedrill::api::{ApiCall, ApplyAnswer, ConfigurationAnswer, OWNER_HEADER, Parent};
 use knapweedrill::contract::OwnerToken;
 use knapweedrill_derive::message;
 
 use super::http_call::{self, CALL_TIMEOUT, HttpAnswer};
 use super::{JobAnswer, JobRequest};
 
-const OWNER_HEADER: &str = "Knapweedrill-Owner";
 /// Longer than an entry looks for a record whose answer was lost.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(20);
 
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -5,8 +5,10 @@
 //! was observed with what the system guarantees.
 
 pub mod checker;
+pub mod demo;
 pub mod faults;
 pub mod harness;
+pub mod ideal;
 pub mod load;
 pub mod slopes;
 pub mod stand_in;
--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -23,6 +23,13 @@
 
 const SIGNIFICANT_DIGITS: u8 = 3;
 
+/// The counters of messages that flow without work.
+const UPKEEP_COUNTERS: [&str; 3] = [
+    "messages.roster",
+    "messages.configuration",
+    "messages.session",
+];
+
 /// The configuration of the teams and kinds of a run.
 const CONFIGURATION: &str = "\
 [service embossing]
@@ -350,7 +357,10 @@
         cancel_count: counters.value("messages.cancel"),
         settle_count: counters.value("messages.settle"),
         relay_count: counters.value("messages.relay"),
-        upkeep_count: counters.value("messages.upkeep"),
+        upkeep_count: UPKEEP_COUNTERS
+            .iter()
+            .map(|name| counters.value(name))
+            .sum(),
         wasted_count: counters.value("messages.wasted"),
     }
 }
