fix(wire): queue frames without allocating the whole queue

The queue is now unbounded and its length is compared with the bound when a frame is added. A smaller bound was ruled out, since a burst of starts has to fit.

--- a/knapweedrill_lab/src/slopes/observation.rs
+++ b/knapweedrill_lab/src/slopes/observation.rs
@@ -87,6 +87,7 @@
 pub struct Observation {
     values: [f64; Quantity::ALL.len()],
     starts_per_s: f64,
+    changes_per_s: f64,
 }
 
 impl Observation {
@@ -124,6 +125,7 @@
                 after.resident_bytes as f64,
             ],
             starts_per_s: rate(["tasks.handed_out", "tasks.started"]),
+            changes_per_s: rate(["configuration.in_force", "configuration.rejected"]),
         })
     }
 
@@ -132,6 +134,11 @@
         self.values[quantity as usize]
     }
 
+    /// Returns how many configurations came into force, or were void, a second.
+    pub fn changes_per_s(&self) -> f64 {
+        self.changes_per_s
+    }
+
     /// Returns how many tasks the daemon started or handed out a second.
     pub fn starts_per_s(&self) -> f64 {
         self.starts_per_s
--- a/knapweedrill_lab/src/slopes/run.rs
+++ b/knapweedrill_lab/src/slopes/run.rs
@@ -26,7 +26,7 @@
     (Role::Entry, "kept keys", entry_sweeps::kept_keys),
     (
         Role::Entry,
-        "configuration bytes",
+        "configuration bytes in force a second",
         entry_sweeps::configuration_bytes,
     ),
     (Role::Entry, "changes a second", entry_sweeps::changes),
@@ -78,6 +78,10 @@
         failures: BTreeMap::new(),
     };
     for (role, grows_with, sweep) in SWEEPS {
+        eprintln!(
+            "{:.0} s: {role:?}, by {grows_with}",
+            began.elapsed().as_secs_f64()
+        );
         let subject = Subject {
             role: *role,
             grows_with,
@@ -87,6 +91,7 @@
         match repetitions {
             Ok(repetitions) => report.sweeps.push(SweepReport::new(subject, &repetitions)),
             Err(error) => {
+                eprintln!("{role:?}, by {grows_with}: {error:#}");
                 let name = format!("{role:?}: {grows_with}");
                 report.failures.insert(name, format!("{error:#}"));
             }
--- a/knapweedrill_wire/src/links/connection.rs
+++ b/knapweedrill_wire/src/links/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender, TrySendError};
+use crossbeam::channel::{Receiver, Sender};
 use knapweedrill::message::Frame;
 use socket2::{SockRef, TcpKeepalive};
 
@@ -29,12 +29,18 @@
 pub(super) struct Connection {
     pub(super) stream: TcpStream,
     pub(super) queue: Sender<Frame>,
+    pub(super) queue_frame_count: usize,
 }
 
 impl Connection {
     /// Adds a frame to the queue of the writer; returns whether there was room.
     pub(super) fn try_send(&self, frame: Frame) -> bool {
-        !matches!(self.queue.try_send(frame), Err(TrySendError::Full(_)))
+        if self.queue.len() >= self.queue_frame_count {
+            return false;
+        }
+        // A writer that has ended closes the connection by itself.
+        let _ = self.queue.send(frame);
+        true
     }
 
     /// Ends the connection, and with it the reader and the writer.
