--- a/knapweedrill_daemon/tests/telemetry.rs
+++ b/knapweedrill_daemon/tests/telemetry.rs
@@ -52,10 +52,19 @@
         .start()
         .unwrap();
     metrics.count(Counter::JobsAccepted, 2);
+    metrics.set(Gauge::QueuedTasks, 7);
+    metrics.time(Timer::JobResponse, Duration::from_millis(3));
     drop(flusher);
+    let lines = [
+        "knapweedrill.jobs.accepted:2|c|#process:entry-1,role:entry",
+        "knapweedrill.queue.tasks:7|g|#process:entry-1,role:entry",
+        "knapweedrill.jobs.response.count:1|c|#process:entry-1,role:entry",
+        "knapweedrill.jobs.response.total_us:3000|c|#process:entry-1,role:entry",
+        "knapweedrill.jobs.response.max_us:3000|g|#process:entry-1,role:entry",
+    ];
     let mut text = String::new();
     let mut buffer = [0; 2048];
-    while !text.contains("knapweedrill.jobs.accepted:2|c|#process:entry-1,role:entry") {
+    while !lines.iter().all(|line| text.contains(line)) {
         let length = server.recv(&mut buffer).expect("the counter is sent");
         text.push_str(&String::from_utf8_lossy(&buffer[..length]));
     }
--- a/knapweedrill_wire/tests/links.rs
+++ b/knapweedrill_wire/tests/links.rs
@@ -8,7 +8,7 @@
 use crossbeam::channel::{self, Receiver};
 use knapweedrill::common::HybridTime;
 use knapweedrill::message::{Datagram, DatagramBody, Frame, Message, PROTOCOL_VERSION};
-use knapweedrill::message::{EntryBeat, PeerAddress, Role};
+use knapweedrill::message::{EntryBeat, MessageKind, PeerAddress, Role};
 use knapweedrill_wire::{Datagrams, LinkEvent, LinkNumber, LinkSettings, Links, encode_frame};
 use test_case::test_case;
 
@@ -80,6 +80,37 @@
     }
 }
 
+#[test]
+fn frames_are_counted_by_kind_with_their_bytes() {
+    let (a, b) = (
+        Process::start(LinkSettings::default()),
+        Process::start(LinkSettings::default()),
+    );
+    assert!(a.links.dial(b.address));
+    let link = a.opened();
+    b.opened();
+    for message in [Message::Ping, Message::Demands(Vec::new()), Message::Pong] {
+        let sent = Frame {
+            message,
+            ..frame(1)
+        };
+        a.links.send(link, sent);
+        b.event();
+    }
+    await_true("all counted as sent", || {
+        a.links.counts().frames_sent_count == 3
+    });
+    let sessions = a.links.kind_counts(MessageKind::Session);
+    let demands = a.links.kind_counts(MessageKind::Demands);
+    assert_eq!(sessions.frames_sent_count, 2);
+    assert_eq!(demands.frames_sent_count, 1);
+    let bytes = sessions.bytes_sent_count + demands.bytes_sent_count;
+    assert_eq!(bytes, a.links.counts().bytes_sent_count);
+    let received = b.links.kind_counts(MessageKind::Session);
+    assert_eq!(received.frames_received_count, 2);
+    assert_eq!(received.bytes_received_count, sessions.bytes_sent_count);
+}
+
 #[test]
 fn frames_arrive_in_order_and_in_few_writes() {
     let (a, b) = (
