fix(http): tell no owner of a token that nothing was run

A stopping or full process answered 'not-run' by itself, also to a request with an owner token, whose job may have run by an earlier try. Such a request now gets the outcome 'unknown' with status 500 in place of 503 and is told to repeat the same token and key; so does one whose body is cut off, late or too large, under its 4xx. The client repeats it. Status 503 stays for requests of which nothing ran.

--- a/knapweedrill_cli/src/client/core.rs
+++ b/knapweedrill_cli/src/client/core.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use knapweedrill::api::{
-    ApiCall, ApplyAnswer, ConfigurationAnswer, DrainAnswer, EventsAnswer, JobAnswer, JobOutcome,
-    JobRequest, OwnerAnswer, Parent, Reason, ShowAnswer,
+    ApiCall, ApplyAnswer, ConfigurationAnswer, DrainAnswer, EventsAnswer, HttpStatus, JobAnswer,
+    JobOutcome, JobRequest, OwnerAnswer, Parent, Reason, ShowAnswer,
 };
 use knapweedrill::contract::OwnerToken;
 use rand::RngExt;
@@ -22,6 +22,9 @@
 /// The longest pause between two tries.
 const BACKOFF_MAX: Duration = Duration::from_millis(5_000);
 
+/// The status of an answer that says nothing of what was asked.
+const OUTCOME_UNKNOWN: HttpStatus = 500;
+
 /// A client of several entries.
 #[derive(Debug)]
 pub struct Client {
@@ -268,7 +271,7 @@
         let request = Request { call, token, body };
         let mut failed_count = 0;
         loop {
-            match self.send_once(&request, wait) {
+            match self.send_once(&request, wait).and_then(told) {
                 Err(_) if failed_count + 1 < self.settings.attempt_count_max => {
                     failed_count += 1;
                     self.pause(failed_count, Duration::ZERO);
@@ -337,9 +340,23 @@
     matches!(answer.reason, Some(Reason::TokenNeeded | Reason::OwnerLost))
 }
 
+/// Returns the answer unless the entry says that it cannot tell.
+fn told(answer: Answer) -> Result<Answer, ClientError> {
+    if answer.status != OUTCOME_UNKNOWN {
+        return Ok(answer);
+    }
+    Err(ClientError::Unreachable {
+        entry: answer.entry,
+        message: "it could not take the request".to_owned(),
+    })
+}
+
 fn next_of(answer: Result<Answer, ClientError>, is_time_over: bool) -> Next {
     // An answer that is not the system's own says nothing about the job.
-    let answer = match answer.and_then(|answer| answer.read::<JobAnswer>()) {
+    let answer = match answer
+        .and_then(told)
+        .and_then(|answer| answer.read::<JobAnswer>())
+    {
         Ok(answer) => answer,
         Err(error) => return Next::Repeat(error.to_string()),
     };
--- a/knapweedrill_cli/tests/client.rs
+++ b/knapweedrill_cli/tests/client.rs
@@ -191,6 +191,27 @@
     assert_eq!(entry.tokens(), [TOKENS[0]; 3]);
 }
 
+#[test_case("shutting-down"; "shutting down")]
+#[test_case("overloaded"; "overloaded")]
+fn a_submission_whose_outcome_is_unknown_is_repeated_under_the_same_token(reason: &str) {
+    let body: &'static str =
+        Box::leak(format!(r#"{{"outcome":"unknown","reason":"{reason}"}}"#).into_boxed_str());
+    let entry = FakeEntry::start(&[Reply::Answer(500, body), COMPLETE]);
+    let report = client(&[entry.address]).submit(submission()).unwrap();
+    assert_eq!(report.answer.outcome, JobOutcome::Complete);
+    assert_eq!(entry.tokens(), [TOKENS[0]; 2]);
+}
+
+#[test]
+fn a_status_that_an_entry_cannot_tell_is_asked_again() {
+    let stopping = Reply::Answer(500, r#"{"outcome":"unknown","reason":"shutting-down"}"#);
+    let entry = FakeEntry::start(&[stopping, COMPLETE]);
+    let token = TOKENS[0].parse().unwrap();
+    let answer = client(&[entry.address]).status(token, "tin-a", "key-1", Duration::ZERO);
+    assert_eq!(answer.unwrap().outcome, JobOutcome::Complete);
+    assert_eq!(entry.seen().len(), 2);
+}
+
 #[test]
 fn a_failed_job_is_not_submitted_again() {
     let failed = r#"{"outcome":"failed","reason":"task-lost","task_index":0}"#;
--- a/knapweedrill_daemon/src/control/api_gate.rs
+++ b/knapweedrill_daemon/src/control/api_gate.rs
@@ -91,7 +91,7 @@
 
     /// Reads a call, and returns it if the control thread is to deal with it.
     pub fn read(&self, request: HttpRequest) -> Option<HttpCall> {
-        let call = match ApiCall::parse(request.method.as_str(), &request.url()) {
+        let call = match ApiCall::parse(request.method.as_str(), &request.url) {
             Ok(call) => call,
             Err(error) => {
                 respond_error(request.responder, error.http_status(), error.to_string());
@@ -99,7 +99,7 @@
             }
         };
         if !self.serves(&call) {
-            let message = format!("a {:?} does not serve {}", self.role, request.path);
+            let message = format!("a {:?} does not serve {}", self.role, request.url);
             respond_error(request.responder, NOT_FOUND, message);
             return None;
         }
--- a/knapweedrill_daemon/src/http/reply.rs
+++ b/knapweedrill_daemon/src/http/reply.rs
@@ -49,11 +49,12 @@
     pub body: Vec<u8>,
 }
 
-/// The body of an answer to a request that was not run.
+/// The body of an answer to a request that does not reach the handler.
 #[derive(Serialize)]
-struct NotRunBody<'a> {
+struct RefusalBody<'a> {
     outcome: &'static str,
-    reason: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'static str>,
     message: &'a str,
 }
 
@@ -75,14 +76,16 @@
 
     /// Creates the answer to a request that was not run.
     pub fn not_run(status: u16, reason: &'static str, message: &str) -> Self {
-        Self::json(
-            status,
-            &NotRunBody {
-                outcome: "not-run",
-                reason,
-                message,
-            },
-        )
+        Self::refusal(status, "not-run", Some(reason), message)
+    }
+
+    /// Creates the answer to a request whose job may have run, by an earlier try.
+    pub fn unknown(status: u16, reason: Option<&'static str>, message: &str) -> Self {
+        let message = format!(
+            "{message}; the outcome of the job is unknown, repeat the request with the same \
+             token and key"
+        );
+        Self::refusal(status, "unknown", reason, &message)
     }
 
     /// Adds a header.
@@ -100,6 +103,20 @@
         self.with_header("Retry-After", seconds.to_string())
     }
 
+    fn refusal(
+        status: u16,
+        outcome: &'static str,
+        reason: Option<&'static str>,
+        message: &str,
+    ) -> Self {
+        let body = RefusalBody {
+            outcome,
+            reason,
+            message,
+        };
+        Self::json(status, &body)
+    }
+
     fn new(status: u16, content_type: ContentType, body: Vec<u8>) -> Self {
         Self {
             status,
--- a/knapweedrill_lab/src/checker/rule/stop_cuts_nothing.rs
+++ b/knapweedrill_lab/src/checker/rule/stop_cuts_nothing.rs
@@ -49,6 +49,7 @@
         Some(JobOutcome::Failed) => has_cut_reason(submission),
         // A request that arrives after the stop began may be refused, but not an accepted one.
         Some(JobOutcome::NotRun) => has_cut_reason(submission) && was_accepted(submission, history),
+        Some(JobOutcome::Unknown) => was_accepted(submission, history),
         Some(JobOutcome::Complete | JobOutcome::Running) => false,
     }
 }
--- a/knapweedrill_lab/src/checker/rule/whole_answers.rs
+++ b/knapweedrill_lab/src/checker/rule/whole_answers.rs
@@ -26,7 +26,7 @@
     let results = answer.results.as_deref().unwrap_or_default();
     let task_count = match answer.outcome {
         JobOutcome::Complete => submission.echoes.len(),
-        JobOutcome::Failed | JobOutcome::NotRun | JobOutcome::Running => 0,
+        JobOutcome::Failed | JobOutcome::NotRun | JobOutcome::Running | JobOutcome::Unknown => 0,
     };
     if results.len() != task_count {
         return Some(Violation::PartialAnswer {
--- a/knapweedrill_lab/src/demo/caller.rs
+++ b/knapweedrill_lab/src/demo/caller.rs
@@ -117,7 +117,7 @@
                         is_in_doubt = false;
                     }
                 }
-                None => is_in_doubt = true,
+                Some(JobOutcome::Unknown) | None => is_in_doubt = true,
             }
             thread::sleep(RETRY_PAUSE);
         }
--- a/knapweedrill_lab/src/harness/job_request.rs
+++ b/knapweedrill_lab/src/harness/job_request.rs
@@ -115,6 +115,8 @@
     NotRun,
     /// The job goes on.
     Running,
+    /// The answer says nothing of the job.
+    Unknown,
 }
 
 /// The answer to a submission.
