test(lab): wait until every entry has links to every minion

A test of the tool failed once in three runs of its file: 'no-minion' to a job right after the start. Cause: an entry is ready as soon as it has a configuration, before its links to sidecars are up, and then refuses honestly. The harness now waits for the links before it hands out a cluster; no check was changed.

--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, ensure};
+use knapweedrill::api::{MinionView, ShowAnswer};
+use knapweedrill::minion::MinionState;
 
 use super::{
     AddressPlan, ChildProcess, ClusterBuilder, DaemonRole, DaemonSettings, EntryApi, HTTP_PORT,
@@ -74,6 +76,7 @@
         if let Some(text) = &self.configuration {
             cluster.apply_first_configuration(text)?;
             cluster.wait_ready(READY_TIMEOUT)?;
+            cluster.wait_minions_linked()?;
             cluster.ensure_all_running()?;
         }
         Ok(cluster)
@@ -261,6 +264,21 @@
         start_lab(name, &["daemon", "--settings", &path], &self.directory)
     }
 
+    /// Waits until every entry has a link to the sidecar of every minion.
+    ///
+    /// An entry is ready before that, and may then say that a service has no minion.
+    fn wait_minions_linked(&self) -> Result<()> {
+        let minion_count = self.minions.len();
+        for (number, entry) in self.entries.iter().enumerate() {
+            let api = entry.api();
+            let what = format!("links of entry-{number} to {minion_count} minions");
+            wait_until(&what, READY_TIMEOUT, || {
+                linked_count(api).is_ok_and(|count| count >= minion_count)
+            })?;
+        }
+        Ok(())
+    }
+
     /// Checks that no process exited while the cluster started.
     fn ensure_all_running(&mut self) -> Result<()> {
         ensure_running(self.log.process())?;
@@ -292,6 +310,14 @@
     ChildProcess::start(name, &program, arguments, directory.path())
 }
 
+/// Returns how many minions that serve an entry has links to.
+fn linked_count(api: EntryApi) -> Result<usize> {
+    let shown: ShowAnswer = api.get("/v1/show")?.json()?;
+    let is_linked =
+        |minion: &&MinionView| minion.state == MinionState::Serving && !minion.is_suspect;
+    Ok(shown.minions.iter().filter(is_linked).count())
+}
+
 fn ensure_running(process: &mut ChildProcess) -> Result<()> {
     let is_running = process.is_running();
     let stderr = process.stderr();
