fix(sidecar): tell of a start that did not reach the minion

Cause: a sidecar records 'task-started' before it calls its minion. If the connection is refused nothing was sent and the task goes elsewhere, but the time line kept the start, so it told of two starts of one task. Ruled out: a second real start; minions told of one each. Change: the sidecar records 'task-fenced' for that attempt. The checker takes the last start of that attempt by that sidecar back; what a minion saw counts all the same, and a start after it as well.

--- a/knapweedrill/src/event/kind.rs
+++ b/knapweedrill/src/event/kind.rs
@@ -84,7 +84,9 @@
         /// Whether it returned a result.
         is_done: bool,
     },
-    /// A sidecar refused an attempt and will never start it.
+    /// A sidecar refused an attempt and will never start it, or could not reach the minion with it.
+    ///
+    /// It takes back a [`TaskStarted`](Self::TaskStarted) of the same attempt.
     TaskFenced {
         /// The task.
         task: TaskId,
--- a/knapweedrill/src/sidecar/core.rs
+++ b/knapweedrill/src/sidecar/core.rs
@@ -369,6 +369,11 @@
                 self.memory.undo(task, running.generation, now);
                 self.minion.unreachable(now);
                 self.note_state(now, actions);
+                // Nothing reached the minion, so the time line must not tell of a start.
+                actions.push(SidecarAction::Record(EventKind::TaskFenced {
+                    task,
+                    attempt,
+                }));
                 self.report(
                     task.owner,
                     TaskReport::NotStarted {
--- a/knapweedrill_lab/tests/checker_starts.rs
+++ b/knapweedrill_lab/tests/checker_starts.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use knapweedrill::event::EventKind;
+use knapweedrill::event::{Event, EventKind};
 use knapweedrill::job::TaskId;
 use knapweedrill_lab::checker::{
     CallerAnswer, Departure, History, MinionStart, Rule, Submission, Violation, check,
@@ -329,3 +329,55 @@
     let history = leaving_history(3 * SECOND_US + 1);
     broken(&history, Rule::LeavingGetsNothing);
 }
+
+fn started(submission: &Submission, sidecar: u64, attempt: u32, at_us: u64) -> Event {
+    let task = submission.task_id(0);
+    event(sidecar, at_us, EventKind::TaskStarted { task, attempt })
+}
+
+fn taken_back(submission: &Submission, sidecar: u64, attempt: u32, at_us: u64) -> Event {
+    let task = submission.task_id(0);
+    event(sidecar, at_us, EventKind::TaskFenced { task, attempt })
+}
+
+#[test]
+fn a_start_that_did_not_reach_the_minion_is_none() {
+    let submission = submission();
+    let mut history = History::new();
+    history.add_events([
+        started(&submission, 20, 0, SECOND_US),
+        taken_back(&submission, 20, 0, SECOND_US + 1),
+        started(&submission, 21, 1, SECOND_US + 2),
+    ]);
+    history.add_submission(submission);
+    kept(&history, Rule::StartOnce);
+}
+
+#[test]
+fn a_start_that_a_sidecar_takes_back_counts_if_the_minion_saw_it() {
+    let submission = submission();
+    let mut history = History::new();
+    history.add_start(start(&submission, SECOND_US));
+    history.add_start(start(&submission, SECOND_US + 2));
+    history.add_events([
+        started(&submission, 20, 0, SECOND_US),
+        taken_back(&submission, 20, 0, SECOND_US + 1),
+        started(&submission, 21, 1, SECOND_US + 2),
+    ]);
+    history.add_submission(submission);
+    broken(&history, Rule::StartOnce);
+}
+
+#[test]
+fn a_sidecar_takes_back_one_start_and_not_those_before_or_after() {
+    let submission = submission();
+    let mut history = History::new();
+    history.add_events([
+        started(&submission, 20, 0, SECOND_US),
+        started(&submission, 20, 0, SECOND_US + 1),
+        taken_back(&submission, 20, 0, SECOND_US + 2),
+        started(&submission, 20, 0, SECOND_US + 3),
+    ]);
+    history.add_submission(submission);
+    broken(&history, Rule::StartOnce);
+}
