fix(entry): hand over the keys that were taken over

Cause: a stopping entry handed over its own keys only. Those that it had taken over from an entry that stopped before were lost with it. Ruled out: the fence of the job; sidecars told truthfully that it had started. Change: the keys of each stopped owner are handed over beside its own.

--- a/knapweedrill/src/entry/hand_over.rs
+++ b/knapweedrill/src/entry/hand_over.rs
@@ -89,7 +89,27 @@
             self.end_hand_over();
             return;
         };
-        let keys = self.keys.kept_keys();
+        let mut part_count = self.send_keys(successor, self.incarnation, &self.keys, actions);
+        // The keys taken over from entries that stopped before are this entry's to keep as well.
+        for (stopped, keys) in &self.relays.adopted {
+            part_count += self.send_keys(successor, *stopped, keys, actions);
+        }
+        self.set_phase(StopPhase::HandingOver {
+            successor,
+            part_count,
+            taken_count: 0,
+        });
+    }
+
+    /// Sends the keys of an owner, and returns in how many parts.
+    fn send_keys(
+        &self,
+        successor: Incarnation,
+        owner: Incarnation,
+        table: &KeyTable,
+        actions: &mut Vec<EntryAction>,
+    ) -> u32 {
+        let keys = table.kept_keys();
         actions.push(EntryAction::Record(EventKind::KeysHandedOver {
             to: successor,
             key_count: u32::try_from(keys.len()).unwrap_or(u32::MAX),
@@ -100,19 +120,15 @@
             actions.push(EntryAction::Send {
                 peer: successor,
                 message: Message::HandOver(HandOver {
-                    from: self.incarnation,
+                    from: owner,
                     part,
                     is_last: part + 1 == part_count,
-                    expired_up_to: self.keys.expired_up_to(),
+                    expired_up_to: table.expired_up_to(),
                     keys,
                 }),
             });
         }
-        self.set_phase(StopPhase::HandingOver {
-            successor,
-            part_count,
-            taken_count: 0,
-        });
+        part_count
     }
 
     /// Starts the hand-over anew if its successor's session broke.
@@ -149,7 +165,7 @@
         _part: u32,
         _actions: &mut Vec<EntryAction>,
     ) {
-        if from != self.incarnation {
+        if from != self.incarnation && !self.relays.adopted.contains_key(&from) {
             return;
         }
         if let Some(Stopping {
