fix(daemon): count a call of the minion from when it is begun

Cause: a thread that had taken a call counted as idle until it said otherwise, so a call begun in between got no thread and waited behind the other call. Found by reading; no test shows it. Change: calls count from when they are begun, and threads are added up to it.

--- a/knapweedrill_daemon/src/minion_calls/pool.rs
+++ b/knapweedrill_daemon/src/minion_calls/pool.rs
@@ -18,7 +18,9 @@
 pub struct CallPool<F> {
     calls: Sender<MinionCall>,
     queue: Receiver<MinionCall>,
-    idle_count: Arc<AtomicUsize>,
+    /// How many calls were begun and have not ended.
+    open_count: Arc<AtomicUsize>,
+    thread_count: AtomicUsize,
     on_end: Arc<F>,
 }
 
@@ -32,7 +34,8 @@
         Self {
             calls,
             queue,
-            idle_count: Arc::default(),
+            open_count: Arc::default(),
+            thread_count: AtomicUsize::new(0),
             on_end: Arc::new(on_end),
         }
     }
@@ -43,8 +46,14 @@
     ///
     /// Fails if a thread is needed and none can be started; then the call is not made.
     pub fn begin(&self, call: MinionCall) -> eyre::Result<()> {
-        if self.idle_count.load(Ordering::Acquire) <= self.calls.len() {
-            self.add_thread()?;
+        // A call counts from here on and not from when a thread takes it, so that a call never
+        // waits behind another one for a thread that only seemed idle.
+        let open_count = self.open_count.fetch_add(1, Ordering::AcqRel) + 1;
+        if open_count > self.thread_count.load(Ordering::Acquire)
+            && let Err(error) = self.add_thread()
+        {
+            self.open_count.fetch_sub(1, Ordering::AcqRel);
+            return Err(error);
         }
         self.calls
             .send(call)
@@ -53,19 +62,18 @@
 
     fn add_thread(&self) -> eyre::Result<()> {
         let queue = self.queue.clone();
-        let idle_count = Arc::clone(&self.idle_count);
+        let open_count = Arc::clone(&self.open_count);
         let on_end = Arc::clone(&self.on_end);
-        idle_count.fetch_add(1, Ordering::AcqRel);
         thread::Builder::new()
             .name("minion-call".into())
             .spawn(move || {
                 for call in queue {
-                    idle_count.fetch_sub(1, Ordering::AcqRel);
                     let end = call.run();
-                    idle_count.fetch_add(1, Ordering::AcqRel);
+                    open_count.fetch_sub(1, Ordering::AcqRel);
                     on_end(call.start.task, call.start.attempt, end);
                 }
             })?;
+        self.thread_count.fetch_add(1, Ordering::AcqRel);
         Ok(())
     }
 }
