fix(http): do not say 'not-run' of a job that may have run

Cause: a request that the server refuses itself, since it stops or reads too many bodies, was answered 'not-run' even if it names the owner of its job. An earlier copy of it may have run. Change: such a request is answered 'failed' with the same status and reason. A request that names no owner, or two, names no job and is 'not-run' as before. Before: 'not-run, shutting-down'. After: 'failed, shutting-down'.

--- a/knapweedrill_daemon/src/http/intake.rs
+++ b/knapweedrill_daemon/src/http/intake.rs
@@ -200,7 +200,13 @@
 
     fn refuse(&self, request: Request, refused: Refused) {
         self.count(refused);
-        self.answer(request, refused.reply());
+        let names_owner = matches!(owner(&request), Ok(Some(_)));
+        let reply = if names_owner {
+            refused.reply_to_resubmission()
+        } else {
+            refused.reply()
+        };
+        self.answer(request, reply);
     }
 
     /// Answers a request that does not reach the handler.
--- a/knapweedrill_daemon/src/http/refused.rs
+++ b/knapweedrill_daemon/src/http/refused.rs
@@ -6,7 +6,10 @@
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Why a request does not reach the handler; nothing of it was run.
+/// Makes the answer to a refused request from status, reason and message.
+type MakeReply = fn(u16, &'static str, &str) -> HttpReply;
+
+/// Why a request does not reach the handler; this copy of it was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Refused {
     /// The request is not what HTTP or this interface allows.
@@ -29,26 +32,40 @@
 }
 
 impl Refused {
-    /// Returns the answer that tells the caller.
+    /// Returns the answer to a request that names no job.
     pub(super) fn reply(self) -> HttpReply {
+        self.reply_by(HttpReply::not_run)
+    }
+
+    /// Returns the answer to a request that names the owner of its job.
+    ///
+    /// The job may have run for an earlier copy of the request, so `not-run` could be false.
+    pub(super) fn reply_to_resubmission(self) -> HttpReply {
+        self.reply_by(HttpReply::failed)
+    }
+
+    fn reply_by(self, make: MakeReply) -> HttpReply {
         match self {
-            Self::Malformed(message) => HttpReply::not_run(400, "invalid", message),
-            Self::MethodNotServed => method_not_served(),
-            Self::TooLarge { max_bytes } => too_large(max_bytes),
-            Self::TooSlow => HttpReply::not_run(
+            Self::Malformed(message) => make(400, "invalid", message),
+            Self::MethodNotServed => method_not_served(make),
+            Self::TooLarge { max_bytes } => too_large(make, max_bytes),
+            Self::TooSlow => make(
                 408,
                 "invalid",
                 "the body did not arrive in time; send it again",
             ),
             Self::TooManyRequests => unavailable(
+                make,
                 "overloaded",
                 "too many requests are in flight; try again later",
             ),
             Self::TooManyBodies => unavailable(
+                make,
                 "overloaded",
                 "too many bodies are on their way; try again later",
             ),
             Self::Stopping => unavailable(
+                make,
                 "shutting-down",
                 "the process is stopping; use another entry",
             ),
@@ -61,16 +78,16 @@
     }
 }
 
-fn method_not_served() -> HttpReply {
+fn method_not_served(make: MakeReply) -> HttpReply {
     let message = format!("the method is not served; use one of {}", Method::ALLOWED);
-    HttpReply::not_run(405, "invalid", &message).with_header("Allow", Method::ALLOWED)
+    make(405, "invalid", &message).with_header("Allow", Method::ALLOWED)
 }
 
-fn too_large(max_bytes: usize) -> HttpReply {
+fn too_large(make: MakeReply, max_bytes: usize) -> HttpReply {
     let message = format!("the body is larger than {max_bytes} bytes; submit smaller jobs");
-    HttpReply::not_run(413, "invalid", &message)
+    make(413, "invalid", &message)
 }
 
-fn unavailable(reason: &'static str, message: &str) -> HttpReply {
-    HttpReply::not_run(503, reason, message).with_retry_after(RETRY_AFTER)
+fn unavailable(make: MakeReply, reason: &'static str, message: &str) -> HttpReply {
+    make(503, reason, message).with_retry_after(RETRY_AFTER)
 }
--- a/knapweedrill_daemon/src/http/reply.rs
+++ b/knapweedrill_daemon/src/http/reply.rs
@@ -49,9 +49,9 @@
     pub body: Vec<u8>,
 }
 
-/// The body of an answer to a request that was not run.
+/// The body of an answer that tells an outcome without results.
 #[derive(Serialize)]
-struct NotRunBody<'a> {
+struct OutcomeBody<'a> {
     outcome: &'static str,
     reason: &'static str,
     message: &'a str,
@@ -75,14 +75,26 @@
 
     /// Creates the answer to a request that was not run.
     pub fn not_run(status: u16, reason: &'static str, message: &str) -> Self {
-        Self::json(
-            status,
-            &NotRunBody {
-                outcome: "not-run",
-                reason,
-                message,
-            },
-        )
+        Self::without_results("not-run", status, reason, message)
+    }
+
+    /// Creates the answer to a request whose job may have run before.
+    pub fn failed(status: u16, reason: &'static str, message: &str) -> Self {
+        Self::without_results("failed", status, reason, message)
+    }
+
+    fn without_results(
+        outcome: &'static str,
+        status: u16,
+        reason: &'static str,
+        message: &str,
+    ) -> Self {
+        let body = OutcomeBody {
+            outcome,
+            reason,
+            message,
+        };
+        Self::json(status, &body)
     }
 
     /// Adds a header.
--- a/knapweedrill_daemon/tests/http_requests.rs
+++ b/knapweedrill_daemon/tests/http_requests.rs
@@ -174,6 +174,32 @@
     assert_eq!(stopping.join().unwrap(), 0);
 }
 
+#[test]
+fn a_stopping_server_does_not_say_not_run_of_a_job_that_may_have_run() {
+    let (responders, held) = channel();
+    let server = serve(HttpLimits::default(), move |request| {
+        responders.send(request.responder).unwrap();
+    });
+    let address = server.address();
+    let _stream = send(address, "GET / HTTP/1.1\r\nHost: t\r\n\r\n");
+    let responder = held.recv().unwrap();
+    let stopping = thread::spawn(move || server.stop(Duration::from_secs(10)));
+    thread::sleep(Duration::from_millis(100));
+    let refused = exchange(
+        address,
+        "POST /v1/jobs/key HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\
+         Knapweedrill-Owner: 0000000000000001-0-0000000000000002\r\nContent-Length: 0\r\n\r\n",
+    );
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("Retry-After: 1\r\n"), "{refused}");
+    assert!(
+        refused.contains(r#""outcome":"failed","reason":"shutting-down""#),
+        "{refused}"
+    );
+    responder.respond(HttpReply::text(200, "whole"));
+    assert_eq!(stopping.join().unwrap(), 0);
+}
+
 #[test]
 fn stop_reports_what_did_not_end_in_time() {
     let (responders, held) = channel();
