--- a/knapweedrill_lab/tests/faults_entry.rs
+++ b/knapweedrill_lab/tests/faults_entry.rs
@@ -5,7 +5,10 @@
 
 #[test_case(FaultCase::EntryKilled, 1)]
 #[test_case(FaultCase::EntryKilledBeforeStart, 1)]
-fn an_entry_is_killed(case: FaultCase, seed: u64) {
+#[test_case(FaultCase::EntryStopped, 1)]
+#[test_case(FaultCase::EntriesReplaced, 1)]
+#[test_case(FaultCase::EntryFrozen, 1)]
+fn the_promises_hold(case: FaultCase, seed: u64) {
     let report = case.run(seed).expect("the case can be carried out");
     assert!(report.is_passed(), "{report}");
 }
