--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -262,7 +262,7 @@
                 let reason = format!("not run: {}", answer.reason().unwrap_or("unknown"));
                 *refusals.entry(reason).or_default() += 1;
             }
-            Some(JobOutcome::Running) | None => open_count += 1,
+            Some(JobOutcome::Running | JobOutcome::Unknown) | None => open_count += 1,
         }
     }
     let FlowReportKey {
