perf(sidecar): send a credit with the report that goes out anyway

Cause: credits went to the entries in turn, so two of three took a message of their own. Change: the entry that gets the report is served out of turn, up to four times in a row.

--- a/knapweedrill/src/sidecar/arbiter/demands.rs
+++ b/knapweedrill/src/sidecar/arbiter/demands.rs
@@ -7,6 +7,9 @@
 use crate::contract::Flow;
 use crate::message::Demand;
 
+/// How many times in a row an entry may be served out of turn.
+const OUT_OF_TURN_MAX: u32 = 4;
+
 /// The waiting tasks of one flow.
 #[derive(Debug, Default)]
 struct FlowDemand {
@@ -14,6 +17,8 @@
     entries: BTreeMap<Incarnation, u32>,
     /// The entry that was served last.
     last_served: Option<Incarnation>,
+    /// How many times in a row an entry was served out of turn.
+    out_of_turn_count: u32,
 }
 
 /// What the entries would run, without what they have credits for.
@@ -104,12 +109,27 @@
     }
 
     /// Takes one task of a flow, from the entries in turn.
-    pub(super) fn take(&mut self, flow: &Flow) -> Option<Incarnation> {
+    ///
+    /// The entry that a message goes to anyway is served out of turn, though not for ever, since
+    /// its credit then costs no message.
+    pub(super) fn take(
+        &mut self,
+        flow: &Flow,
+        reported_to: Option<Incarnation>,
+    ) -> Option<Incarnation> {
         let flow_demand = self.flows.get_mut(flow)?;
+        let is_heard = |entry: &&Incarnation| !self.silent.contains(entry);
+        let out_of_turn = reported_to
+            .filter(|entry| flow_demand.entries.contains_key(entry) && is_heard(&entry))
+            .filter(|_| flow_demand.out_of_turn_count < OUT_OF_TURN_MAX);
+        if let Some(entry) = out_of_turn {
+            flow_demand.out_of_turn_count += 1;
+            self.take_from(entry, flow);
+            return Some(entry);
+        }
         let after = flow_demand
             .last_served
             .map_or(Bound::Unbounded, Bound::Excluded);
-        let is_heard = |entry: &&Incarnation| !self.silent.contains(entry);
         let later = flow_demand.entries.range((after, Bound::Unbounded));
         let entry = later
             .map(|(entry, _)| entry)
@@ -117,6 +137,7 @@
             .or_else(|| flow_demand.entries.keys().find(is_heard))
             .copied()?;
         flow_demand.last_served = Some(entry);
+        flow_demand.out_of_turn_count = 0;
         self.take_from(entry, flow);
         Some(entry)
     }
--- a/knapweedrill/src/sidecar/arbiter/mod.rs
+++ b/knapweedrill/src/sidecar/arbiter/mod.rs
@@ -51,6 +51,8 @@
     demands: Demands,
     /// The unused credits, the oldest first.
     credits: Vec<OutstandingCredit>,
+    /// The owner of the task that ended last, to which a report goes, if no credit followed yet.
+    reported_to: Option<Incarnation>,
 }
 
 impl SlotArbiter {
@@ -63,6 +65,7 @@
             pending: Vec::new(),
             demands: Demands::default(),
             credits: Vec::new(),
+            reported_to: None,
         }
     }
 
@@ -192,6 +195,7 @@
     pub fn ended(&mut self, task: TaskId, run_time: Duration, now: Instant) {
         if let Some(flow) = self.running.remove(&task) {
             self.fair_share.ended(&flow, run_time, now);
+            self.reported_to = Some(task.owner);
         }
     }
 
@@ -260,6 +264,7 @@
             };
             *granted.entry(entry).or_default().entry(flow).or_default() += 1;
         }
+        self.reported_to = None;
         granted
             .into_iter()
             .map(|(entry, flows)| EntryCredits {
@@ -272,7 +277,7 @@
     fn grant_one(&mut self, now: Instant) -> Option<(Incarnation, Flow)> {
         let index = self.fair_share.choose(self.demands.flows(), now)?;
         let flow = self.demands.flows().nth(index)?.clone();
-        let entry = self.demands.take(&flow)?;
+        let entry = self.demands.take(&flow, self.reported_to.take())?;
         self.fair_share.promised(&flow, now);
         self.credits.push(OutstandingCredit {
             entry,
--- /dev/null
+++ b/knapweedrill/tests/support/bench.rs
@@ -0,0 +1,575 @@
+//! A few entries and sidecars whose messages and run times a hand-moved clock delivers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::ops::RangeInclusive;
+use std::time::{Duration, Instant};
+
+use knapweedrill::common::{Incarnation, RequestId, TeamName};
+use knapweedrill::contract::{Class, Configuration};
+use knapweedrill::entry::{
+    CallerRequest, CallerResponse, Entry, EntryAction, EntryEvent, EntrySettings, Requester,
+};
+use knapweedrill::job::{JobSpec, Outcome, TaskOutcome, TaskSpec};
+use knapweedrill::message::{Message, NotStarted, Role, Start, TaskReport};
+use knapweedrill::minion::{Announcement, MinionState};
+use knapweedrill::sidecar::{
+    MinionNotice, RunResult, Sidecar, SidecarAction, SidecarEvent, SidecarSettings,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SPEEDS_PERCENT: [u32; 10] = [50, 60, 70, 80, 100, 110, 130, 150, 170, 200];
+const SLOTS: u32 = 8;
+const ENTRIES: [Incarnation; 3] = [1, 2, 3];
+const FIRST_SIDECAR: Incarnation = 11;
+const SERVICE: &str = "embossing";
+const KIND: &str = "proof";
+/// The time that a message takes.
+const DELAY: Duration = Duration::from_micros(500);
+const TICK: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_millis(200);
+/// When the first job is due.
+const SETTLED: Duration = Duration::from_millis(500);
+/// The time after the last job was due in which the rest may end.
+const LINGER: Duration = Duration::from_secs(40);
+/// The shortest and the longest work of a task.
+const WORK_S: (f64, f64) = (0.05, 1.0);
+const HINT_SIGMA: f64 = 0.3;
+
+const CONFIGURATION: &str = "\
+[service embossing]
+ejected_max_percent = 50
+[kind proof]
+service = embossing
+class = normal
+idempotent = true
+deadline_ms = 30000
+[team tin-a]
+share_percent = 50
+cap_percent = 100
+[team tin-b]
+share_percent = 50
+cap_percent = 100
+[limits]
+tasks_per_job = 1000
+queued_tasks = 100000
+";
+
+/// A job that is due at a time.
+#[derive(Debug, Clone)]
+pub(crate) struct BenchJob {
+    at: Duration,
+    team: TeamName,
+    class: Class,
+    tasks: Vec<BenchTask>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct BenchTask {
+    work: Duration,
+    hint: Duration,
+}
+
+/// What a run gave.
+#[derive(Debug, Default)]
+pub(crate) struct BenchOutcome {
+    complete: Vec<CompleteJob>,
+    started_count: u64,
+    start_count: u64,
+    report_count: u64,
+    demand_count: u64,
+    slot_count: u64,
+    return_count: u64,
+    other_count: u64,
+    bounced_count: u64,
+}
+
+#[derive(Debug)]
+struct CompleteJob {
+    team: TeamName,
+    response: Duration,
+    ideal: Duration,
+    work: Duration,
+}
+
+enum BenchEvent {
+    Submit {
+        number: usize,
+    },
+    ToEntry {
+        entry: usize,
+        from: Incarnation,
+        message: Message,
+    },
+    ToSidecar {
+        sidecar: usize,
+        from: Incarnation,
+        message: Message,
+    },
+    CallEnded {
+        sidecar: usize,
+        start: Box<Start>,
+        run_time: Duration,
+    },
+    Tick,
+    Heartbeat,
+}
+
+/// A few entries and sidecars, and the messages between them.
+pub(crate) struct Bench {
+    epoch: Instant,
+    entries: Vec<Entry>,
+    sidecars: Vec<Sidecar>,
+    events: BTreeMap<(Duration, u64), BenchEvent>,
+    next_event: u64,
+    outcome: BenchOutcome,
+}
+
+impl BenchJob {
+    /// Plans jobs from a seed that ask for a part of all slot time, in per cent.
+    pub(crate) fn arrivals(
+        seed: u64,
+        team: &str,
+        class: Class,
+        task_counts: RangeInclusive<u32>,
+        load_percent: u64,
+        duration: Duration,
+    ) -> Vec<Self> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let speed = f64::from(SPEEDS_PERCENT.iter().sum::<u32>() * SLOTS) / 100.0;
+        let mean_work_s = (WORK_S.1 - WORK_S.0) / (WORK_S.1 / WORK_S.0).ln();
+        let mean_count = f64::from(task_counts.start() + task_counts.end()) / 2.0;
+        let work_per_s = speed * load_percent as f64 / 100.0;
+        let mean_gap_s = mean_work_s * mean_count / work_per_s;
+        let mut jobs = Vec::new();
+        let mut at = SETTLED;
+        loop {
+            at += Duration::from_secs_f64(exponential(&mut rng) * mean_gap_s);
+            if at >= SETTLED + duration {
+                return jobs;
+            }
+            let task_count = rng.random_range(task_counts.clone());
+            jobs.push(Self {
+                at,
+                team: team.to_owned(),
+                class,
+                tasks: (0..task_count).map(|_| BenchTask::new(&mut rng)).collect(),
+            });
+        }
+    }
+
+    fn work(&self) -> Duration {
+        self.tasks.iter().map(|task| task.work).sum()
+    }
+
+    /// Returns the least response of the job if it has all slots to itself.
+    fn ideal(&self) -> Duration {
+        let mut works: Vec<f64> = self
+            .tasks
+            .iter()
+            .map(|task| task.work.as_secs_f64())
+            .collect();
+        works.sort_by(|a, b| b.total_cmp(a));
+        let speeds: Vec<f64> = SPEEDS_PERCENT
+            .iter()
+            .rev()
+            .flat_map(|percent| vec![f64::from(*percent) / 100.0; SLOTS as usize])
+            .collect();
+        let mut ideal_s = works.iter().sum::<f64>() / speeds.iter().sum::<f64>();
+        let (mut work_s, mut speed) = (0.0, 0.0);
+        for (work, slot) in works.iter().zip(&speeds) {
+            work_s += work;
+            speed += slot;
+            ideal_s = ideal_s.max(work_s / speed);
+        }
+        Duration::from_secs_f64(ideal_s)
+    }
+
+    fn spec(&self) -> JobSpec {
+        let tasks = self.tasks.iter().map(|task| TaskSpec {
+            payload: (task.work.as_micros() as u64).to_le_bytes().to_vec(),
+            hint: Some(task.hint),
+        });
+        JobSpec {
+            team: self.team.clone(),
+            kind: KIND.to_owned(),
+            class: Some(self.class),
+            deadline: None,
+            idempotent: None,
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+impl BenchTask {
+    fn new(rng: &mut StdRng) -> Self {
+        let part: f64 = rng.random_range(0.0..1.0);
+        let work_s = (WORK_S.0.ln() + part * (WORK_S.1 / WORK_S.0).ln()).exp();
+        let radius = (2.0 * exponential(rng)).sqrt();
+        let angle: f64 = rng.random_range(0.0..std::f64::consts::TAU);
+        let hint_s = work_s * (HINT_SIGMA * radius * angle.cos()).exp();
+        Self {
+            work: Duration::from_secs_f64(work_s),
+            hint: Duration::from_secs_f64(hint_s),
+        }
+    }
+}
+
+fn exponential(rng: &mut StdRng) -> f64 {
+    -rng.random_range(f64::MIN_POSITIVE..1.0).ln()
+}
+
+impl Bench {
+    /// Creates entries and sidecars that know each other.
+    pub(crate) fn new() -> Self {
+        let epoch = Instant::now();
+        let settings = EntrySettings::new().generation(Duration::from_secs(3_600));
+        let entries = ENTRIES.map(|entry| Entry::new(entry, settings.clone(), epoch));
+        let sidecars = (0..SPEEDS_PERCENT.len())
+            .map(|number| Sidecar::new(FIRST_SIDECAR + number as u64, SidecarSettings::new()));
+        let mut bench = Self {
+            epoch,
+            entries: entries.into(),
+            sidecars: sidecars.collect(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            outcome: BenchOutcome::default(),
+        };
+        bench.introduce();
+        bench
+    }
+
+    fn introduce(&mut self) {
+        let configuration = Configuration::parse(CONFIGURATION, "bench.ini").expect("it is valid");
+        for number in 0..self.sidecars.len() {
+            let now = Duration::ZERO;
+            self.tell_sidecar(number, SidecarEvent::Configured(configuration.clone()), now);
+            self.tell_sidecar(number, SidecarEvent::Minion(notice(number)), now);
+            for peer in ENTRIES {
+                self.tell_sidecar(number, SidecarEvent::PeerUp { peer }, now);
+            }
+        }
+        for entry in 0..self.entries.len() {
+            let configured = EntryEvent::Configured {
+                version: Default::default(),
+                configuration: configuration.clone(),
+            };
+            self.tell_entry(entry, configured, Duration::ZERO);
+            for number in 0..self.sidecars.len() {
+                let announcement = announcement(number);
+                let peer = announcement.sidecar;
+                let role = Role::Sidecar;
+                self.tell_entry(entry, EntryEvent::Minion { announcement }, Duration::ZERO);
+                self.tell_entry(entry, EntryEvent::PeerUp { peer, role }, Duration::ZERO);
+            }
+        }
+    }
+
+    /// Runs jobs until all have ended, or 40 s after the last was due.
+    pub(crate) fn run(&mut self, jobs: &[BenchJob]) -> BenchOutcome {
+        let mut jobs = jobs.to_vec();
+        jobs.sort_by_key(|job| job.at);
+        let last_due = jobs.last().map_or(Duration::ZERO, |job| job.at);
+        for (number, job) in jobs.iter().enumerate() {
+            self.schedule(job.at, BenchEvent::Submit { number });
+        }
+        self.schedule(Duration::ZERO, BenchEvent::Tick);
+        self.schedule(Duration::ZERO, BenchEvent::Heartbeat);
+        let mut open: HashMap<RequestId, usize> = (0..).zip(0..jobs.len()).collect();
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if open.is_empty() || at > last_due + LINGER {
+                break;
+            }
+            for (request, response) in self.step(event, at, &jobs) {
+                let Some(number) = open.remove(&request) else {
+                    continue;
+                };
+                self.note_response(&jobs[number], &response, at);
+            }
+        }
+        std::mem::take(&mut self.outcome)
+    }
+
+    fn note_response(&mut self, job: &BenchJob, response: &CallerResponse, at: Duration) {
+        let CallerResponse::Ended {
+            outcome: Outcome::Complete { .. },
+        } = response
+        else {
+            return;
+        };
+        self.outcome.complete.push(CompleteJob {
+            team: job.team.clone(),
+            response: at - job.at,
+            ideal: job.ideal(),
+            work: job.work(),
+        });
+    }
+
+    fn schedule(&mut self, at: Duration, event: BenchEvent) {
+        self.events.insert((at, self.next_event), event);
+        self.next_event += 1;
+    }
+
+    fn step(
+        &mut self,
+        event: BenchEvent,
+        at: Duration,
+        jobs: &[BenchJob],
+    ) -> Vec<(RequestId, CallerResponse)> {
+        match event {
+            BenchEvent::Submit { number } => return self.submit(number, &jobs[number], at),
+            BenchEvent::ToEntry {
+                entry,
+                from,
+                message,
+            } => {
+                return self.tell_entry(
+                    entry,
+                    EntryEvent::Message {
+                        peer: from,
+                        message,
+                    },
+                    at,
+                );
+            }
+            BenchEvent::ToSidecar {
+                sidecar,
+                from,
+                message,
+            } => {
+                let event = SidecarEvent::Message {
+                    peer: from,
+                    message,
+                };
+                self.tell_sidecar(sidecar, event, at);
+            }
+            BenchEvent::CallEnded {
+                sidecar,
+                start,
+                run_time,
+            } => {
+                let event = SidecarEvent::CallEnded {
+                    task: start.task,
+                    attempt: start.attempt,
+                    result: RunResult::Sent(TaskOutcome::Done {
+                        result: start.payload,
+                    }),
+                    run_time,
+                };
+                self.tell_sidecar(sidecar, event, at);
+            }
+            BenchEvent::Tick => return self.tick(at),
+            BenchEvent::Heartbeat => self.beat(at),
+        }
+        Vec::new()
+    }
+
+    fn submit(
+        &mut self,
+        number: usize,
+        job: &BenchJob,
+        at: Duration,
+    ) -> Vec<(RequestId, CallerResponse)> {
+        let entry = number % self.entries.len();
+        let token = self.entries[entry]
+            .owner_token()
+            .expect("the entry is ready");
+        let event = EntryEvent::Request {
+            requester: Requester::Caller {
+                request: number as RequestId,
+            },
+            request: CallerRequest::Submit {
+                token,
+                key: format!("job-{number}"),
+                spec: job.spec(),
+                wait: Duration::from_secs(60),
+            },
+        };
+        self.tell_entry(entry, event, at)
+    }
+
+    fn tick(&mut self, at: Duration) -> Vec<(RequestId, CallerResponse)> {
+        self.schedule(at + TICK, BenchEvent::Tick);
+        for sidecar in 0..self.sidecars.len() {
+            self.tell_sidecar(sidecar, SidecarEvent::Tick, at);
+        }
+        (0..self.entries.len())
+            .flat_map(|entry| self.tell_entry(entry, EntryEvent::Tick, at))
+            .collect()
+    }
+
+    fn beat(&mut self, at: Duration) {
+        self.schedule(at + HEARTBEAT, BenchEvent::Heartbeat);
+        for number in 0..self.sidecars.len() {
+            self.tell_sidecar(number, SidecarEvent::Minion(notice(number)), at);
+            let sidecar = FIRST_SIDECAR + number as u64;
+            let report = self.sidecars[number].slot_report(self.epoch + at);
+            for entry in 0..self.entries.len() {
+                self.tell_entry(entry, EntryEvent::SlotsReported { sidecar, report }, at);
+            }
+        }
+    }
+
+    fn tell_entry(
+        &mut self,
+        entry: usize,
+        event: EntryEvent,
+        at: Duration,
+    ) -> Vec<(RequestId, CallerResponse)> {
+        let now = self.epoch + at;
+        let mut actions = Vec::new();
+        self.entries[entry].handle(event, now, &mut actions);
+        self.entries[entry].flush(now, &mut actions);
+        let mut responses = Vec::new();
+        for action in actions {
+            match action {
+                EntryAction::Respond { request, response } => responses.push((request, response)),
+                EntryAction::Send { peer, message } if peer >= FIRST_SIDECAR => {
+                    self.outcome.count(&message);
+                    let event = BenchEvent::ToSidecar {
+                        sidecar: (peer - FIRST_SIDECAR) as usize,
+                        from: ENTRIES[entry],
+                        message,
+                    };
+                    self.schedule(at + DELAY, event);
+                }
+                _ => {}
+            }
+        }
+        responses
+    }
+
+    fn tell_sidecar(&mut self, sidecar: usize, event: SidecarEvent, at: Duration) {
+        let now = self.epoch + at;
+        let mut actions = Vec::new();
+        self.sidecars[sidecar].handle(event, now, &mut actions);
+        self.sidecars[sidecar].flush(now, &mut actions);
+        for action in actions {
+            match action {
+                SidecarAction::Run(start) => {
+                    self.outcome.started_count += 1;
+                    let run_time = run_time(&start, SPEEDS_PERCENT[sidecar]);
+                    let start = Box::new(start);
+                    let event = BenchEvent::CallEnded {
+                        sidecar,
+                        start,
+                        run_time,
+                    };
+                    self.schedule(at + run_time, event);
+                }
+                SidecarAction::Send { peer, message } => {
+                    self.outcome.count(&message);
+                    let event = BenchEvent::ToEntry {
+                        entry: (peer - ENTRIES[0]) as usize,
+                        from: FIRST_SIDECAR + sidecar as u64,
+                        message,
+                    };
+                    self.schedule(at + DELAY, event);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn run_time(start: &Start, speed_percent: u32) -> Duration {
+    let bytes = start.payload.as_slice().try_into().expect("it has 8 bytes");
+    Duration::from_micros(u64::from_le_bytes(bytes)) * 100 / speed_percent
+}
+
+fn notice(number: usize) -> MinionNotice {
+    MinionNotice {
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 7_200).into(),
+        slots: SLOTS,
+        speed_hint_percent: SPEEDS_PERCENT[number],
+        state: MinionState::Serving,
+    }
+}
+
+fn announcement(number: usize) -> Announcement {
+    Announcement {
+        name: format!("sidecar-{number}"),
+        sidecar: FIRST_SIDECAR + number as u64,
+        link_address: ([127, 0, 0, 1], 7_001).into(),
+        http_address: ([127, 0, 0, 1], 7_000).into(),
+        service: SERVICE.to_owned(),
+        worker: format!("worker-{number}"),
+        failure_domain: "fd-1".to_owned(),
+        slots: SLOTS,
+        speed_hint_percent: SPEEDS_PERCENT[number],
+        state: MinionState::Serving,
+    }
+}
+
+impl BenchOutcome {
+    fn count(&mut self, message: &Message) {
+        match message {
+            Message::Start { .. } => self.start_count += 1,
+            Message::Reports { tasks, .. } => {
+                self.report_count += 1;
+                let bounced = tasks.iter().filter(|report| is_bounced(report));
+                self.bounced_count += bounced.count() as u64;
+            }
+            Message::Demands(_) => self.demand_count += 1,
+            Message::Slots { .. } => self.slot_count += 1,
+            Message::ReturnCredit(_) => self.return_count += 1,
+            _ => self.other_count += 1,
+        }
+    }
+
+    fn message_count(&self) -> u64 {
+        self.start_count
+            + self.report_count
+            + self.demand_count
+            + self.slot_count
+            + self.return_count
+            + self.other_count
+    }
+
+    /// Returns the messages for each started task, in thousandths.
+    pub(crate) fn messages_permille(&self) -> u64 {
+        self.message_count() * 1_000 / self.started_count.max(1)
+    }
+
+    /// Returns the bounced starts and returned credits, in per cent of all messages.
+    pub(crate) fn wasted_percent(&self) -> u64 {
+        (self.bounced_count + self.return_count) * 100 / self.message_count().max(1)
+    }
+
+    /// Returns how many jobs were answered complete.
+    pub(crate) fn complete_count(&self) -> usize {
+        self.complete.len()
+    }
+
+    fn of<'a>(&'a self, team: &'a str) -> impl Iterator<Item = &'a CompleteJob> {
+        self.complete.iter().filter(move |job| job.team == team)
+    }
+
+    /// Returns the responses of a team's jobs in per cent of their ideal.
+    pub(crate) fn ideal_percents(&self, team: &str) -> Vec<u128> {
+        self.of(team)
+            .map(|job| job.response.as_micros() * 100 / job.ideal.as_micros().max(1))
+            .collect()
+    }
+
+    /// Returns the responses of a team's jobs in milliseconds.
+    pub(crate) fn responses_ms(&self, team: &str) -> Vec<u128> {
+        self.of(team).map(|job| job.response.as_millis()).collect()
+    }
+
+    /// Returns the work of a team's complete jobs, in milliseconds on a minion of speed 1.
+    pub(crate) fn work_ms(&self, team: &str) -> u128 {
+        self.of(team).map(|job| job.work.as_millis()).sum()
+    }
+}
+
+fn is_bounced(report: &TaskReport) -> bool {
+    matches!(
+        report,
+        TaskReport::NotStarted {
+            reason: NotStarted::NoSlot,
+            ..
+        }
+    )
+}
--- a/knapweedrill/tests/support/mod.rs
+++ b/knapweedrill/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of them.
 #![allow(dead_code)]
 
+pub(crate) mod bench;
+
 use std::time::Duration;
 
 use knapweedrill::common::{Incarnation, JobId, TaskIndex};
--- a/knapweedrill_lab/src/load/report.rs
+++ b/knapweedrill_lab/src/load/report.rs
@@ -112,7 +112,7 @@
     pub relay_count: u64,
     /// Messages that keep sessions.
     pub upkeep_count: u64,
-    /// Messages that had no effect.
+    /// Starts that were not run, and messages that return credits.
     pub wasted_count: u64,
 }
 
--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -339,6 +339,14 @@
     }
 }
 
+/// Returns the tasks that were handed out and not started.
+fn bounced_count(counters: &CounterSums) -> u64 {
+    let started_count = counters.value("tasks.started");
+    counters
+        .value("tasks.handed_out")
+        .saturating_sub(started_count)
+}
+
 fn message_report(counters: &CounterSums) -> MessageReport {
     MessageReport {
         started_count: counters.value("tasks.started"),
@@ -351,7 +359,7 @@
         settle_count: counters.value("messages.settle"),
         relay_count: counters.value("messages.relay"),
         upkeep_count: counters.value("messages.upkeep"),
-        wasted_count: counters.value("messages.wasted"),
+        wasted_count: counters.value("messages.return_credit") + bounced_count(counters),
     }
 }
 
