--- a/knapweedrill_lab/src/harness/daemon_settings.rs
+++ b/knapweedrill_lab/src/harness/daemon_settings.rs
@@ -114,17 +114,17 @@
         writeln!(text, "[logging]\nlevel = info\nformat = json")
     }
 
-    /// Writes how tasks are placed; under early binding they queue at the sidecars.
+    /// Writes how tasks are placed, unless by default; under early binding they queue at the sidecars.
     fn write_policy(&self, text: &mut String) -> std::fmt::Result {
         match &self.role {
-            DaemonRole::Entry { .. } => {
+            DaemonRole::Entry { .. } if self.placement != PlacementPolicy::default() => {
                 let placement = policy_name(self.placement);
                 writeln!(text, "[policy]\nplacement = {placement}")
             }
             DaemonRole::Sidecar { .. } if !self.placement.is_late_binding() => {
                 writeln!(text, "[limits]\nprefetch_count = {EARLY_PREFETCH_COUNT}")
             }
-            DaemonRole::Sidecar { .. } => Ok(()),
+            DaemonRole::Entry { .. } | DaemonRole::Sidecar { .. } => Ok(()),
         }
     }
 }
