fix(link): give up earlier runs at the address of a peer

A sidecar that was started again at its old address had its sessions replaced about once a second: the entry went on dialling the lost incarnation for 30 s, and the hello of that dial fenced the session with the new one. Seen on separate processes on a busy machine (link.sessions_opened 9 in 25 s). The unit test shows that the earlier run is dialled no more; the processes have not been run again.

--- a/knapweedrill/src/link/table.rs
+++ b/knapweedrill/src/link/table.rs
@@ -74,7 +74,7 @@
     ///
     /// Calling it again with another address changes the address of later dials.
     pub fn want(&mut self, peer: WantedPeer, now: Instant) -> Vec<LinkAction> {
-        let mut actions = Vec::new();
+        let mut actions = self.unwant_predecessors(peer, now);
         if !self.own.dials(peer.incarnation, peer.role) {
             return actions;
         }
@@ -88,6 +88,24 @@
         actions
     }
 
+    /// Gives up earlier runs at the address of a peer, of which only one can listen.
+    ///
+    /// A hello that is meant for an earlier run would fence the session with the present one.
+    fn unwant_predecessors(&mut self, peer: WantedPeer, now: Instant) -> Vec<LinkAction> {
+        let predecessors: Vec<Incarnation> = self
+            .dials
+            .values()
+            .map(|dial| dial.peer)
+            .filter(|other| other.address == peer.address)
+            .filter(|other| other.incarnation != peer.incarnation)
+            .map(|other| other.incarnation)
+            .collect();
+        predecessors
+            .into_iter()
+            .flat_map(|predecessor| self.unwant(predecessor, now))
+            .collect()
+    }
+
     /// Closes the session with a peer that was wanted, and dials it no more.
     pub fn unwant(&mut self, peer: Incarnation, now: Instant) -> Vec<LinkAction> {
         let mut actions = Vec::new();
--- a/knapweedrill/tests/link_table.rs
+++ b/knapweedrill/tests/link_table.rs
@@ -337,3 +337,29 @@
     let actions = table.handle(outbound(2), now);
     assert!(matches!(actions[..], [LinkAction::Send { session: 2, .. }]));
 }
+
+#[test_case(Role::Sidecar, PEER + 1; "sidecar")]
+#[test_case(Role::Entry, PEER + 1; "entry that is dialled")]
+#[test_case(Role::Entry, 1; "entry that dials by itself")]
+fn an_earlier_run_at_the_address_is_dialled_no_more(role: Role, successor: Incarnation) {
+    let mut now = Instant::now();
+    let mut table = table(OWN, Role::Entry);
+    table.want(wanted(PEER, role), now);
+    table.handle(LinkTableEvent::DialFailed { address: address() }, now);
+    let actions = table.want(wanted(successor, role), now);
+    let is_dialler = successor > OWN;
+    assert_eq!(actions, if is_dialler { vec![dial()] } else { vec![] });
+    if is_dialler {
+        table.handle(outbound(1), now);
+        let actions = table.handle(said(1, hello(successor, role, 1)), now);
+        assert!(has_up(&actions));
+    }
+    for _ in 0..100 {
+        now += TICK;
+        if is_dialler {
+            table.handle(frame(1, 1, Message::Pong), now);
+        }
+        let actions = table.handle(LinkTableEvent::Tick, now);
+        assert!(!actions.contains(&dial()), "{actions:?}");
+    }
+}
