feat(metrics): tell what went over links and heartbeats, and test a partition and strangers

Counters of frames, bytes, refused connections and malformed input come from the wire in GET /v1/metrics. Links carry control and tasks alike, so only heartbeats are told apart from them.

--- a/knapweedrill_daemon/src/control/entry.rs
+++ b/knapweedrill_daemon/src/control/entry.rs
@@ -17,6 +17,7 @@
 use super::configuration::ConfigurationKeeper;
 use super::operator::PendingApply;
 use super::run::{Control, Progress};
+use super::traffic::publish_datagrams;
 use super::{ControlEvent, HttpCall, PeerEvent, Peers, Published, Replies};
 use crate::http::Responder;
 use crate::platform_log::{LogNews, LogRecord, LogWriter};
@@ -352,6 +353,8 @@
     }
 
     fn publish(&self) {
+        self.peers.publish_counts();
+        publish_datagrams(&self.metrics, &self.datagrams.counts());
         self.published
             .set(self.entry.owner_token(), self.entry.is_ready());
         let metrics = &self.metrics;
--- a/knapweedrill_daemon/src/control/mod.rs
+++ b/knapweedrill_daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod run;
 mod show;
 mod sidecar;
+mod traffic;
 
 pub use api_gate::{ApiGate, HttpCall};
 pub use configuration::ConfigurationKeeper;
--- a/knapweedrill_daemon/src/control/peers.rs
+++ b/knapweedrill_daemon/src/control/peers.rs
@@ -9,6 +9,7 @@
 use knapweedrill::message::{Frame, Message, Role};
 use knapweedrill_wire::{LinkEvent, Links};
 
+use super::traffic;
 use crate::telemetry::{Counter, Metrics, Timeline};
 
 /// What the links have brought.
@@ -119,6 +120,11 @@
         &self.links
     }
 
+    /// Publishes what went over the links.
+    pub fn publish_counts(&self) {
+        traffic::publish_links(&self.metrics, &self.links.counts(), &self.table.counts());
+    }
+
     fn carry_out(&mut self, actions: Vec<LinkAction>) -> Vec<PeerEvent> {
         actions
             .into_iter()
--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -14,6 +14,7 @@
 
 use super::configuration::{ConfigurationKeeper, configuration_reply};
 use super::run::{Control, Progress};
+use super::traffic::publish_datagrams;
 use super::{ControlEvent, HttpCall, PeerEvent, Peers, Published};
 use crate::http::{HttpReply, Responder};
 use crate::minion_calls::{CallEnd, CallPool, MinionCall};
@@ -266,6 +267,8 @@
     }
 
     fn publish(&self, now: Instant) {
+        self.peers.publish_counts();
+        publish_datagrams(&self.metrics, &self.datagrams.counts());
         self.published
             .set(None, self.configuration.version().is_some());
         let report = self.sidecar.slot_report(now);
--- a/knapweedrill_daemon/src/telemetry/counter.rs
+++ b/knapweedrill_daemon/src/telemetry/counter.rs
@@ -108,6 +108,18 @@
     FramesFenced = "link.frames_fenced",
     /// Frames that could not be decoded.
     FramesMalformed = "link.frames_malformed",
+    /// Frames that were sent.
+    FramesSent = "link.frames_sent",
+    /// Frames that were received and decoded.
+    FramesReceived = "link.frames_received",
+    /// Bytes of frames that were sent, of control and of tasks.
+    LinkBytesSent = "link.bytes_sent",
+    /// Inbound connections that were refused since there were too many.
+    ConnectionsRefused = "link.connections_refused",
+    /// Bytes of heartbeats that were sent.
+    DatagramBytesSent = "membership.bytes_sent",
+    /// Bytes of datagrams that were received, of malformed ones too.
+    DatagramBytesReceived = "membership.bytes_received",
     /// Datagrams that could not be decoded.
     DatagramsMalformed = "membership.datagrams_malformed",
     /// Datagrams that were older than what had been received.
--- a/knapweedrill_daemon/src/telemetry/metrics.rs
+++ b/knapweedrill_daemon/src/telemetry/metrics.rs
@@ -44,6 +44,11 @@
         self.counters[counter as usize].fetch_add(n, Ordering::Relaxed);
     }
 
+    /// Raises a counter to a total that is counted elsewhere; it never falls.
+    pub fn raise_to(&self, counter: Counter, total: u64) {
+        self.counters[counter as usize].fetch_max(total, Ordering::Relaxed);
+    }
+
     /// Returns the value of a counter.
     pub fn counter(&self, counter: Counter) -> u64 {
         self.counters[counter as usize].load(Ordering::Relaxed)
--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -48,8 +48,12 @@
     DatagramsDisturbed,
     /// A stranger sends malformed frames and datagrams.
     Stranger,
-    /// A minion fails everything.
+    /// Processes are parted from each other; an operator applies meanwhile.
+    Partition,
+    /// A minion of 8 slots fails everything.
     MinionFailsEverything,
+    /// A minion of 4 slots fails everything.
+    SmallMinionFailsEverything,
     /// A minion never answers.
     MinionNeverAnswers,
     /// A minion answers after the deadline.
@@ -62,7 +66,7 @@
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::EntryKilled,
         Self::EntryKilledBeforeStart,
         Self::LogDown,
@@ -79,7 +83,9 @@
         Self::MinionSilent,
         Self::DatagramsDisturbed,
         Self::Stranger,
+        Self::Partition,
         Self::MinionFailsEverything,
+        Self::SmallMinionFailsEverything,
         Self::MinionNeverAnswers,
         Self::MinionAnswersLate,
         Self::MinionBreaksOff,
@@ -105,7 +111,9 @@
             Self::MinionSilent => "minion-silent",
             Self::DatagramsDisturbed => "datagrams-disturbed",
             Self::Stranger => "stranger",
+            Self::Partition => "partition",
             Self::MinionFailsEverything => "minion-fails-everything",
+            Self::SmallMinionFailsEverything => "small-minion-fails-everything",
             Self::MinionNeverAnswers => "minion-never-answers",
             Self::MinionAnswersLate => "minion-answers-late",
             Self::MinionBreaksOff => "minion-breaks-off",
@@ -140,7 +148,10 @@
             Self::MinionSilent => network::minion_silent::run(self, seed),
             Self::DatagramsDisturbed => network::datagrams_disturbed::run(self, seed),
             Self::Stranger => network::stranger::run(self, seed),
-            Self::MinionFailsEverything => minion::fails_everything::run(self, seed),
+            Self::MinionFailsEverything => minion::fails_everything::run(self, seed, 8),
+            Self::SmallMinionFailsEverything => minion::fails_everything::run(self, seed, 4),
+            Self::Partition => network::partition::run(self, seed),
+
             Self::MinionNeverAnswers => minion::never_answers::run(self, seed),
             Self::MinionAnswersLate => minion::answers_late::run(self, seed),
             Self::MinionBreaksOff => minion::breaks_off::run(self, seed),
--- a/knapweedrill_lab/src/faults/minion/fails_everything.rs
+++ b/knapweedrill_lab/src/faults/minion/fails_everything.rs
@@ -13,7 +13,6 @@
 use crate::wall_clock::wall_us;
 
 const WARM_UP: Duration = Duration::from_millis(1500);
-const SLOT_COUNT: u32 = 4;
 /// How many times its slots a minion that fails everything may start before it is ejected.
 const STARTS_FACTOR: u32 = 3;
 /// Shorter than the first ejection.
@@ -21,10 +20,10 @@
 const AFTERMATH: Duration = Duration::from_secs(3);
 const VICTIM: usize = 0;
 
-pub(in crate::faults) fn run(case: FaultCase, seed: Seed) -> Result<FaultReport> {
+pub(in crate::faults) fn run(case: FaultCase, seed: Seed, slot_count: u32) -> Result<FaultReport> {
     let cluster = ClusterBuilder::new()
         .entries(2)
-        .minions(3, &MinionSpec::new().slots(SLOT_COUNT));
+        .minions(3, &MinionSpec::new().slots(slot_count));
     let mut run = FaultRun::start(case, seed, cluster)?;
     run.start_callers(&CallPlan::new(), WARM_UP);
     let failing_since_us = wall_us();
@@ -48,7 +47,7 @@
         .count();
     let mut report = run.finish()?;
     report.expect(
-        early_count <= (STARTS_FACTOR * SLOT_COUNT) as usize,
+        early_count <= (STARTS_FACTOR * slot_count) as usize,
         format!("the minion is ejected soon; it started {early_count} tasks before"),
     );
     report.expect(
--- a/knapweedrill_lab/src/faults/network/mod.rs
+++ b/knapweedrill_lab/src/faults/network/mod.rs
@@ -5,4 +5,5 @@
 pub(super) mod link_held;
 pub(super) mod link_silent;
 pub(super) mod minion_silent;
+pub(super) mod partition;
 pub(super) mod stranger;
--- a/knapweedrill_lab/src/faults/network/stranger.rs
+++ b/knapweedrill_lab/src/faults/network/stranger.rs
@@ -11,7 +11,7 @@
 
 use crate::faults::fault_case::Seed;
 use crate::faults::{CallPlan, FaultCase, FaultReport, FaultRun};
-use crate::harness::{ClusterBuilder, MinionSpec};
+use crate::harness::{ClusterBuilder, EntryApi, MinionSpec};
 
 const WARM_UP: Duration = Duration::from_millis(500);
 const ROUND_COUNT: u32 = 100;
@@ -36,8 +36,26 @@
         .chain(minions.map(|minion| minion.link_address()))
         .collect();
     disturb(&targets, seed)?;
+    let entries = run.cluster.entries().iter().map(|entry| entry.api());
+    let minions = run.cluster.minions().iter();
+    let apis: Vec<EntryApi> = entries
+        .chain(minions.map(|minion| minion.sidecar_api()))
+        .collect();
+    let mut counts = Vec::new();
+    for api in apis {
+        let frame_count = api.counter("link.frames_malformed")?;
+        let datagram_count = api.counter("membership.datagrams_malformed")?;
+        counts.push((frame_count, datagram_count));
+    }
     let mut report = run.finish()?;
     report.expect_all_complete();
+    let are_counted = counts
+        .iter()
+        .all(|(frame_count, datagram_count)| *frame_count > 0 && *datagram_count > 0);
+    report.expect(
+        are_counted,
+        format!("all count malformed frames and datagrams; they counted {counts:?}"),
+    );
     Ok(report)
 }
 
--- a/knapweedrill_lab/src/harness/entry_api.rs
+++ b/knapweedrill_lab/src/harness/entry_api.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eyre::{Result, WrapErr, ensure};
+use eyre::{Result, WrapErr, ensure, eyre};
 use knapweedrill::api::{ApiCall, ApplyAnswer, ConfigurationAnswer, Parent};
 use knapweedrill::contract::OwnerToken;
 use knapweedrill_derive::message;
 
 use super::http_call::{self, CALL_TIMEOUT, HttpAnswer};
-use super::{JobAnswer, JobRequest};
+use super::{JobAnswer, JobRequest, MetricsAnswer};
 
 const OWNER_HEADER: &str = "Knapweedrill-Owner";
 /// Longer than an entry looks for a record whose answer was lost.
@@ -137,6 +137,17 @@
         self.get("/v1/configuration")?.json()
     }
 
+    /// Returns the value of a counter of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer or no such counter.
+    pub fn counter(&self, name: &str) -> Result<u64> {
+        let metrics: MetricsAnswer = self.get("/v1/metrics")?.success_json()?;
+        let value = metrics.counter(name);
+        value.ok_or_else(|| eyre!("there is no counter {name}"))
+    }
+
     /// Applies a configuration whole and expects it to be accepted.
     ///
     /// # Errors
--- a/knapweedrill_lab/tests/faults_network.rs
+++ b/knapweedrill_lab/tests/faults_network.rs
@@ -10,6 +10,7 @@
 #[test_case(FaultCase::MinionSilent, 1)]
 #[test_case(FaultCase::DatagramsDisturbed, 1)]
 #[test_case(FaultCase::Stranger, 1)]
+#[test_case(FaultCase::Partition, 1)]
 fn the_network_fails(case: FaultCase, seed: u64) {
     let report = case.run(seed).expect("the case can be carried out");
     assert!(report.is_passed(), "{report}");
