fix(daemon): let a call of the minion never wait for another

Cause: a thread of the pool took a call from the queue before it counted itself as busy. A call that began in between found the thread idle and the queue empty, so no thread was added, and it waited for the end of the first call, up to its deadline.

Ruled out: a thread for each call, which costs a thread's start for each task; counting on the thread before it receives, since a thread that waits is what 'idle' means.

Change: whoever begins a call takes the idle thread, in one atomic step.

--- a/knapweedrill_daemon/src/minion_calls/pool.rs
+++ b/knapweedrill_daemon/src/minion_calls/pool.rs
@@ -43,7 +43,7 @@
     ///
     /// Fails if a thread is needed and none can be started; then the call is not made.
     pub fn begin(&self, call: MinionCall) -> eyre::Result<()> {
-        if self.idle_count.load(Ordering::Acquire) <= self.calls.len() {
+        if !self.reserve_idle_thread() {
             self.add_thread()?;
         }
         self.calls
@@ -51,16 +51,27 @@
             .map_err(|_| eyre::eyre!("the queue of calls is closed"))
     }
 
+    /// Takes an idle thread for the next call, and returns whether there was one.
+    ///
+    /// The caller takes it, and not the thread itself once it runs: a call that begins in between
+    /// would count on the same thread, and wait for the end of the first call.
+    fn reserve_idle_thread(&self) -> bool {
+        let reserve = |idle_count: usize| idle_count.checked_sub(1);
+        let reserved = self
+            .idle_count
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, reserve);
+        reserved.is_ok()
+    }
+
+    /// Adds a thread that is reserved for the next call.
     fn add_thread(&self) -> eyre::Result<()> {
         let queue = self.queue.clone();
         let idle_count = Arc::clone(&self.idle_count);
         let on_end = Arc::clone(&self.on_end);
-        idle_count.fetch_add(1, Ordering::AcqRel);
         thread::Builder::new()
             .name("minion-call".into())
             .spawn(move || {
                 for call in queue {
-                    idle_count.fetch_sub(1, Ordering::AcqRel);
                     let end = call.run();
                     idle_count.fetch_add(1, Ordering::AcqRel);
                     on_end(call.start.task, call.start.attempt, end);
