--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -7,7 +7,7 @@
 use knapweedrill_derive::key;
 
 use super::network::link_silent::SilentLinks;
-use super::{FaultReport, entry, log, minion, network};
+use super::{FaultReport, entry, log, minion, network, sidecar, wave};
 
 /// Seeds the random choices of a run.
 pub type Seed = u64;
@@ -62,11 +62,35 @@
     MinionBreaksOff,
     /// The slots of a minion are suddenly fewer.
     MinionFewerSlots,
+    /// An entry stops as planned.
+    EntryStopped,
+    /// All entries are replaced one after another.
+    EntriesReplaced,
+    /// A sidecar stops as planned.
+    SidecarStopped,
+    /// An upstream leaves.
+    UpstreamLeaves,
+    /// A sidecar is killed.
+    SidecarKilled,
+    /// A minion is killed.
+    MinionKilled,
+    /// A sidecar and its minion are killed.
+    SidecarAndMinionKilled,
+    /// An entry stands still for longer than every timeout.
+    EntryFrozen,
+    /// A sidecar stands still for longer than every timeout.
+    SidecarFrozen,
+    /// A minion stands still for longer than every timeout.
+    MinionFrozen,
+    /// Callers cancel most of their jobs.
+    CancellationWave,
+    /// Running jobs are submitted again many times at once.
+    ResubmissionWave,
 }
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 35] = [
         Self::EntryKilled,
         Self::EntryKilledBeforeStart,
         Self::LogDown,
@@ -90,6 +114,18 @@
         Self::MinionAnswersLate,
         Self::MinionBreaksOff,
         Self::MinionFewerSlots,
+        Self::EntryStopped,
+        Self::EntriesReplaced,
+        Self::SidecarStopped,
+        Self::UpstreamLeaves,
+        Self::SidecarKilled,
+        Self::MinionKilled,
+        Self::SidecarAndMinionKilled,
+        Self::EntryFrozen,
+        Self::SidecarFrozen,
+        Self::MinionFrozen,
+        Self::CancellationWave,
+        Self::ResubmissionWave,
     ];
 
     /// Returns the name of the case.
@@ -118,6 +154,18 @@
             Self::MinionAnswersLate => "minion-answers-late",
             Self::MinionBreaksOff => "minion-breaks-off",
             Self::MinionFewerSlots => "minion-fewer-slots",
+            Self::EntryStopped => "entry-stopped",
+            Self::EntriesReplaced => "entries-replaced",
+            Self::SidecarStopped => "sidecar-stopped",
+            Self::UpstreamLeaves => "upstream-leaves",
+            Self::SidecarKilled => "sidecar-killed",
+            Self::MinionKilled => "minion-killed",
+            Self::SidecarAndMinionKilled => "sidecar-and-minion-killed",
+            Self::EntryFrozen => "entry-frozen",
+            Self::SidecarFrozen => "sidecar-frozen",
+            Self::MinionFrozen => "minion-frozen",
+            Self::CancellationWave => "cancellation-wave",
+            Self::ResubmissionWave => "resubmission-wave",
         }
     }
 
@@ -151,11 +199,22 @@
             Self::MinionFailsEverything => minion::fails_everything::run(self, seed, 8),
             Self::SmallMinionFailsEverything => minion::fails_everything::run(self, seed, 4),
             Self::Partition => network::partition::run(self, seed),
-
             Self::MinionNeverAnswers => minion::never_answers::run(self, seed),
             Self::MinionAnswersLate => minion::answers_late::run(self, seed),
             Self::MinionBreaksOff => minion::breaks_off::run(self, seed),
             Self::MinionFewerSlots => minion::fewer_slots::run(self, seed),
+            Self::EntryStopped => entry::stopped::run(self, seed),
+            Self::EntriesReplaced => entry::replaced::run(self, seed),
+            Self::SidecarStopped => sidecar::stopped::run(self, seed),
+            Self::UpstreamLeaves => sidecar::leaving::run(self, seed),
+            Self::SidecarKilled => sidecar::killed::run_sidecar(self, seed),
+            Self::MinionKilled => sidecar::killed::run_minion(self, seed),
+            Self::SidecarAndMinionKilled => sidecar::killed::run_both(self, seed),
+            Self::EntryFrozen => entry::frozen::run(self, seed),
+            Self::SidecarFrozen => sidecar::frozen::run_sidecar(self, seed),
+            Self::MinionFrozen => sidecar::frozen::run_minion(self, seed),
+            Self::CancellationWave => wave::cancellations::run(self, seed),
+            Self::ResubmissionWave => wave::resubmissions::run(self, seed),
         }
     }
 }
--- a/knapweedrill_lab/src/faults/fault_report.rs
+++ b/knapweedrill_lab/src/faults/fault_report.rs
@@ -5,8 +5,7 @@
 
 use knapweedrill_derive::{message, value};
 
-use super::FaultCase;
-use super::fault_case::Seed;
+use super::{FaultCase, Seed};
 use crate::checker::{CallerAnswer, History, Report, Submission, check};
 use crate::harness::JobOutcome;
 
@@ -71,6 +70,24 @@
         self.expect(is_complete, counts);
     }
 
+    /// Notes a job that did not end complete although the case expects it to.
+    pub fn expect_complete(&mut self, what: &str, outcome: Option<JobOutcome>) {
+        let is_complete = outcome == Some(JobOutcome::Complete);
+        self.expect(is_complete, format!("{what} is complete, not {outcome:?}"));
+    }
+
+    /// Notes it if a submission failed or was not answered.
+    pub fn expect_no_failure(&mut self) {
+        let failures: Vec<String> = self
+            .outcome_counts
+            .iter()
+            .filter(|(outcome, _)| outcome.starts_with("Failed") || *outcome == "unanswered")
+            .map(|(outcome, count)| format!("{count} {outcome}"))
+            .collect();
+        let text = format!("no submission fails: {}", failures.join(", "));
+        self.expect(failures.is_empty(), text);
+    }
+
     /// Returns whether no rule was broken and every expectation was met.
     pub fn is_passed(&self) -> bool {
         self.report.is_clean() && self.unmet.is_empty()
--- a/knapweedrill_lab/src/faults/mod.rs
+++ b/knapweedrill_lab/src/faults/mod.rs
@@ -12,9 +12,15 @@
 mod log;
 mod minion;
 mod network;
+mod probe;
+mod sidecar;
+mod wave;
 
 pub use call_plan::CallPlan;
 pub use callers::Callers;
 pub use fault_case::{FaultCase, Seed};
 pub use fault_report::FaultReport;
 pub use fault_run::FaultRun;
+
+/// How long a process stands still: longer than every timeout of the system.
+const FREEZE: std::time::Duration = std::time::Duration::from_secs(8);
