--- a/knapweedrill_lab/src/faults/fault_run.rs
+++ b/knapweedrill_lab/src/faults/fault_run.rs
@@ -268,15 +268,15 @@
 
 /// Returns the name of an entry.
 pub(super) fn entry_name(number: usize) -> ProcessName {
-    format!("entry-{number}").into()
+    format!("entry-{number}")
 }
 
 /// Returns the name of a minion.
 pub(super) fn minion_name(number: usize) -> ProcessName {
-    format!("minion-{number}").into()
+    format!("minion-{number}")
 }
 
 /// Returns the name of a sidecar.
 pub(super) fn sidecar_name(number: usize) -> ProcessName {
-    format!("sidecar-{number}").into()
+    format!("sidecar-{number}")
 }
