--- a/knapweedrill_daemon/src/telemetry/counter.rs
+++ b/knapweedrill_daemon/src/telemetry/counter.rs
@@ -148,6 +148,8 @@
     FramesFenced = "link.frames_fenced",
     /// Frames that could not be decoded.
     FramesMalformed = "link.frames_malformed",
+    /// Inbound connections that were refused since there were too many.
+    ConnectionsRefused = "link.connections_refused",
     /// Datagrams that could not be decoded.
     DatagramsMalformed = "membership.datagrams_malformed",
     /// Datagrams that were older than what had been received.
--- a/knapweedrill_daemon/src/telemetry/traffic.rs
+++ b/knapweedrill_daemon/src/telemetry/traffic.rs
@@ -37,8 +37,12 @@
         control.frames_received_count,
     );
     metrics.raise(Counter::ControlBytesReceived, control.bytes_received_count);
-    let malformed_count = links.counts().frames_malformed_count;
-    metrics.raise(Counter::FramesMalformed, malformed_count);
+    let counts = links.counts();
+    metrics.raise(Counter::FramesMalformed, counts.frames_malformed_count);
+    metrics.raise(
+        Counter::ConnectionsRefused,
+        counts.connections_refused_count,
+    );
 }
 
 /// Publishes what became of the sessions of a process.
--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -20,30 +20,6 @@
     EntryKilled,
     /// An entry is killed that has not handed out anything of a job.
     EntryKilledBeforeStart,
-    /// An entry stops as planned.
-    EntryStopped,
-    /// All entries are replaced one after another.
-    EntriesReplaced,
-    /// A sidecar stops as planned.
-    SidecarStopped,
-    /// An upstream leaves.
-    UpstreamLeaves,
-    /// A sidecar is killed.
-    SidecarKilled,
-    /// A minion is killed.
-    MinionKilled,
-    /// A sidecar and its minion are killed.
-    SidecarAndMinionKilled,
-    /// An entry stands still for longer than every timeout.
-    EntryFrozen,
-    /// A sidecar stands still for longer than every timeout.
-    SidecarFrozen,
-    /// A minion stands still for longer than every timeout.
-    MinionFrozen,
-    /// Callers cancel most of their jobs.
-    CancellationWave,
-    /// Running jobs are submitted again many times at once.
-    ResubmissionWave,
     /// The log is down; an entry starts and operators apply meanwhile.
     LogDown,
     /// The log is down while the only entry is replaced.
@@ -72,8 +48,12 @@
     DatagramsDisturbed,
     /// A stranger sends malformed frames and datagrams.
     Stranger,
-    /// A minion fails everything.
+    /// Processes are parted from each other; an operator applies meanwhile.
+    Partition,
+    /// A minion of 8 slots fails everything.
     MinionFailsEverything,
+    /// A minion of 4 slots fails everything.
+    SmallMinionFailsEverything,
     /// A minion never answers.
     MinionNeverAnswers,
     /// A minion answers after the deadline.
@@ -82,25 +62,37 @@
     MinionBreaksOff,
     /// The slots of a minion are suddenly fewer.
     MinionFewerSlots,
+    /// An entry stops as planned.
+    EntryStopped,
+    /// All entries are replaced one after another.
+    EntriesReplaced,
+    /// A sidecar stops as planned.
+    SidecarStopped,
+    /// An upstream leaves.
+    UpstreamLeaves,
+    /// A sidecar is killed.
+    SidecarKilled,
+    /// A minion is killed.
+    MinionKilled,
+    /// A sidecar and its minion are killed.
+    SidecarAndMinionKilled,
+    /// An entry stands still for longer than every timeout.
+    EntryFrozen,
+    /// A sidecar stands still for longer than every timeout.
+    SidecarFrozen,
+    /// A minion stands still for longer than every timeout.
+    MinionFrozen,
+    /// Callers cancel most of their jobs.
+    CancellationWave,
+    /// Running jobs are submitted again many times at once.
+    ResubmissionWave,
 }
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 35] = [
         Self::EntryKilled,
         Self::EntryKilledBeforeStart,
-        Self::EntryStopped,
-        Self::EntriesReplaced,
-        Self::SidecarStopped,
-        Self::UpstreamLeaves,
-        Self::SidecarKilled,
-        Self::MinionKilled,
-        Self::SidecarAndMinionKilled,
-        Self::EntryFrozen,
-        Self::SidecarFrozen,
-        Self::MinionFrozen,
-        Self::CancellationWave,
-        Self::ResubmissionWave,
         Self::LogDown,
         Self::LogDownWithoutPeers,
         Self::LogSlow,
@@ -115,11 +107,25 @@
         Self::MinionSilent,
         Self::DatagramsDisturbed,
         Self::Stranger,
+        Self::Partition,
         Self::MinionFailsEverything,
+        Self::SmallMinionFailsEverything,
         Self::MinionNeverAnswers,
         Self::MinionAnswersLate,
         Self::MinionBreaksOff,
         Self::MinionFewerSlots,
+        Self::EntryStopped,
+        Self::EntriesReplaced,
+        Self::SidecarStopped,
+        Self::UpstreamLeaves,
+        Self::SidecarKilled,
+        Self::MinionKilled,
+        Self::SidecarAndMinionKilled,
+        Self::EntryFrozen,
+        Self::SidecarFrozen,
+        Self::MinionFrozen,
+        Self::CancellationWave,
+        Self::ResubmissionWave,
     ];
 
     /// Returns the name of the case.
@@ -127,18 +133,6 @@
         match self {
             Self::EntryKilled => "entry-killed",
             Self::EntryKilledBeforeStart => "entry-killed-before-start",
-            Self::EntryStopped => "entry-stopped",
-            Self::EntriesReplaced => "entries-replaced",
-            Self::SidecarStopped => "sidecar-stopped",
-            Self::UpstreamLeaves => "upstream-leaves",
-            Self::SidecarKilled => "sidecar-killed",
-            Self::MinionKilled => "minion-killed",
-            Self::SidecarAndMinionKilled => "sidecar-and-minion-killed",
-            Self::EntryFrozen => "entry-frozen",
-            Self::SidecarFrozen => "sidecar-frozen",
-            Self::MinionFrozen => "minion-frozen",
-            Self::CancellationWave => "cancellation-wave",
-            Self::ResubmissionWave => "resubmission-wave",
             Self::LogDown => "log-down",
             Self::LogDownWithoutPeers => "log-down-without-peers",
             Self::LogSlow => "log-slow",
@@ -153,11 +147,25 @@
             Self::MinionSilent => "minion-silent",
             Self::DatagramsDisturbed => "datagrams-disturbed",
             Self::Stranger => "stranger",
+            Self::Partition => "partition",
             Self::MinionFailsEverything => "minion-fails-everything",
+            Self::SmallMinionFailsEverything => "small-minion-fails-everything",
             Self::MinionNeverAnswers => "minion-never-answers",
             Self::MinionAnswersLate => "minion-answers-late",
             Self::MinionBreaksOff => "minion-breaks-off",
             Self::MinionFewerSlots => "minion-fewer-slots",
+            Self::EntryStopped => "entry-stopped",
+            Self::EntriesReplaced => "entries-replaced",
+            Self::SidecarStopped => "sidecar-stopped",
+            Self::UpstreamLeaves => "upstream-leaves",
+            Self::SidecarKilled => "sidecar-killed",
+            Self::MinionKilled => "minion-killed",
+            Self::SidecarAndMinionKilled => "sidecar-and-minion-killed",
+            Self::EntryFrozen => "entry-frozen",
+            Self::SidecarFrozen => "sidecar-frozen",
+            Self::MinionFrozen => "minion-frozen",
+            Self::CancellationWave => "cancellation-wave",
+            Self::ResubmissionWave => "resubmission-wave",
         }
     }
 
@@ -170,18 +178,6 @@
         match self {
             Self::EntryKilled => entry::killed::run(self, seed),
             Self::EntryKilledBeforeStart => entry::killed_before_start::run(self, seed),
-            Self::EntryStopped => entry::stopped::run(self, seed),
-            Self::EntriesReplaced => entry::replaced::run(self, seed),
-            Self::SidecarStopped => sidecar::stopped::run(self, seed),
-            Self::UpstreamLeaves => sidecar::leaving::run(self, seed),
-            Self::SidecarKilled => sidecar::killed::run_sidecar(self, seed),
-            Self::MinionKilled => sidecar::killed::run_minion(self, seed),
-            Self::SidecarAndMinionKilled => sidecar::killed::run_both(self, seed),
-            Self::EntryFrozen => entry::frozen::run(self, seed),
-            Self::SidecarFrozen => sidecar::frozen::run_sidecar(self, seed),
-            Self::MinionFrozen => sidecar::frozen::run_minion(self, seed),
-            Self::CancellationWave => wave::cancellations::run(self, seed),
-            Self::ResubmissionWave => wave::resubmissions::run(self, seed),
             Self::LogDown => log::down::run(self, seed),
             Self::LogDownWithoutPeers => log::down_without_peers::run(self, seed),
             Self::LogSlow => log::slow::run(self, seed),
@@ -200,11 +196,25 @@
             Self::MinionSilent => network::minion_silent::run(self, seed),
             Self::DatagramsDisturbed => network::datagrams_disturbed::run(self, seed),
             Self::Stranger => network::stranger::run(self, seed),
-            Self::MinionFailsEverything => minion::fails_everything::run(self, seed),
+            Self::MinionFailsEverything => minion::fails_everything::run(self, seed, 8),
+            Self::SmallMinionFailsEverything => minion::fails_everything::run(self, seed, 4),
+            Self::Partition => network::partition::run(self, seed),
             Self::MinionNeverAnswers => minion::never_answers::run(self, seed),
             Self::MinionAnswersLate => minion::answers_late::run(self, seed),
             Self::MinionBreaksOff => minion::breaks_off::run(self, seed),
             Self::MinionFewerSlots => minion::fewer_slots::run(self, seed),
+            Self::EntryStopped => entry::stopped::run(self, seed),
+            Self::EntriesReplaced => entry::replaced::run(self, seed),
+            Self::SidecarStopped => sidecar::stopped::run(self, seed),
+            Self::UpstreamLeaves => sidecar::leaving::run(self, seed),
+            Self::SidecarKilled => sidecar::killed::run_sidecar(self, seed),
+            Self::MinionKilled => sidecar::killed::run_minion(self, seed),
+            Self::SidecarAndMinionKilled => sidecar::killed::run_both(self, seed),
+            Self::EntryFrozen => entry::frozen::run(self, seed),
+            Self::SidecarFrozen => sidecar::frozen::run_sidecar(self, seed),
+            Self::MinionFrozen => sidecar::frozen::run_minion(self, seed),
+            Self::CancellationWave => wave::cancellations::run(self, seed),
+            Self::ResubmissionWave => wave::resubmissions::run(self, seed),
         }
     }
 }
