refactor(entry): name what a submission and an attempt are made of

Cause: four functions of the entry took eight arguments each, and submit.rs held the end of jobs as well as their start. Ruled out: one context of time and actions passed to every function, which would touch every file while two of them change for other reasons.

--- a/knapweedrill/src/entry/submit.rs
+++ b/knapweedrill/src/entry/submit.rs
@@ -10,12 +10,14 @@
 use crate::job::{Failure, JobSpec, Refusal, TaskId};
 use crate::message::KeptState;
 
+use super::admission::AdmissionRefusal;
 use super::core::Entry;
 use super::key_table::Lookup;
 use super::live_job::{LiveJob, LiveTask, LiveTaskState, Waiter};
 use super::queue::QueuedTask;
+use super::submission::Submission;
 use super::timers::Timer;
-use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, EntryTimer, Requester};
+use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, Requester};
 
 /// When a caller may try again whose service has no minion or whose entry is stopping.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -33,7 +35,17 @@
         match request {
             CallerRequest::Submit {
                 token, spec, wait, ..
-            } => self.submit(requester, token, job, spec, wait, now, actions),
+            } => {
+                let submission = Submission {
+                    requester,
+                    token,
+                    job,
+                    content_hash: spec.content_hash(),
+                    spec,
+                    wait,
+                };
+                self.submit(submission, now, actions);
+            }
             CallerRequest::Status { token, wait, .. } => {
                 let response = self.known_response(token, job, None);
                 match response {
@@ -51,27 +63,22 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn submit(
-        &mut self,
-        requester: Requester,
-        token: OwnerToken,
-        job: JobId,
-        spec: JobSpec,
-        wait: Duration,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let content_hash = spec.content_hash();
+    fn submit(&mut self, submission: Submission, now: Instant, actions: &mut Vec<EntryAction>) {
+        let Submission {
+            requester,
+            token,
+            job,
+            content_hash,
+            wait,
+            ..
+        } = submission;
         match self.known_response(token, job, Some(content_hash)) {
             None => {
                 actions.push(EntryAction::Count(EntryCounter::JobAttached));
                 actions.push(EntryAction::Record(EventKind::JobAttached { job }));
                 self.attach(requester, job, wait, now, actions);
             }
-            Some(CallerResponse::Unknown) => {
-                self.submit_new(requester, token, job, spec, wait, now, actions);
-            }
+            Some(CallerResponse::Unknown) => self.submit_new(submission, now, actions),
             Some(response) => self.respond(requester, response, actions),
         }
     }
@@ -120,35 +127,27 @@
         self.timers.set(until, Timer::Wait { job, requester });
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn submit_new(
-        &mut self,
-        requester: Requester,
-        token: OwnerToken,
-        job: JobId,
-        spec: JobSpec,
-        wait: Duration,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        if let Err(message) = self.check_spec(&spec) {
-            self.respond(requester, CallerResponse::Invalid { message }, actions);
+    fn submit_new(&mut self, submission: Submission, now: Instant, actions: &mut Vec<EntryAction>) {
+        if let Err(message) = self.check_spec(&submission.spec) {
+            let response = CallerResponse::Invalid { message };
+            self.respond(submission.requester, response, actions);
             return;
         }
-        let content_hash = spec.content_hash();
-        if let Some((refusal, retry_after)) = self.refusal(&spec, token.generation) {
-            self.refuse(
-                requester,
-                token.generation,
-                job,
-                content_hash,
-                refusal,
-                retry_after,
-                now,
-                actions,
-            );
-            return;
+        match self.refusal(&submission.spec, submission.token.generation) {
+            Some(refused) => self.refuse(&submission, refused, now, actions),
+            None => self.accept(submission, now, actions),
         }
+    }
+
+    fn accept(&mut self, submission: Submission, now: Instant, actions: &mut Vec<EntryAction>) {
+        let Submission {
+            requester,
+            token,
+            job,
+            spec,
+            content_hash,
+            wait,
+        } = submission;
         self.keys.begin(token.generation, job, content_hash, now);
         actions.push(EntryAction::Count(EntryCounter::JobAccepted));
         actions.push(EntryAction::Record(EventKind::JobAccepted {
@@ -165,27 +164,25 @@
     }
 
     /// Refuses a job, and keeps the refusal, so that a second copy of the request is not run.
-    #[allow(clippy::too_many_arguments)]
     fn refuse(
         &mut self,
-        requester: Requester,
-        generation: Generation,
-        job: JobId,
-        content_hash: u64,
-        refusal: Refusal,
-        retry_after: Option<Duration>,
+        submission: &Submission,
+        refused: AdmissionRefusal,
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
+        let job = submission.job;
+        let generation = submission.token.generation;
+        let refusal = refused.refusal;
         let state = KeptState::NotRun {
             refusal,
-            retry_after,
+            retry_after: refused.retry_after,
         };
         self.keys
-            .insert(generation, job, content_hash, state.clone(), now);
+            .insert(generation, job, submission.content_hash, state.clone(), now);
         actions.push(EntryAction::Count(EntryCounter::JobNotRun));
         actions.push(EntryAction::Record(EventKind::JobNotRun { job, refusal }));
-        self.respond(requester, state.into(), actions);
+        self.respond(submission.requester, state.into(), actions);
     }
 
     /// Checks what the configuration has to say about a job.
@@ -225,34 +222,37 @@
     }
 
     /// Returns why a well-formed job cannot be taken now, if so.
-    fn refusal(
-        &self,
-        spec: &JobSpec,
-        generation: Generation,
-    ) -> Option<(Refusal, Option<Duration>)> {
+    fn refusal(&self, spec: &JobSpec, generation: Generation) -> Option<AdmissionRefusal> {
+        let refuse = |refusal, retry_after| {
+            Some(AdmissionRefusal {
+                refusal,
+                retry_after: Some(retry_after),
+            })
+        };
         if self.version.is_none() {
-            return Some((Refusal::NotReady, Some(RETRY_AFTER)));
+            return refuse(Refusal::NotReady, RETRY_AFTER);
         }
         if self.stopping.is_some() {
-            return Some((Refusal::ShuttingDown, Some(Duration::ZERO)));
+            return refuse(Refusal::ShuttingDown, Duration::ZERO);
         }
         let service = &self.configuration.kind(&spec.kind)?.service;
         if !self.has_sidecar(service) {
-            return Some((Refusal::NoMinion, Some(RETRY_AFTER)));
+            return refuse(Refusal::NoMinion, RETRY_AFTER);
         }
         if !self.has_sidecar_for(service, generation) {
-            return Some((Refusal::TokenNeeded, Some(Duration::ZERO)));
+            return refuse(Refusal::TokenNeeded, Duration::ZERO);
         }
         self.overload(service, spec)
-            .map(|refused| (refused.refusal, refused.retry_after))
     }
 
+    /// Returns the class that a job is treated as.
     pub(super) fn class_of(&self, spec: &JobSpec) -> Class {
         spec.class
             .or(self.configuration.kind(&spec.kind).map(|kind| kind.class))
             .unwrap_or_default()
     }
 
+    /// Returns how long a job has, from its acceptance on.
     pub(super) fn deadline_of(&self, spec: &JobSpec) -> Duration {
         let kind = self.configuration.kind(&spec.kind);
         let deadline_max = self.configuration.limits.deadline_max;
@@ -307,123 +307,4 @@
             may_have_started: false,
         }
     }
-
-    fn cancel(&mut self, job: JobId, now: Instant, actions: &mut Vec<EntryAction>) {
-        let Some(live) = self.jobs.get(&job) else {
-            return;
-        };
-        let state = if live.has_certainly_not_run() {
-            KeptState::NotRun {
-                refusal: Refusal::Cancelled,
-                retry_after: None,
-            }
-        } else {
-            KeptState::Failed {
-                failure: Failure::Cancelled,
-            }
-        };
-        self.end_job(job, state, now, actions);
-    }
-
-    /// Takes note that a requester no longer waits.
-    pub(super) fn hang_up(&mut self, requester: Requester) {
-        self.relays.hang_up(requester);
-    }
-
-    /// Tells a requester whose wait is over that the job goes on.
-    pub(super) fn end_wait(
-        &mut self,
-        job: JobId,
-        requester: Requester,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(live) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        let waiting_count = live.waiters.len();
-        live.waiters
-            .retain(|waiter| waiter.requester != requester || waiter.until > now);
-        if live.waiters.len() == waiting_count {
-            return;
-        }
-        let response = CallerResponse::Running {
-            ended_count: live.ended_count,
-            task_count: live.task_count(),
-        };
-        self.respond(requester, response, actions);
-    }
-
-    /// Ends a job whose deadline has passed.
-    pub(super) fn end_overdue_job(
-        &mut self,
-        job: JobId,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(live) = self.jobs.get(&job) else {
-            return;
-        };
-        let state = if live.has_certainly_not_run() {
-            KeptState::NotRun {
-                refusal: Refusal::DeadlineExceeded,
-                retry_after: None,
-            }
-        } else {
-            KeptState::Failed {
-                failure: Failure::DeadlineExceeded,
-            }
-        };
-        self.end_job(job, state, now, actions);
-    }
-
-    /// Ends a live job and tells everybody who waits for it.
-    pub(super) fn end_job(
-        &mut self,
-        job: JobId,
-        state: KeptState,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(live) = self.jobs.remove(&job) else {
-            return;
-        };
-        self.dequeue(&live);
-        actions.push(EntryAction::Time {
-            timer: EntryTimer::JobResponse,
-            duration: now.saturating_duration_since(live.accepted_at),
-        });
-        for sidecar in live.sidecars() {
-            self.send_cancel(sidecar, job, actions);
-        }
-        self.keys.end(live.generation, job, state.clone(), now);
-        note_end(job, &state, actions);
-        for waiter in &live.waiters {
-            self.respond(waiter.requester, state.clone().into(), actions);
-        }
-    }
-}
-
-fn note_end(job: JobId, state: &KeptState, actions: &mut Vec<EntryAction>) {
-    let (counter, event) = match state {
-        KeptState::Complete { .. } | KeptState::CompleteEvicted => {
-            (EntryCounter::JobCompleted, EventKind::JobCompleted { job })
-        }
-        KeptState::Failed { failure } => (
-            EntryCounter::JobFailed,
-            EventKind::JobFailed {
-                job,
-                failure: *failure,
-            },
-        ),
-        KeptState::NotRun { refusal, .. } => (
-            EntryCounter::JobNotRun,
-            EventKind::JobNotRun {
-                job,
-                refusal: *refusal,
-            },
-        ),
-    };
-    actions.push(EntryAction::Count(counter));
-    actions.push(EntryAction::Record(event));
 }
--- a/knapweedrill/src/entry/tasks.rs
+++ b/knapweedrill/src/entry/tasks.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use knapweedrill_derive::value;
+
 use crate::common::{Attempt, Incarnation, TaskIndex};
 use crate::job::{Failure, TaskFailure, TaskId, TaskOutcome};
 use crate::message::{KeptState, NotStarted, TaskReport, TaskVerdict, Verdict};
@@ -12,7 +14,27 @@
 use super::timers::Timer;
 use super::{EntryAction, EntryCounter};
 
+/// An attempt that is with a sidecar, as far as the sidecar says.
+#[value]
+#[derive(Copy)]
+struct OutAttempt {
+    sidecar: Incarnation,
+    task: TaskId,
+    attempt: Attempt,
+}
+
+impl OutAttempt {
+    fn new(sidecar: Incarnation, task: TaskId, attempt: Attempt) -> Self {
+        Self {
+            sidecar,
+            task,
+            attempt,
+        }
+    }
+}
+
 impl Entry {
+    /// Takes in what a sidecar reports of tasks.
     pub(super) fn take_reports(
         &mut self,
         sidecar: Incarnation,
@@ -27,16 +49,23 @@
                     attempt,
                     outcome,
                     run_time,
-                } => self.task_ended(sidecar, task, attempt, outcome, run_time, now, actions),
+                } => {
+                    let out = OutAttempt::new(sidecar, task, attempt);
+                    self.task_ended(out, outcome, run_time, now, actions);
+                }
                 TaskReport::NotStarted {
                     task,
                     attempt,
                     reason,
-                } => self.task_not_started(sidecar, task, attempt, reason, now, actions),
+                } => {
+                    let out = OutAttempt::new(sidecar, task, attempt);
+                    self.task_not_started(out, reason, now, actions);
+                }
             }
         }
     }
 
+    /// Takes in what a sidecar knows of tasks in doubt.
     pub(super) fn take_verdicts(
         &mut self,
         sidecar: Incarnation,
@@ -50,30 +79,24 @@
             verdict,
         } in verdicts
         {
+            let out = OutAttempt::new(sidecar, task, attempt);
             match verdict {
                 Verdict::Running => {}
                 Verdict::Ended { outcome, run_time } => {
-                    self.task_ended(sidecar, task, attempt, outcome, run_time, now, actions);
+                    self.task_ended(out, outcome, run_time, now, actions);
                 }
                 Verdict::NeverStarted => {
-                    let reason = NotStarted::NoSlot;
-                    self.task_not_started(sidecar, task, attempt, reason, now, actions);
+                    self.task_not_started(out, NotStarted::NoSlot, now, actions);
                 }
-                Verdict::Forgotten => self.task_lost(sidecar, task, attempt, now, actions),
+                Verdict::Forgotten => self.task_lost(out, now, actions),
             }
         }
     }
 
     /// Takes a task off the sidecar's list, and returns it if its job waits for it.
-    fn take_back(
-        &mut self,
-        sidecar: Incarnation,
-        task: TaskId,
-        attempt: Attempt,
-        actions: &mut Vec<EntryAction>,
-    ) -> Option<QueuedTask> {
-        let taken = self.take_off(sidecar, task, attempt);
-        if !self.is_awaited(taken.is_some(), task, attempt, actions) {
+    fn take_back(&mut self, out: OutAttempt, actions: &mut Vec<EntryAction>) -> Option<QueuedTask> {
+        let taken = self.take_off(out);
+        if !self.is_awaited(taken.is_some(), out, actions) {
             return None;
         }
         taken
@@ -83,59 +106,51 @@
     fn is_awaited(
         &mut self,
         was_taken: bool,
-        task: TaskId,
-        attempt: Attempt,
+        out: OutAttempt,
         actions: &mut Vec<EntryAction>,
     ) -> bool {
-        if !was_taken || !self.is_out(task, attempt) {
+        if !was_taken || !self.is_out(out) {
             actions.push(EntryAction::Count(EntryCounter::ReportDropped));
             return false;
         }
-        if let Some(live) = self.jobs.get_mut(&task.job) {
+        if let Some(live) = self.jobs.get_mut(&out.task.job) {
             live.out_count -= 1;
         }
         true
     }
 
-    fn take_off(
-        &mut self,
-        sidecar: Incarnation,
-        task: TaskId,
-        attempt: Attempt,
-    ) -> Option<QueuedTask> {
-        let out = &mut self.sidecars.get_mut(&sidecar)?.out;
-        if out.get(&task)?.queued.attempt != attempt {
+    fn take_off(&mut self, out: OutAttempt) -> Option<QueuedTask> {
+        let tasks = &mut self.sidecars.get_mut(&out.sidecar)?.out;
+        if tasks.get(&out.task)?.queued.attempt != out.attempt {
             return None;
         }
-        out.remove(&task).map(|out| out.queued)
+        tasks.remove(&out.task).map(|task| task.queued)
     }
 
-    fn is_out(&mut self, task: TaskId, attempt: Attempt) -> bool {
+    fn is_out(&mut self, out: OutAttempt) -> bool {
         self.jobs
-            .get_mut(&task.job)
-            .and_then(|live| live.task_mut(task.index))
+            .get_mut(&out.task.job)
+            .and_then(|live| live.task_mut(out.task.index))
             .is_some_and(|live| {
-                live.attempt == attempt && matches!(live.state, LiveTaskState::Out { .. })
+                live.attempt == out.attempt && matches!(live.state, LiveTaskState::Out { .. })
             })
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn task_ended(
         &mut self,
-        sidecar: Incarnation,
-        task: TaskId,
-        attempt: Attempt,
+        out: OutAttempt,
         outcome: TaskOutcome,
         run_time: Duration,
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        let taken = self.take_off(sidecar, task, attempt);
+        let task = out.task;
+        let taken = self.take_off(out);
         if let Some(queued) = &taken {
             // A minion's failures count also when they come after the end of their job.
-            self.learn(sidecar, queued, &outcome, run_time, now, actions);
+            self.learn(out.sidecar, queued, &outcome, run_time, now, actions);
         }
-        if !self.is_awaited(taken.is_some(), task, attempt, actions) {
+        if !self.is_awaited(taken.is_some(), out, actions) {
             return;
         }
         match outcome {
@@ -170,14 +185,12 @@
 
     fn task_not_started(
         &mut self,
-        sidecar: Incarnation,
-        task: TaskId,
-        attempt: Attempt,
+        out: OutAttempt,
         reason: NotStarted,
         now: Instant,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(queued) = self.take_back(sidecar, task, attempt, actions) else {
+        let Some(queued) = self.take_back(out, actions) else {
             return;
         };
         actions.push(EntryAction::Count(EntryCounter::NotStarted));
@@ -188,20 +201,14 @@
             NotStarted::JobFenced => {
                 // Another entry has settled the job's fate without this one.
                 let failure = Failure::OwnerLost;
-                self.end_job(task.job, KeptState::Failed { failure }, now, actions);
+                self.end_job(out.task.job, KeptState::Failed { failure }, now, actions);
             }
         }
     }
 
-    fn task_lost(
-        &mut self,
-        sidecar: Incarnation,
-        task: TaskId,
-        attempt: Attempt,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        if self.take_back(sidecar, task, attempt, actions).is_none() {
+    fn task_lost(&mut self, out: OutAttempt, now: Instant, actions: &mut Vec<EntryAction>) {
+        let task = out.task;
+        if self.take_back(out, actions).is_none() {
             return;
         }
         if let Some(live) = self.jobs.get_mut(&task.job) {
@@ -235,7 +242,8 @@
         let is_heard = view.is_heard;
         let service = view.announcement.service.clone();
         for doubt in view.tasks_in_doubt() {
-            self.task_lost(sidecar, doubt.task, doubt.attempt, now, actions);
+            let out = OutAttempt::new(sidecar, doubt.task, doubt.attempt);
+            self.task_lost(out, now, actions);
         }
         if !is_heard {
             self.sidecars.remove(&sidecar);
