fix(entry): let an owner that is back answer for a job of unknown fate

Cause: the verdict of the sidecars that some task may have run was kept for five minutes and given even when the owner could be asked again, which knows the answer. Ruled out: dropping every verdict when the owner is back; that nothing ran must stand, since the caller has been told so and the job is fenced. Change: such a verdict counts only while the owner is out of reach. Conclusion: a partition that heals leaves no false "owner lost" behind.

--- a/knapweedrill/src/entry/mod.rs
+++ b/knapweedrill/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod demand_board;
 mod dispatch;
 mod event;
+mod fence;
 mod hand_over;
 mod job_end;
 mod key_table;
--- a/knapweedrill/src/entry/relay.rs
+++ b/knapweedrill/src/entry/relay.rs
@@ -4,21 +4,18 @@
 use std::time::{Duration, Instant};
 
 use knapweedrill_derive::value;
-use smallvec::SmallVec;
 
-use crate::common::{Incarnation, JobId, RequestId, RosterDigest};
-use crate::contract::{OwnerToken, roster_digest};
+use crate::common::{Incarnation, RequestId, RosterDigest};
+use crate::contract::roster_digest;
 use crate::event::EventKind;
 use crate::job::{Failure, Refusal};
-use crate::message::{FenceReport, KeptState, Message, RelayAnswer, RelayRequest, RosterNotice};
+use crate::message::{Message, RelayAnswer, RelayRequest, RosterNotice};
 
 use super::core::Entry;
+use super::fence::Fences;
 use super::key_table::{KeyTable, Lookup};
 use super::{CallerRequest, CallerResponse, EntryAction, EntryCounter, Requester};
 
-/// How long the verdict on a job of a lost owner is kept.
-const VERDICT_MEMORY: Duration = Duration::from_secs(300);
-
 /// The most rosters of other entries that are kept.
 const ROSTER_COUNT_MAX: usize = 1024;
 
@@ -30,10 +27,8 @@
     sent: BTreeMap<RequestId, SentRequest>,
     /// Requests that wait for an owner to be found.
     parked: Vec<ParkedRequest>,
-    /// Jobs of lost owners whose fate the sidecars are being asked for.
-    fences: HashMap<JobId, PendingFence>,
-    /// What the sidecars had to say.
-    verdicts: HashMap<JobId, FenceVerdict>,
+    /// Jobs of lost owners.
+    pub(super) fences: Fences,
     /// The sidecars that the digests in tokens stand for, the oldest first.
     rosters: Vec<RosterNotice>,
     /// The entries that answer for stopped ones.
@@ -57,19 +52,6 @@
     since: Instant,
 }
 
-#[value]
-struct PendingFence {
-    awaited: BTreeSet<Incarnation>,
-    requesters: SmallVec<[Requester; 2]>,
-    until: Instant,
-}
-
-#[value]
-struct FenceVerdict {
-    state: KeptState,
-    reached_at: Instant,
-}
-
 impl Relays {
     /// Notes which sidecars a digest stands for.
     pub(super) fn learn_roster(&mut self, notice: RosterNotice) {
@@ -84,7 +66,8 @@
         self.rosters.push(notice);
     }
 
-    fn sidecars_of(&self, digest: RosterDigest) -> Option<BTreeSet<Incarnation>> {
+    /// Returns the sidecars that a digest stands for, if the entry has heard of it.
+    pub(super) fn sidecars_of(&self, digest: RosterDigest) -> Option<BTreeSet<Incarnation>> {
         self.rosters
             .iter()
             .find(|known| known.digest == digest)
@@ -116,7 +99,7 @@
 
     /// Returns whether no request of a caller of this entry is still under way.
     pub(super) fn is_idle(&self) -> bool {
-        self.sent.is_empty() && self.parked.is_empty() && self.fences.is_empty()
+        self.sent.is_empty() && self.parked.is_empty() && self.fences.is_settled()
     }
 }
 
@@ -134,11 +117,12 @@
             self.respond(requester, response, actions);
             return;
         }
-        if let Some(verdict) = self.relays.verdicts.get(&request.job_id()) {
-            self.respond(requester, verdict.state.clone().into(), actions);
+        let answering = self.answering_entry(owner);
+        if let Some(state) = self.settled_fate(request.job_id(), answering.is_some()) {
+            self.respond(requester, state.into(), actions);
             return;
         }
-        match self.answering_entry(owner) {
+        match answering {
             Some(entry) => self.relay(entry, requester, request, actions),
             None => self.relays.parked.push(ParkedRequest {
                 requester,
@@ -289,9 +273,6 @@
         self.retry_parked(now, actions);
         self.resolve_parked(now, actions);
         self.end_overdue_fences(now, actions);
-        self.relays
-            .verdicts
-            .retain(|_, verdict| now.duration_since(verdict.reached_at) < VERDICT_MEMORY);
     }
 
     fn resolve_parked(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
@@ -322,116 +303,4 @@
             }
         }
     }
-
-    /// Asks every sidecar that may ever have started a task of the job.
-    fn fence_job(
-        &mut self,
-        requester: Requester,
-        token: OwnerToken,
-        job: JobId,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        if let Some(fence) = self.relays.fences.get_mut(&job) {
-            fence.requesters.push(requester);
-            return;
-        }
-        let sidecars = self.relays.sidecars_of(token.roster);
-        let reachable = sidecars.filter(|sidecars| {
-            sidecars
-                .iter()
-                .all(|sidecar| self.sidecars.get(sidecar).is_some_and(|view| view.is_up))
-        });
-        let Some(awaited) = reachable else {
-            self.respond(
-                requester,
-                CallerResponse::failed(Failure::OwnerLost),
-                actions,
-            );
-            return;
-        };
-        for sidecar in &awaited {
-            actions.push(EntryAction::Send {
-                peer: *sidecar,
-                message: Message::Fence { token, job },
-            });
-        }
-        let fence = PendingFence {
-            awaited,
-            requesters: SmallVec::from_iter([requester]),
-            until: now + self.settings.fence_timeout,
-        };
-        self.relays.fences.insert(job, fence);
-        self.end_fence_if_settled(job, now, actions);
-    }
-
-    pub(super) fn take_fence(
-        &mut self,
-        report: FenceReport,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(fence) = self.relays.fences.get_mut(&report.job) else {
-            actions.push(EntryAction::Count(EntryCounter::ReportDropped));
-            return;
-        };
-        if report.may_have_started {
-            let failure = Failure::OwnerLost;
-            self.end_fence(report.job, KeptState::Failed { failure }, now, actions);
-            return;
-        }
-        fence.awaited.remove(&report.sidecar);
-        self.end_fence_if_settled(report.job, now, actions);
-    }
-
-    fn end_fence_if_settled(&mut self, job: JobId, now: Instant, actions: &mut Vec<EntryAction>) {
-        let is_settled = self
-            .relays
-            .fences
-            .get(&job)
-            .is_some_and(|fence| fence.awaited.is_empty());
-        if is_settled {
-            let state = KeptState::NotRun {
-                refusal: Refusal::OwnerLost,
-                retry_after: Some(Duration::ZERO),
-            };
-            self.end_fence(job, state, now, actions);
-        }
-    }
-
-    fn end_overdue_fences(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
-        let overdue: Vec<JobId> = self
-            .relays
-            .fences
-            .iter()
-            .filter(|(_, fence)| fence.until <= now)
-            .map(|(job, _)| *job)
-            .collect();
-        for job in overdue {
-            let failure = Failure::OwnerLost;
-            self.end_fence(job, KeptState::Failed { failure }, now, actions);
-        }
-    }
-
-    fn end_fence(
-        &mut self,
-        job: JobId,
-        state: KeptState,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(fence) = self.relays.fences.remove(&job) else {
-            return;
-        };
-        for requester in fence.requesters {
-            self.respond(requester, state.clone().into(), actions);
-        }
-        self.relays.verdicts.insert(
-            job,
-            FenceVerdict {
-                state,
-                reached_at: now,
-            },
-        );
-    }
 }
