test(simulated): tasks wait at a sidecar while its session breaks

The simulation passed with a sidecar that keeps accepted tasks of a session that closed: its tasks were so short that none waited when the session was back. A second timing has long tasks, short outages and two accepted tasks ahead.

--- a/knapweedrill/tests/entry_and_sidecar.rs
+++ b/knapweedrill/tests/entry_and_sidecar.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use simulated::{Faults, World};
+use simulated::{Faults, Timing, World};
 use test_case::test_case;
 
 const SEED_COUNT: u64 = 40;
@@ -48,6 +48,21 @@
     cancels: 100,
 };
 
+/// Most tasks end before a broken session is back.
+const SHORT_TASKS: Timing = Timing {
+    task_ms: 10..=200,
+    outage_ms: 10..=2500,
+    notice_ms: 0..=1500,
+    prefetch_count: 1,
+};
+/// Tasks that a sidecar has accepted still wait there when a broken session is back.
+const LONG_TASKS: Timing = Timing {
+    task_ms: 300..=1500,
+    outage_ms: 10..=100,
+    notice_ms: 0..=20,
+    prefetch_count: 2,
+};
+
 #[test_case(NONE; "nothing fails")]
 #[test_case(CUTS; "sessions break")]
 #[test_case(ENTRY_KILLS; "entries are killed")]
@@ -56,8 +71,18 @@
 #[test_case(FREEZES; "processes freeze")]
 #[test_case(ALL; "everything at once")]
 fn no_task_starts_twice_and_every_answer_is_true(faults: Faults) {
+    check_all_seeds(faults, &SHORT_TASKS);
+}
+
+#[test_case(CUTS; "sessions break")]
+#[test_case(ALL; "everything at once")]
+fn tasks_that_wait_at_a_sidecar_start_at_most_once(faults: Faults) {
+    check_all_seeds(faults, &LONG_TASKS);
+}
+
+fn check_all_seeds(faults: Faults, timing: &Timing) {
     for seed in 0..SEED_COUNT {
-        let mut world = World::new(seed, faults);
+        let mut world = World::new(seed, faults, timing.clone());
         world.run(LOADED, QUIET);
         let violations = world.violations();
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
--- a/knapweedrill/tests/simulated/network.rs
+++ b/knapweedrill/tests/simulated/network.rs
@@ -8,6 +8,8 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::Timing;
+
 /// What reaches a process over a link.
 #[derive(Debug, Clone)]
 pub(super) enum Delivery {
@@ -93,6 +95,7 @@
         &mut self,
         (one, other): Pair,
         now: Instant,
+        timing: &Timing,
         random: &mut StdRng,
         is_frozen: impl Fn(Incarnation) -> bool,
     ) {
@@ -103,14 +106,17 @@
             return;
         }
         link.is_open = false;
-        link.reopen_at = now + millis(random, 10..=2500);
+        link.reopen_at = now + millis(random, timing.outage_ms.clone());
         for (from, to) in [(one, other), (other, one)] {
             let direction = self.directions.entry((from, to)).or_default();
             // What has reached a frozen process is read when it goes on.
             if !is_frozen(to) {
                 direction.lose_tail(random);
             }
-            direction.push(now + millis(random, 0..=1500), Delivery::Down);
+            direction.push(
+                now + millis(random, timing.notice_ms.clone()),
+                Delivery::Down,
+            );
         }
     }
 
