feat(entry): be ready once the known minions are linked

Cause: an entry handed out owner tokens with its first configuration, before its links to the minions were up, so its first jobs were refused as no-minion or token-needed. Change: it is ready when every minion that it hears has a session, one at least, or 2 s after its first configuration. Losses of links later on do not take readiness back.

--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -1,7 +1,7 @@
 //! The state machine of an entry.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::common::{Incarnation, JobId, ServiceName};
 use crate::contract::{Configuration, ConfigurationVersion, OwnerToken};
@@ -23,6 +23,9 @@
     CallerRequest, CallerResponse, EntryAction, EntryCounter, EntryEvent, EntrySettings, Requester,
 };
 
+/// How long after its first configuration an entry waits for links to the minions it knows.
+const LINK_GRACE: Duration = Duration::from_secs(2);
+
 /// The state machine of an entry.
 ///
 /// It owns the jobs that came under its tokens: it alone hands out their tasks, gathers their
@@ -43,6 +46,10 @@
     pub(super) placement: Placement,
     pub(super) run_times: RunTimes,
     pub(super) stopping: Option<Stopping>,
+    /// When the first configuration came into force.
+    configured_at: Option<Instant>,
+    /// Whether the links to the minions were awaited; later losses do not take it back.
+    has_settled: bool,
     /// The keys that are being taken over.
     pub(super) incoming: BTreeMap<Incarnation, IncomingKeys>,
     /// Tasks on their way to sidecars.
@@ -72,6 +79,8 @@
             placement,
             run_times: RunTimes::new(),
             stopping: None,
+            configured_at: None,
+            has_settled: false,
             incoming: BTreeMap::new(),
             batches: Batches::new(),
             demand_board: DemandBoard::new(),
@@ -117,7 +126,7 @@
 
     /// Returns the token for new jobs, unless the entry takes none.
     pub fn owner_token(&self) -> Option<OwnerToken> {
-        let takes_jobs = self.version.is_some() && self.stopping.is_none();
+        let takes_jobs = self.has_settled && self.stopping.is_none();
         takes_jobs.then(|| self.mint.current())
     }
 
@@ -333,11 +342,13 @@
         now: Instant,
     ) {
         self.version = Some(version);
+        self.configured_at.get_or_insert(now);
         self.configuration = configuration;
         self.configure_services(now);
     }
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+        self.settle(now);
         self.mint.rotate(self.settings.generation, now);
         self.keys.expire(self.settings.kept_keys, now);
         self.mint.forget(self.settings.kept_keys, now);
@@ -349,6 +360,22 @@
         }
     }
 
+    /// Begins to take jobs once the known minions are linked or the grace has passed.
+    fn settle(&mut self, now: Instant) {
+        let Some(configured_at) = self.configured_at else {
+            return;
+        };
+        let has_waited = now.duration_since(configured_at) >= LINK_GRACE;
+        self.has_settled |= has_waited || self.has_all_links();
+    }
+
+    /// Returns whether minions are known and each of them has a link session.
+    fn has_all_links(&self) -> bool {
+        let mut known = self.sidecars.values().filter(|view| view.is_heard);
+        let first = known.next();
+        first.is_some_and(|view| view.is_up) && known.all(|view| view.is_up)
+    }
+
     /// Answers a requester, wherever it is.
     pub(super) fn respond(
         &self,
