feat(lab): write the worked figures of the page on capacity

Cause: the page's arithmetic lived outside the tree, so nobody else could work it out again. The report tells dev or release build. What goes with sizes alone (the table of lost parts) is still written by hand.

--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -31,8 +31,9 @@
       serves as a minion beside a sidecar
   load --scenario NAME --seed N [--policy P|all] [--seconds S] [--hint-sigma F] [--json]
       measures the system under load; prints a report of each run
-  slopes [--json] [--quick]
-      measures how the cost of a daemon grows with what surrounds it";
+  slopes [--json] [--quick] [--from FILE] [--page FILE --note TEXT]
+      measures how the cost of a daemon grows with what surrounds it, or reads the slopes
+      that --json gave before; writes the worked figures of a page anew";
 
 /// Runs the subcommand that the arguments name.
 ///
--- a/knapweedrill_lab/src/slopes/fit.rs
+++ b/knapweedrill_lab/src/slopes/fit.rs
@@ -1,6 +1,6 @@
 //! Straight lines through measured points.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A measured value at a size.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -12,7 +12,7 @@
 }
 
 /// A line fitted by least squares.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Fit {
     /// The growth of the value for each unit of size.
     pub slope: f64,
--- a/knapweedrill_lab/src/slopes/mod.rs
+++ b/knapweedrill_lab/src/slopes/mod.rs
@@ -5,6 +5,8 @@
 //! and held.
 
 mod bench;
+mod build;
+pub mod capacity;
 mod entry_sweeps;
 mod fake_peer;
 mod fit;
@@ -16,6 +18,7 @@
 mod sweep;
 
 pub use bench::Bench;
+pub use build::Build;
 pub use fake_peer::{FakeMinion, FakePeer};
 pub use fit::{Fit, Point};
 pub use observation::{MetricsAnswer, Observation, Quantity, Reading};
--- a/knapweedrill_lab/src/slopes/run.rs
+++ b/knapweedrill_lab/src/slopes/run.rs
@@ -7,9 +7,9 @@
 use eyre::{Result, WrapErr};
 use knapweedrill::message::Role;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
-use super::{Scale, Series, Subject, SweepReport, entry_sweeps, sidecar_sweeps};
+use super::{Build, Scale, Series, Subject, SweepReport, entry_sweeps, sidecar_sweeps};
 
 type Sweep = fn(&Scale) -> Result<Series>;
 
@@ -46,8 +46,10 @@
 ];
 
 /// The slopes of all subjects.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SlopesReport {
+    /// How the programs were built.
+    pub build: Build,
     /// The load of the machine over the last minute when the run began.
     pub load_average: String,
     /// The processors of the machine.
@@ -71,6 +73,7 @@
     raise_descriptor_limit()?;
     let began = Instant::now();
     let mut report = SlopesReport {
+        build: Build::current(),
         load_average: std::fs::read_to_string("/proc/loadavg").unwrap_or_default(),
         processor_count: std::thread::available_parallelism().map_or(0, usize::from),
         seconds: 0.0,
--- a/knapweedrill_lab/src/slopes/sweep.rs
+++ b/knapweedrill_lab/src/slopes/sweep.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use knapweedrill::message::Role;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::{Fit, Observation, Point, Quantity};
 
@@ -20,20 +20,20 @@
 pub type Series = Vec<(f64, Observation)>;
 
 /// The slopes of one subject.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SweepReport {
     /// The role of the measured process.
     pub role: Role,
     /// What grows.
-    pub grows_with: &'static str,
+    pub grows_with: String,
     /// The sizes that were measured, in the first repetition.
     pub sizes: Vec<f64>,
     /// The slope of each quantity.
-    pub slopes: BTreeMap<&'static str, SlopeReport>,
+    pub slopes: BTreeMap<String, SlopeReport>,
 }
 
 /// The slope of one quantity.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SlopeReport {
     /// The fit over the points of all repetitions.
     pub fit: Fit,
@@ -50,12 +50,14 @@
     pub fn new(subject: Subject, repetitions: &[Series]) -> Self {
         let slopes = Quantity::ALL
             .iter()
-            .filter_map(|quantity| Some((quantity.name(), slope(*quantity, repetitions)?)))
+            .filter_map(|quantity| {
+                Some((quantity.name().to_owned(), slope(*quantity, repetitions)?))
+            })
             .collect();
         let first = repetitions.first().map(Vec::as_slice).unwrap_or_default();
         Self {
             role: subject.role,
-            grows_with: subject.grows_with,
+            grows_with: subject.grows_with.to_owned(),
             sizes: first.iter().map(|(size, _)| *size).collect(),
             slopes,
         }
