fix(api): claim nothing of a job whose resubmission is malformed

Cause: a malformed body under a valid owner token was answered not-run, though an earlier try under the same token and key may have run. Change: the outcome is unknown, the reason invalid, status 400. Without a token, or with a malformed one, the request names no job and the outcome stays not-run.

--- a/knapweedrill/src/api/job_answer.rs
+++ b/knapweedrill/src/api/job_answer.rs
@@ -57,7 +57,7 @@
             CallerResponse::Invalid { message } => match request {
                 CallerRequest::Submit { .. } => Self::invalid_submission(message),
                 CallerRequest::Status { .. } | CallerRequest::Cancel { .. } => {
-                    Self::invalid_question(message)
+                    Self::invalid_request(message)
                 }
             },
         }
@@ -72,8 +72,9 @@
         }
     }
 
-    /// Creates the answer to a malformed question about a job, which says nothing of the job.
-    pub fn invalid_question(message: impl Into<String>) -> Self {
+    /// Creates the answer to a malformed request about a job that may have run, of which it says
+    /// nothing.
+    pub fn invalid_request(message: impl Into<String>) -> Self {
         Self {
             reason: Some(Reason::Invalid),
             message: Some(message.into()),
--- a/knapweedrill_daemon/src/control/api_gate.rs
+++ b/knapweedrill_daemon/src/control/api_gate.rs
@@ -208,23 +208,22 @@
         let token = match token {
             TokenGiven::Token(token) => token,
             // Without a token the request names no job, so nothing can have run for it.
-            TokenGiven::Missing => {
-                responder.respond(job_reply(&JobAnswer::token_needed(), &self.published));
-                return None;
+            TokenGiven::Missing => return self.refuse(responder, &JobAnswer::token_needed()),
+            TokenGiven::Malformed(message) => {
+                return self.refuse(responder, &JobAnswer::invalid_submission(message));
             }
-            TokenGiven::Malformed(message) => return self.refuse_submission(responder, message),
         };
         match from_json::<JobRequest>(body)
             .and_then(|job| job.into_caller_request(token, key).map_err(to_text))
         {
             Ok(request) => Some(HttpCall::Job { request, responder }),
-            Err(message) => self.refuse_submission(responder, message),
+            // An earlier try under the same token and key may have run.
+            Err(message) => self.refuse(responder, &JobAnswer::invalid_request(message)),
         }
     }
 
-    fn refuse_submission(&self, responder: Responder, message: String) -> Option<HttpCall> {
-        let answer = JobAnswer::invalid_submission(message);
-        responder.respond(job_reply(&answer, &self.published));
+    fn refuse(&self, responder: Responder, answer: &JobAnswer) -> Option<HttpCall> {
+        responder.respond(job_reply(answer, &self.published));
         None
     }
 
@@ -244,9 +243,7 @@
             }
             TokenGiven::Malformed(message) => message,
         };
-        let answer = JobAnswer::invalid_question(message);
-        responder.respond(job_reply(&answer, &self.published));
-        None
+        self.refuse(responder, &JobAnswer::invalid_request(message))
     }
 }
 
--- /dev/null
+++ b/knapweedrill_daemon/tests/api_malformed_bodies.rs
@@ -0,0 +1,60 @@
+//! A malformed body is refused without a claim about the job that its owner token and key name.
+
+mod http_support;
+
+use std::sync::Arc;
+
+use http_support::{exchange, serve};
+use knapweedrill::message::Role;
+use knapweedrill_daemon::control::{ApiGate, Published};
+use knapweedrill_daemon::http::{HttpLimits, HttpServer};
+use knapweedrill_daemon::telemetry::Metrics;
+use test_case::test_case;
+
+const TOKEN: &str = "Knapweedrill-Owner: 0000000000000001-0-0000000000000001\r\n";
+
+fn serve_entry() -> HttpServer {
+    let published = Arc::new(Published::new());
+    let gate = ApiGate::new(Role::Entry, published, Arc::new(Metrics::new()));
+    serve(HttpLimits::default(), move |request| {
+        assert!(gate.read(request).is_none(), "the body is malformed");
+    })
+}
+
+fn submission(headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/jobs/k HTTP/1.1\r\nHost: t\r\nConnection: close\r\n{headers}\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn assert_invalid(answer: &str, outcome: &str) {
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let outcome = format!(r#""outcome":"{outcome}""#);
+    assert!(answer.contains(&outcome), "{answer}");
+    assert!(answer.contains(r#""reason":"invalid""#), "{answer}");
+}
+
+#[test_case("{"; "body that is cut off")]
+#[test_case("[]"; "body of another form")]
+#[test_case(""; "no body")]
+fn under_an_owner_token_an_earlier_try_may_have_run(body: &str) {
+    let server = serve_entry();
+
+    assert_invalid(
+        &exchange(server.address(), &submission(TOKEN, body)),
+        "unknown",
+    );
+}
+
+#[test]
+fn under_a_malformed_token_nothing_was_run() {
+    let server = serve_entry();
+    let headers = "Knapweedrill-Owner: no-token\r\n";
+
+    assert_invalid(
+        &exchange(server.address(), &submission(headers, "{")),
+        "not-run",
+    );
+}
