fix(daemon): refuse requests before the control thread ends

Cause: a request that came between the end of the control loop and the stop of the HTTP server was dropped with its responder, status 500 without a reason. Change: at the end of a planned stop the server refuses new requests first; the control thread goes on until those in flight are answered, for 2 s at most. A request that passes the first check while the stop begins is counted or refused. The server closes last, after the links, and refuses what it has still read.

--- a/knapweedrill_daemon/src/control/run.rs
+++ b/knapweedrill_daemon/src/control/run.rs
@@ -7,6 +7,7 @@
 use eyre::WrapErr;
 
 use super::ControlEvent;
+use crate::http::HttpServer;
 use crate::telemetry::{Metrics, Timer};
 
 /// How often time-outs are looked at.
@@ -15,6 +16,9 @@
 /// How many events are dealt with before their effects are sent.
 const BATCH_EVENT_COUNT: usize = 256;
 
+/// How long the requests in flight at the end of a planned stop have to be answered.
+const LAST_ANSWERS_GRACE: Duration = Duration::from_secs(2);
+
 /// Whether a process goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -42,6 +46,9 @@
 /// Runs the control state on a thread of its own until it has stopped or nobody can send events
 /// any more.
 ///
+/// A state that has stopped goes on until the HTTP server, which refuses new requests from then
+/// on, has none in flight.
+///
 /// # Errors
 ///
 /// Fails if the thread can't be started.
@@ -53,11 +60,12 @@
     control: &mut (impl Control + Send),
     events: &Receiver<ControlEvent>,
     metrics: &Metrics,
+    http: &HttpServer,
 ) -> eyre::Result<()> {
     thread::scope(|scope| {
         let thread = thread::Builder::new()
             .name(THREAD_NAME.into())
-            .spawn_scoped(scope, move || run_rounds(control, events, metrics))
+            .spawn_scoped(scope, move || run_rounds(control, events, metrics, http))
             .wrap_err("can't start the control thread")?;
         thread
             .join()
@@ -66,7 +74,13 @@
     })
 }
 
-fn run_rounds(control: &mut impl Control, events: &Receiver<ControlEvent>, metrics: &Metrics) {
+fn run_rounds(
+    control: &mut impl Control,
+    events: &Receiver<ControlEvent>,
+    metrics: &Metrics,
+    http: &HttpServer,
+) {
+    let mut last_answers_until = None;
     let mut next_tick = Instant::now();
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
@@ -91,7 +105,11 @@
         let progress = control.flush(now);
         metrics.time(Timer::ControlRound, began.elapsed());
         if progress == Progress::Stopped {
-            return;
+            let until = *last_answers_until.get_or_insert(now + LAST_ANSWERS_GRACE);
+            http.refuse_requests();
+            if http.accepted_count() == 0 || now >= until {
+                return;
+            }
         }
     }
 }
--- a/knapweedrill_daemon/src/http/in_flight.rs
+++ b/knapweedrill_daemon/src/http/in_flight.rs
@@ -27,7 +27,7 @@
 
     /// Takes a place, if one is left.
     pub(super) fn enter(self: &Arc<Self>) -> Option<Place> {
-        let before = self.count.fetch_add(1, Ordering::AcqRel);
+        let before = self.count.fetch_add(1, Ordering::SeqCst);
         // The place exists before the check, so that a refusal gives it back as well.
         let place = Place {
             in_flight: Arc::clone(self),
@@ -37,7 +37,7 @@
 
     /// Returns how many places are taken.
     pub(super) fn count(&self) -> usize {
-        self.count.load(Ordering::Acquire)
+        self.count.load(Ordering::SeqCst)
     }
 }
 
--- a/knapweedrill_daemon/src/http/intake.rs
+++ b/knapweedrill_daemon/src/http/intake.rs
@@ -76,9 +76,14 @@
         self.requests.count() + self.refusals.count()
     }
 
+    /// Returns how many requests were not refused and have no answer yet.
+    pub(super) fn accepted_count(&self) -> usize {
+        self.requests.count()
+    }
+
     /// Refuses requests from now on.
     pub(super) fn stop(&self) {
-        self.is_stopping.store(true, Ordering::Release);
+        self.is_stopping.store(true, Ordering::SeqCst);
     }
 
     /// Takes a request in, without blocking.
@@ -96,13 +101,23 @@
             self.refuse(request, Refused::TooManyRequests);
             return;
         };
+        // A stop that began since the first check may not have counted this request.
+        if self.is_stopping() {
+            drop(place);
+            self.refuse(request, Refused::Stopping);
+            return;
+        }
         self.report_in_flight();
         self.read_on_own_thread(request, place);
     }
 
+    fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
     /// Checks what can be told from the head of a request alone.
     fn check_head(&self, request: &Request) -> Result<(), Refused> {
-        if self.is_stopping.load(Ordering::Acquire) {
+        if self.is_stopping() {
             return Err(Refused::Stopping);
         }
         if method_of(request.method()).is_none() {
--- a/knapweedrill_daemon/src/http/server.rs
+++ b/knapweedrill_daemon/src/http/server.rs
@@ -109,6 +109,16 @@
         self.intake.in_flight_count()
     }
 
+    /// Returns how many requests have reached the handler, or will, and have no answer yet.
+    pub fn accepted_count(&self) -> usize {
+        self.intake.accepted_count()
+    }
+
+    /// Refuses new requests from now on; those in flight go on.
+    pub fn refuse_requests(&self) {
+        self.intake.stop();
+    }
+
     /// Refuses new requests and lets those in flight end, for `grace` at most; then closes.
     ///
     /// Returns how many requests were still without an answer.
@@ -199,6 +209,14 @@
                 }
             }
         }
+        self.refuse_rest();
+    }
+
+    /// Answers the requests that were read while the server closed.
+    fn refuse_rest(&self) {
+        while let Ok(Some(request)) = self.server.try_recv() {
+            self.intake.take(request);
+        }
     }
 
     fn is_replaced(&self) -> bool {
--- a/knapweedrill_daemon/src/process/common.rs
+++ b/knapweedrill_daemon/src/process/common.rs
@@ -19,8 +19,8 @@
 use crate::settings::{RoleSettings, Settings};
 use crate::telemetry::{self, Metrics, StatsdFlusher, Timeline};
 
-/// How long the answers of a stopping process have to reach their callers.
-const LAST_ANSWERS_GRACE: Duration = Duration::from_secs(2);
+/// How long the refusals of a stopping process have to reach their callers.
+const LAST_REFUSALS_GRACE: Duration = Duration::from_secs(2);
 
 /// How long the last messages of a stopping process have to leave.
 const LAST_MESSAGES_GRACE: Duration = Duration::from_millis(300);
@@ -36,7 +36,7 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) links: Links,
     pub(super) datagrams: Datagrams,
-    http: HttpServer,
+    pub(super) http: HttpServer,
     _statsd: StatsdFlusher,
 }
 
@@ -116,20 +116,19 @@
         }
     }
 
-    /// Lets the last answers and messages leave, and ends the threads.
-    pub(super) fn end(http: HttpServer, links: &Links, datagrams: &Datagrams, timeline: &Timeline) {
-        let unanswered_count = http.stop(LAST_ANSWERS_GRACE);
+    /// Lets the last messages and refusals leave, and ends the threads.
+    ///
+    /// The HTTP server closes last, so that late callers are told to go elsewhere.
+    pub(super) fn end(self) {
+        // Calls that the control thread left behind are answered when they are dropped.
+        drop(self.events);
         std::thread::sleep(LAST_MESSAGES_GRACE);
-        links.stop();
-        datagrams.stop();
-        timeline.record(EventKind::StopEnded);
+        self.links.stop();
+        self.datagrams.stop();
+        let unanswered_count = self.http.stop(LAST_REFUSALS_GRACE);
+        self.timeline.record(EventKind::StopEnded);
         log::info!(unanswered_count; "planned stop ended");
     }
-
-    /// Takes the HTTP server out, for the end of the process.
-    pub(super) fn into_http(self) -> HttpServer {
-        self.http
-    }
 }
 
 /// Returns the settings of heartbeats.
--- a/knapweedrill_daemon/src/process/entry.rs
+++ b/knapweedrill_daemon/src/process/entry.rs
@@ -48,12 +48,10 @@
         metrics: Arc::clone(&common.metrics),
         settings,
     });
-    run_control(&mut control, &common.events, &common.metrics)?;
+    run_control(&mut control, &common.events, &common.metrics, &common.http)?;
     is_stopped.store(true, Ordering::Release);
-    let links = common.links.clone();
-    let datagrams = common.datagrams.clone();
-    let timeline = Arc::clone(&common.timeline);
-    Common::end(common.into_http(), &links, &datagrams, &timeline);
+    drop(control);
+    common.end();
     Ok(())
 }
 
--- a/knapweedrill_daemon/src/process/sidecar.rs
+++ b/knapweedrill_daemon/src/process/sidecar.rs
@@ -40,11 +40,9 @@
         metrics: Arc::clone(&common.metrics),
         settings,
     });
-    run_control(&mut control, &common.events, &common.metrics)?;
-    let links = common.links.clone();
-    let datagrams = common.datagrams.clone();
-    let timeline = Arc::clone(&common.timeline);
-    Common::end(common.into_http(), &links, &datagrams, &timeline);
+    run_control(&mut control, &common.events, &common.metrics, &common.http)?;
+    drop(control);
+    common.end();
     Ok(())
 }
 
--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -319,7 +319,8 @@
 
     /// Waits until every entry has a link to the sidecar of every minion.
     ///
-    /// An entry is ready before that, and may then say that a service has no minion.
+    /// An entry is ready once the minions that it has heard of are linked, and may hear of
+    /// others later.
     fn wait_minions_linked(&self) -> Result<()> {
         let minion_count = self.minions.len();
         for (number, entry) in self.entries.iter().enumerate() {
--- a/knapweedrill_lab/tests/readiness.rs
+++ b/knapweedrill_lab/tests/readiness.rs
@@ -19,7 +19,8 @@
         let late = cluster.start_entry().expect("the entry starts");
         let api = cluster.entry(late).api();
         let token = || api.owner().ok();
-        wait_until("an owner token", READY_BOUND, || token().is_some()).expect("the entry is ready");
+        wait_until("an owner token", READY_BOUND, || token().is_some())
+            .expect("the entry is ready");
         let token = token().expect("readiness lasts");
         let payload = TaskPayload::new(Duration::from_millis(1), "proof");
         let job = JobRequest::new("tin-a", "proof")
