refactor(daemon): split the control state of an entry by job

Change: metrics and the processes that an entry hears of stand in modules of their own; no code changed but visibility.

--- a/knapweedrill_daemon/src/control/entry.rs
+++ b/knapweedrill_daemon/src/control/entry.rs
@@ -6,34 +6,27 @@
 
 use knapweedrill::common::{Incarnation, RequestId};
 use knapweedrill::entry::{
-    CallerRequest, CallerResponse, Entry, EntryAction, EntryCounter, EntryEvent, EntryTimer,
-    Requester,
+    CallerRequest, CallerResponse, Entry, EntryAction, EntryEvent, Requester,
 };
 use knapweedrill::event::EventKind;
-use knapweedrill::job::{Failure, Outcome, Refusal};
-use knapweedrill::link::WantedPeer;
-use knapweedrill::membership::{EntryMembership, EntryNews, MembershipChange};
+use knapweedrill::job::{Outcome, Refusal};
+use knapweedrill::membership::{EntryMembership, EntryNews};
 use knapweedrill::message::Message;
 use knapweedrill_wire::Datagrams;
 
 use super::configuration::ConfigurationKeeper;
+use super::entry_metrics::timer_of;
 use super::operator::PendingApply;
 use super::run::{Control, Progress};
 use super::{ControlEvent, HttpCall, PeerEvent, Peers, Published, Replies};
 use crate::http::Responder;
 use crate::platform_log::{LogNews, LogRecord, LogWriter};
 use crate::settings::Settings;
-use crate::telemetry::{Counter, Gauge, Metrics, Timeline, Timer};
-
-/// How long a process that is lost goes on being dialled.
-const LOST_PEER_MEMORY: Duration = Duration::from_secs(30);
+use crate::telemetry::{Counter, Metrics, Timeline};
 
 /// The least time between two repeats of the configuration in the log.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How often levels and counts that are kept elsewhere are published.
-pub(super) const METRICS_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The control state of an entry.
 pub struct EntryControl {
     pub(super) settings: Settings,
@@ -53,9 +46,9 @@
     actions: Vec<EntryAction>,
     progress: Progress,
     refreshed_at: Option<Instant>,
-    metrics_due_at: Instant,
+    pub(super) metrics_due_at: Instant,
     /// The processes that are lost, and since when.
-    lost: BTreeMap<Incarnation, Instant>,
+    pub(super) lost: BTreeMap<Incarnation, Instant>,
 }
 
 /// A caller that waits for an answer.
@@ -114,11 +107,11 @@
         }
     }
 
-    fn tell(&mut self, event: EntryEvent, now: Instant) {
+    pub(super) fn tell(&mut self, event: EntryEvent, now: Instant) {
         self.entry.handle(event, now, &mut self.actions);
     }
 
-    fn take_peer_events(&mut self, events: Vec<PeerEvent>, now: Instant) {
+    pub(super) fn take_peer_events(&mut self, events: Vec<PeerEvent>, now: Instant) {
         for event in events {
             match event {
                 PeerEvent::Up { peer, role } => {
@@ -166,90 +159,6 @@
         }
     }
 
-    fn take_changes(&mut self, changes: Vec<MembershipChange>, now: Instant) {
-        for change in changes {
-            self.take_change(change, now);
-        }
-    }
-
-    fn take_change(&mut self, change: MembershipChange, now: Instant) {
-        match change {
-            MembershipChange::MinionFound(announcement) => {
-                self.note_found(announcement.sidecar, &announcement.name);
-                let wanted = WantedPeer::from(&announcement);
-                self.tell(EntryEvent::Minion { announcement }, now);
-                self.want(wanted, now);
-            }
-            MembershipChange::MinionChanged(announcement) => {
-                log::info!(minion = announcement.name.as_str(); "minion is {:?}", announcement.state);
-                self.timeline.record(EventKind::MinionChanged {
-                    sidecar: announcement.sidecar,
-                    state: announcement.state,
-                });
-                self.tell(EntryEvent::Minion { announcement }, now);
-            }
-            MembershipChange::MinionReported { sidecar, report } => {
-                self.tell(EntryEvent::SlotsReported { sidecar, report }, now);
-            }
-            MembershipChange::MinionLost { sidecar } => {
-                self.note_lost(sidecar);
-                self.lost.insert(sidecar, now);
-                self.tell(EntryEvent::MinionLost { sidecar }, now);
-            }
-            MembershipChange::EntryFound(entry) => {
-                self.note_found(entry.incarnation, &entry.name);
-                self.want(WantedPeer::from(&entry), now);
-            }
-            MembershipChange::EntryStopping { entry } => {
-                self.tell(EntryEvent::EntryStopping { entry }, now);
-            }
-            MembershipChange::EntryLost { entry } => {
-                self.note_lost(entry);
-                self.lost.insert(entry, now);
-            }
-            MembershipChange::AnswersFor { successor, stopped } => {
-                self.tell(EntryEvent::AnswersFor { successor, stopped }, now);
-            }
-        }
-    }
-
-    fn note_found(&self, peer: Incarnation, name: &str) {
-        log::info!(peer = name; "found");
-        self.timeline.record(EventKind::PeerFound {
-            peer,
-            peer_name: name.to_owned(),
-        });
-    }
-
-    fn note_lost(&self, peer: Incarnation) {
-        log::warn!("lost sight of {peer:016x}");
-        self.timeline.record(EventKind::PeerLost { peer });
-    }
-
-    fn want(&mut self, peer: WantedPeer, now: Instant) {
-        self.lost.remove(&peer.incarnation);
-        let events = self.peers.want(peer, now);
-        self.take_peer_events(events, now);
-    }
-
-    /// Stops dialling processes that have been lost for long and have no session.
-    ///
-    /// Lost heartbeats alone end no session, since tasks may be under way on it.
-    fn unwant_lost(&mut self, now: Instant) {
-        let peers = &self.peers;
-        let gone: Vec<Incarnation> = self
-            .lost
-            .extract_if(.., |peer, since| {
-                now.duration_since(*since) > LOST_PEER_MEMORY && !peers.is_up(*peer)
-            })
-            .map(|(peer, _)| peer)
-            .collect();
-        for peer in gone {
-            let events = self.peers.unwant(peer, now);
-            self.take_peer_events(events, now);
-        }
-    }
-
     fn take_call(&mut self, call: HttpCall, now: Instant) {
         match call {
             HttpCall::Job { request, responder } => self.take_job(request, responder, now),
@@ -322,33 +231,6 @@
         }
     }
 
-    fn count(&self, counter: EntryCounter) {
-        self.metrics.count(counter_of(counter), 1);
-        if matches!(
-            counter,
-            EntryCounter::NotStarted | EntryCounter::CreditReturned
-        ) {
-            self.metrics.count(Counter::MessagesWasted, 1);
-        }
-    }
-
-    fn count_event(&self, event: &EventKind) {
-        let counter = match event {
-            EventKind::MinionEjected { .. } => Counter::MinionsEjected,
-            EventKind::MinionReadmitted { .. } => Counter::MinionsReadmitted,
-            EventKind::JobFailed {
-                failure: Failure::Cancelled,
-                ..
-            }
-            | EventKind::JobNotRun {
-                refusal: Refusal::Cancelled,
-                ..
-            } => Counter::JobsCancelled,
-            _ => return,
-        };
-        self.metrics.count(counter, 1);
-    }
-
     fn respond(&mut self, request: RequestId, response: CallerResponse) {
         if is_overloaded(&response) {
             self.metrics.count(Counter::AdmissionRefused, 1);
@@ -391,36 +273,6 @@
         let peer_version = ahead.map(|source| source.version);
         self.configuration.settle_empty_log(peer_version, now);
     }
-
-    fn publish(&mut self, now: Instant) {
-        self.published
-            .set(self.entry.owner_token(), self.entry.is_ready());
-        if now < self.metrics_due_at {
-            return;
-        }
-        self.metrics_due_at = now + METRICS_INTERVAL;
-        self.peers.publish(&self.datagrams);
-        let metrics = &self.metrics;
-        let queued = self.entry.queue_totals();
-        metrics.set(Gauge::QueuedTasks, u64::from(queued.task_count));
-        metrics.set(Gauge::QueuedBytes, queued.payload_bytes);
-        metrics.set(
-            Gauge::KnownEntries,
-            self.membership.entries().count() as u64,
-        );
-        metrics.set(
-            Gauge::KnownMinions,
-            self.membership.minions().count() as u64,
-        );
-        metrics.raise(Counter::DatagramsStale, self.membership.stale_count());
-        metrics.raise(
-            Counter::ConfigurationsRejected,
-            self.configuration.rejected_count(),
-        );
-        metrics.set(Gauge::JobsInFlight, self.entry.live_job_count() as u64);
-        metrics.set(Gauge::KeptKeys, self.entry.key_count() as u64);
-        metrics.set(Gauge::KeptAnswerBytes, self.entry.answer_bytes() as u64);
-    }
 }
 
 impl Control for EntryControl {
@@ -478,26 +330,3 @@
         }
     )
 }
-
-fn timer_of(timer: EntryTimer) -> Timer {
-    match timer {
-        EntryTimer::JobResponse => Timer::JobResponse,
-        EntryTimer::TaskWait => Timer::TaskWait,
-    }
-}
-
-fn counter_of(counter: EntryCounter) -> Counter {
-    match counter {
-        EntryCounter::JobAccepted => Counter::JobsAccepted,
-        EntryCounter::JobAttached => Counter::JobsAttached,
-        EntryCounter::JobCompleted => Counter::JobsCompleted,
-        EntryCounter::JobFailed => Counter::JobsFailed,
-        EntryCounter::JobNotRun => Counter::JobsNotRun,
-        EntryCounter::Relayed => Counter::JobsRelayed,
-        EntryCounter::HandedOut => Counter::TasksHandedOut,
-        EntryCounter::NotStarted => Counter::TasksFenced,
-        EntryCounter::ReportDropped => Counter::ResultsDropped,
-        EntryCounter::CreditReturned => Counter::CreditsReturned,
-        EntryCounter::Unexpected => Counter::MessagesUnexpected,
-    }
-}
--- a/knapweedrill_daemon/src/control/mod.rs
+++ b/knapweedrill_daemon/src/control/mod.rs
@@ -3,6 +3,8 @@
 mod api_gate;
 mod configuration;
 mod entry;
+mod entry_metrics;
+mod entry_peers;
 mod event;
 mod operator;
 mod peers;
--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -15,7 +15,7 @@
 use knapweedrill_wire::Datagrams;
 
 use super::configuration::{ConfigurationKeeper, configuration_reply};
-use super::entry::METRICS_INTERVAL;
+use super::entry_metrics::METRICS_INTERVAL;
 use super::run::{Control, Progress};
 use super::{ControlEvent, HttpCall, PeerEvent, Peers, Published};
 use crate::http::{HttpReply, Responder};
