test(faults): cases fail when their mechanism is broken, and pairs of faults

Trials on a copy with one mechanism broken at a time, other work on the machine. The pairs ran as command on the copy; faults_pair was not run as a test.

--- a/knapweedrill_lab/src/faults/entry/replaced.rs
+++ b/knapweedrill_lab/src/faults/entry/replaced.rs
@@ -18,7 +18,7 @@
         .entries(1)
         .minions(3, &MinionSpec::new());
     let mut run = FaultRun::start(case, seed, cluster)?;
-    let probe = Probe::new(&mut run, 0, "kept")?;
+    let probe = Probe::new(&run, 0, "kept")?;
     let first = probe.submit(&mut run, 0);
     run.start_callers(&CallPlan::new(), WARM_UP);
     for number in 0..REPLACEMENT_COUNT {
--- a/knapweedrill_lab/src/faults/entry/stopped.rs
+++ b/knapweedrill_lab/src/faults/entry/stopped.rs
@@ -19,7 +19,7 @@
         .entries(3)
         .minions(3, &MinionSpec::new());
     let mut run = FaultRun::start(case, seed, cluster)?;
-    let probe = Probe::new(&mut run, VICTIM, "kept")?;
+    let probe = Probe::new(&run, VICTIM, "kept")?;
     let first = probe.submit(&mut run, VICTIM);
     run.start_callers(&CallPlan::new(), WARM_UP);
     run.retire_entry(VICTIM)?;
--- a/knapweedrill_lab/src/faults/fault_case.rs
+++ b/knapweedrill_lab/src/faults/fault_case.rs
@@ -7,7 +7,7 @@
 use knapweedrill_derive::key;
 
 use super::network::link_silent::SilentLinks;
-use super::{FaultReport, entry, log, minion, network, sidecar, wave};
+use super::{FaultReport, entry, log, minion, network, pair, sidecar, wave};
 
 /// Seeds the random choices of a run.
 pub type Seed = u64;
@@ -86,11 +86,19 @@
     CancellationWave,
     /// Running jobs are submitted again many times at once.
     ResubmissionWave,
+    /// An entry is killed while the only minion never answers.
+    EntryKilledMinionHangs,
+    /// An entry stands still while the log is down.
+    EntryFrozenLogDown,
+    /// A sidecar is killed while the links to another go silent.
+    SidecarKilledLinkSilent,
+    /// An entry is killed during a partition.
+    EntryKilledPartition,
 }
 
 impl FaultCase {
     /// All cases.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 39] = [
         Self::EntryKilled,
         Self::EntryKilledBeforeStart,
         Self::LogDown,
@@ -126,6 +134,10 @@
         Self::MinionFrozen,
         Self::CancellationWave,
         Self::ResubmissionWave,
+        Self::EntryKilledMinionHangs,
+        Self::EntryFrozenLogDown,
+        Self::SidecarKilledLinkSilent,
+        Self::EntryKilledPartition,
     ];
 
     /// Returns the name of the case.
@@ -166,6 +178,10 @@
             Self::MinionFrozen => "minion-frozen",
             Self::CancellationWave => "cancellation-wave",
             Self::ResubmissionWave => "resubmission-wave",
+            Self::EntryKilledMinionHangs => "entry-killed-minion-hangs",
+            Self::EntryFrozenLogDown => "entry-frozen-log-down",
+            Self::SidecarKilledLinkSilent => "sidecar-killed-link-silent",
+            Self::EntryKilledPartition => "entry-killed-partition",
         }
     }
 
@@ -215,6 +231,12 @@
             Self::MinionFrozen => sidecar::frozen::run_minion(self, seed),
             Self::CancellationWave => wave::cancellations::run(self, seed),
             Self::ResubmissionWave => wave::resubmissions::run(self, seed),
+            Self::EntryKilledMinionHangs => pair::entry_killed_minion_hangs::run(self, seed),
+            Self::EntryFrozenLogDown => pair::under_load::run_entry_frozen_log_down(self, seed),
+            Self::SidecarKilledLinkSilent => {
+                pair::under_load::run_sidecar_killed_link_silent(self, seed)
+            }
+            Self::EntryKilledPartition => pair::under_load::run_entry_killed_partition(self, seed),
         }
     }
 }
--- a/knapweedrill_lab/src/faults/mod.rs
+++ b/knapweedrill_lab/src/faults/mod.rs
@@ -12,6 +12,7 @@
 mod log;
 mod minion;
 mod network;
+mod pair;
 mod probe;
 mod sidecar;
 mod wave;
--- a/knapweedrill_lab/src/faults/network/link_silent.rs
+++ b/knapweedrill_lab/src/faults/network/link_silent.rs
@@ -1,5 +1,6 @@
 //! Open links go silent for good while new ones work.
 
+use std::ops::RangeInclusive;
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 const ROUND_COUNT: u32 = 2;
 /// Longer than a silent link takes to be replaced.
 const ROUND: Duration = Duration::from_millis(2500);
+/// Many tasks still run when their link has been replaced.
+const TASK_MS: RangeInclusive<u64> = 50..=2500;
+const TASK_COUNTS: RangeInclusive<u32> = 2..=8;
 
 /// The links that go silent.
 #[derive(Debug, Clone, Copy)]
@@ -33,7 +37,8 @@
         .minions(2, &MinionSpec::new())
         .proxies();
     let mut run = FaultRun::start(case, seed, cluster)?;
-    run.start_callers(&CallPlan::new(), WARM_UP);
+    let plan = CallPlan::new().task_ms(TASK_MS).task_counts(TASK_COUNTS);
+    run.start_callers(&plan, WARM_UP);
     for _ in 0..ROUND_COUNT {
         for proxy in proxies(&run, links) {
             proxy.stream().silence();
--- /dev/null
+++ b/knapweedrill_lab/src/faults/pair/mod.rs
@@ -0,0 +1,4 @@
+//! Two failures at once.
+
+pub(super) mod entry_killed_minion_hangs;
+pub(super) mod under_load;
--- a/knapweedrill_lab/src/faults/probe.rs
+++ b/knapweedrill_lab/src/faults/probe.rs
@@ -25,13 +25,13 @@
 
 impl Probe {
     /// Makes a job that an entry is to own.
-    pub(super) fn new(run: &mut FaultRun, owner: usize, key: &str) -> Result<Self> {
+    pub(super) fn new(run: &FaultRun, owner: usize, key: &str) -> Result<Self> {
         let request = JobRequest::new("tin-a", "release").wait(Duration::from_secs(20));
         let request = (0..TASK_COUNT).fold(request, |request, index| {
             request.task(&TaskPayload::new(TASK_RUN, format!("{key}-{index}")))
         });
         Ok(Self {
-            token: run.cluster.entry(owner).api().owner()?,
+            token: run.cluster.entries()[owner].api().owner()?,
             key: key.to_owned(),
             request,
         })
--- a/knapweedrill_lab/src/faults/wave/cancellations.rs
+++ b/knapweedrill_lab/src/faults/wave/cancellations.rs
@@ -23,7 +23,7 @@
         .cancelled_percent(CANCELLED_PERCENT);
     run.start_callers(&plan, WAVE);
     run.stop_callers()?;
-    let outcome = Probe::new(&mut run, ENTRY, "after-the-wave")?.submit(&mut run, ENTRY);
+    let outcome = Probe::new(&run, ENTRY, "after-the-wave")?.submit(&mut run, ENTRY);
     let mut report = run.finish()?;
     report.expect_complete("a job after the wave", outcome);
     Ok(report)
--- a/knapweedrill_lab/src/faults/wave/resubmissions.rs
+++ b/knapweedrill_lab/src/faults/wave/resubmissions.rs
@@ -24,7 +24,7 @@
     run.start_callers(&CallPlan::new().callers(CALLER_COUNT), WARM_UP);
     let mut outcomes = Vec::new();
     for wave in 0..WAVE_COUNT {
-        let probe = Probe::new(&mut run, wave % ENTRY_COUNT, &format!("wave-{wave}"))?;
+        let probe = Probe::new(&run, wave % ENTRY_COUNT, &format!("wave-{wave}"))?;
         let threads: Vec<_> = (0..RESUBMISSION_COUNT)
             .map(|number| {
                 let probe = probe.clone();
