--- a/knapweedrill/src/entry/tasks.rs
+++ b/knapweedrill/src/entry/tasks.rs
@@ -147,8 +147,8 @@
         let task = out.task;
         let taken = self.take_off(out);
         if let Some(queued) = &taken {
-            // A minion's failures count also when they come after the end of their job.
-            self.learn(out.sidecar, queued, &outcome, run_time, now, actions);
+            // A task counts also when it ends after its job.
+            self.learn(out.sidecar, queued, &outcome, run_time, now);
         }
         if !self.is_awaited(taken.is_some(), out, actions) {
             return;
