fix(sidecar): tell an entry of the free slots when its session opens

Cause: after a session opened the entry took all slots for busy until the next heartbeat, up to 400 ms; seen in `show`, which told 8 of 8 busy on an idle minion. The test of `show` itself failed for another reason: the harness called a cluster started before its entries knew each other. Ruled out: taking the announced slots for free, since other entries use them. Change: the first flush of a session tells the slots; the harness waits until every entry has links to all entries and minions. Conclusion: a new minion gets work without waiting for a heartbeat.

--- a/knapweedrill/src/sidecar/core.rs
+++ b/knapweedrill/src/sidecar/core.rs
@@ -48,6 +48,8 @@
     reports: Vec<TaskReport>,
     credits: Vec<Credit>,
     starts_seen_count: u64,
+    /// Whether the entry is to hear of the slots though there is nothing else to tell.
+    is_report_due: bool,
 }
 
 impl Sidecar {
@@ -79,7 +81,7 @@
         match event {
             SidecarEvent::Minion(notice) => self.hear_minion(notice, now, actions),
             SidecarEvent::PeerUp { peer } => {
-                self.peers.insert(peer, Outbox::default());
+                self.peers.insert(peer, Outbox::of_new_session());
             }
             SidecarEvent::PeerDown { peer } => self.lose_peer(peer, now),
             SidecarEvent::Message { peer, message } => self.receive(peer, message, now, actions),
@@ -517,13 +519,23 @@
 }
 
 impl Outbox {
+    /// Creates the outbox of a session that has just opened.
+    fn of_new_session() -> Self {
+        Self {
+            // Otherwise the entry would take the slots for busy until the next heartbeat.
+            is_report_due: true,
+            ..Self::default()
+        }
+    }
+
     fn take(&mut self, mut report: SlotReport) -> Option<Message> {
         report.starts_seen_count = self.starts_seen_count;
         let tasks = std::mem::take(&mut self.reports);
         let credits = std::mem::take(&mut self.credits);
+        let is_report_due = std::mem::take(&mut self.is_report_due);
         match (tasks.is_empty(), credits.is_empty()) {
-            (true, true) => None,
-            (true, false) => Some(Message::Slots { report, credits }),
+            (true, true) if !is_report_due => None,
+            (true, _) => Some(Message::Slots { report, credits }),
             (false, _) => Some(Message::Reports {
                 tasks,
                 report,
--- a/knapweedrill_lab/src/harness/cluster.rs
+++ b/knapweedrill_lab/src/harness/cluster.rs
@@ -87,7 +87,7 @@
         if let Some(text) = &self.configuration {
             cluster.apply_first_configuration(text)?;
             cluster.wait_ready(READY_TIMEOUT)?;
-            cluster.wait_minions_linked()?;
+            cluster.wait_all_linked()?;
             cluster.ensure_all_running()?;
         }
         Ok(cluster)
@@ -321,13 +321,16 @@
     ///
     /// An entry is ready once the minions that it has heard of are linked, and may hear of
     /// others later.
-    fn wait_minions_linked(&self) -> Result<()> {
+    fn wait_all_linked(&self) -> Result<()> {
         let minion_count = self.minions.len();
+        let entry_count = self.entries.len();
         for (number, entry) in self.entries.iter().enumerate() {
             let api = entry.api();
-            let what = format!("links of entry-{number} to {minion_count} minions");
+            let what = format!("links of entry-{number} to all entries and minions");
             wait_until(&what, READY_TIMEOUT, || {
-                linked_count(api).is_ok_and(|count| count >= minion_count)
+                linked_counts(api).is_ok_and(|linked| {
+                    linked.entry_count >= entry_count && linked.minion_count >= minion_count
+                })
             })?;
         }
         Ok(())
@@ -365,11 +368,24 @@
 }
 
 /// Returns how many minions that serve an entry has links to.
-fn linked_count(api: EntryApi) -> Result<usize> {
+/// The processes that an entry has links to; the entry itself counts as one.
+struct LinkedCounts {
+    entry_count: usize,
+    minion_count: usize,
+}
+
+fn linked_counts(api: EntryApi) -> Result<LinkedCounts> {
     let shown: ShowAnswer = api.get("/v1/show")?.json()?;
     let is_linked =
         |minion: &&MinionView| minion.state == MinionState::Serving && !minion.is_suspect;
-    Ok(shown.minions.iter().filter(is_linked).count())
+    Ok(LinkedCounts {
+        entry_count: shown
+            .entries
+            .iter()
+            .filter(|entry| !entry.is_suspect)
+            .count(),
+        minion_count: shown.minions.iter().filter(is_linked).count(),
+    })
 }
 
 fn ensure_running(process: &mut ChildProcess) -> Result<()> {
