fix(http): answer what was read before the server closes

Cause: the accept loop went on until the server was dropped, so a request read in the last moments of a planned stop was answered by the HTTP library with a bare 500 and no outcome. Ruled out: dropping such requests on purpose; the caller would not be told that the outcome is unknown. Change: the listener is shut down first, then what was read is refused until no request has come for 100 ms, 500 ms at most. Conclusion: the window is closed by order of steps, not by luck of timing, but for a connection that stays silent for 100 ms and then speaks.

--- a/knapweedrill_daemon/src/http/server.rs
+++ b/knapweedrill_daemon/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The server.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
@@ -9,6 +9,7 @@
 use crossbeam::channel::{Sender, unbounded};
 use crossbeam::sync::WaitGroup;
 use eyre::{Result, WrapErr as _, eyre};
+use socket2::SockRef;
 use tiny_http::Server;
 
 use super::intake::Intake;
@@ -19,11 +20,19 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long no request comes before the last connections count as quiet.
+const CLOSING_QUIET_TIME: Duration = Duration::from_millis(100);
+
+/// How long the last connections are served at the most.
+const CLOSING_TIME: Duration = Duration::from_millis(500);
+
 /// The HTTP interface of a process.
 ///
 /// `GET /healthz` is answered by the server itself, everything else by the handler.
 pub struct HttpServer {
     address: SocketAddr,
+    /// The listener, for the end.
+    closing: TcpListener,
     intake: Arc<Intake>,
     shared: Arc<Shared>,
     notices: Sender<Notice>,
@@ -66,6 +75,9 @@
             .local_addr()
             .wrap_err("the HTTP listener has no address")?;
         listener::set_options(&socket, limits.idle_timeout)?;
+        let closing = socket
+            .try_clone()
+            .wrap_err("cannot share the HTTP listener")?;
         let quiet_time = limits.idle_timeout * 2;
         let intake = Arc::new(Intake::new(limits, Arc::clone(&metrics), handler));
         let shared = Arc::new(Shared {
@@ -91,6 +103,7 @@
             .wrap_err("cannot start the watchdog of the HTTP interface")?;
         Ok(Self {
             address,
+            closing,
             intake,
             shared,
             notices,
@@ -130,6 +143,9 @@
         }
         let left_count = self.intake.in_flight_count();
         self.shared.is_closed.store(true, Ordering::Release);
+        // No connection is accepted any more, so that those accepted can all be answered. A socket
+        // that listens no longer has nothing to shut down.
+        let _ = SockRef::from(&self.closing).shutdown(Shutdown::Both);
         // Without a watchdog there is nobody to tell.
         let _ = self.notices.send(Notice::Closing);
         // A panic of the watchdog has been reported by its own hook.
@@ -212,10 +228,21 @@
         self.refuse_rest();
     }
 
-    /// Answers the requests that were read while the server closed.
+    /// Answers the requests that were read while the server closed, until none has come for a
+    /// while.
     fn refuse_rest(&self) {
-        while let Ok(Some(request)) = self.server.try_recv() {
-            self.intake.take(request);
+        let deadline = Instant::now() + CLOSING_TIME;
+        let mut last_request = Instant::now();
+        while last_request.elapsed() < CLOSING_QUIET_TIME && Instant::now() < deadline {
+            match self.server.recv_timeout(DRAIN_POLL_INTERVAL) {
+                Ok(Some(request)) => {
+                    last_request = Instant::now();
+                    self.intake.take(request);
+                }
+                Ok(None) => {}
+                // The accept loop has ended; its connections may have more to say.
+                Err(_) => thread::sleep(DRAIN_POLL_INTERVAL),
+            }
         }
     }
 
