fix(policy): let a returned credit withdraw the demand

Cause: the sidecar kept an entry's demand after a credit came back, so it granted again at once, and credits went back and forth, most of all when the entry held a minion to one task at a time after failures. Ruled out: returning fewer credits, since an unused one holds a slot for 50 ms. Change: a returned credit counts as word that nothing waits for its flow; the entry notes the same and demands nothing of a minion that it may not start on. The new test of the arbiter failed before and passes.

--- a/knapweedrill/src/entry/demand_board/mod.rs
+++ b/knapweedrill/src/entry/demand_board/mod.rs
@@ -41,7 +41,7 @@
         self.told.remove(&sidecar);
     }
 
-    /// Counts down when tasks were handed to the sidecar or credits of it were returned.
+    /// Counts down when tasks were handed to the sidecar.
     pub fn used(&mut self, sidecar: Incarnation, flow: &Flow, used_count: u32) {
         let told = self.told.get_mut(&sidecar);
         if let Some(task_count) = told.and_then(|told| told.get_mut(flow)) {
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Notes that a credit of a flow goes back, by which the sidecar takes the demand for gone.
+    pub fn withdrawn(&mut self, sidecar: Incarnation, flow: &Flow) {
+        if let Some(told) = self.told.get_mut(&sidecar) {
+            told.remove(flow);
+        }
+    }
+
     /// Returns what has to be told now, whole for each sidecar that has to hear something.
     ///
     /// `waiting` lists every sidecar with a link session, the preferred ones first, each with all
--- a/knapweedrill/src/entry/dispatch.rs
+++ b/knapweedrill/src/entry/dispatch.rs
@@ -228,7 +228,7 @@
         for credit in credits {
             if !may_start {
                 let flow = Flow::new(credit.team.as_str(), credit.class);
-                self.demand_board.used(sidecar, &flow, credit.task_count);
+                self.demand_board.withdrawn(sidecar, &flow);
                 unused_count += credit.task_count;
                 continue;
             }
@@ -266,7 +266,7 @@
         for used_count in 0..credit.task_count {
             let Some(taken) = self.take_queued(sidecar, Some(&flow)) else {
                 let unused_count = credit.task_count - used_count;
-                self.demand_board.used(sidecar, &flow, unused_count);
+                self.demand_board.withdrawn(sidecar, &flow);
                 return unused_count;
             };
             self.hand_out(sidecar, taken, true, now, actions);
@@ -449,7 +449,7 @@
             return BTreeMap::new();
         }
         self.forget_old_demands(now);
-        let waiting = self.waiting();
+        let waiting = self.waiting(now);
         let updates: BTreeMap<Incarnation, Vec<Demand>> = self
             .demand_board
             .update(&waiting)
@@ -475,12 +475,12 @@
         }
     }
 
-    /// Returns what waits for each sidecar that takes tasks, the fastest first.
-    fn waiting(&self) -> Vec<SidecarDemands> {
+    /// Returns what waits for each sidecar that may be handed tasks now, the fastest first.
+    fn waiting(&self, now: Instant) -> Vec<SidecarDemands> {
         let mut views: Vec<(&Incarnation, &SidecarView)> = self
             .sidecars
             .iter()
-            .filter(|(sidecar, view)| view.is_usable() && !self.is_ejected(**sidecar, view))
+            .filter(|(sidecar, _)| self.may_start(**sidecar, now))
             .collect();
         views.sort_by_key(|(_, view)| std::cmp::Reverse(view.speed.percent()));
         let views = views.into_iter();
--- a/knapweedrill/src/sidecar/arbiter/demands.rs
+++ b/knapweedrill/src/sidecar/arbiter/demands.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Drops what `entry` demanded of a flow.
+    pub(super) fn withdraw(&mut self, entry: Incarnation, flow: &Flow) {
+        if let Some(flow_demand) = self.flows.get_mut(flow) {
+            flow_demand.entries.remove(&entry);
+        }
+    }
+
     /// Notes that a credit of `entry` lapsed; the task it was for still waits there.
     pub(super) fn lapsed(&mut self, entry: Incarnation, flow: &Flow) {
         self.silent.insert(entry);
--- a/knapweedrill/src/sidecar/arbiter/mod.rs
+++ b/knapweedrill/src/sidecar/arbiter/mod.rs
@@ -10,7 +10,7 @@
 mod offer;
 mod settings;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use demands::Demands;
@@ -288,15 +288,25 @@
     }
 
     /// Takes back the oldest `credit_count` credits of an entry that has no use for them.
+    ///
+    /// What the entry demanded of their flows counts as gone until it demands again; otherwise
+    /// credits would go back and forth.
     pub fn return_credits(&mut self, entry: Incarnation, credit_count: u32, now: Instant) {
         self.lapse(now);
         self.demands.heard(entry);
         let mut left_count = credit_count;
+        let mut flows = BTreeSet::new();
         self.remove_credits(now, |credit| {
             let is_returned = credit.entry == entry && left_count > 0;
             left_count -= u32::from(is_returned);
+            if is_returned {
+                flows.insert(credit.flow.clone());
+            }
             is_returned
         });
+        for flow in flows {
+            self.demands.withdraw(entry, &flow);
+        }
     }
 
     /// Drops the credits and demands of an entry whose link session ended.
--- a/knapweedrill/tests/slot_arbiter.rs
+++ b/knapweedrill/tests/slot_arbiter.rs
@@ -435,3 +435,27 @@
         }
     }
 }
+
+#[test]
+fn returned_credit_withdraws_what_the_entry_demanded_of_the_flow() {
+    let now = Instant::now();
+    let mut arbiter = arbiter(1, 0);
+    let bulk = demand("a", Class::Bulk, 3);
+    let normal = demand("a", Class::Normal, 3);
+    arbiter.demands(1, vec![normal.clone(), bulk], now);
+    assert_eq!(credit_count(&arbiter.grant(now), 1), 1);
+
+    arbiter.return_credits(1, 1, now);
+    let granted = arbiter.grant(now);
+    let classes: Vec<Class> = granted
+        .iter()
+        .flat_map(|credits| &credits.credits)
+        .map(|credit| credit.class)
+        .collect();
+    assert_eq!(classes, [Class::Bulk]);
+
+    arbiter.return_credits(1, 1, now);
+    assert!(arbiter.grant(now).is_empty());
+    arbiter.demands(1, vec![normal], now);
+    assert_eq!(credit_count(&arbiter.grant(now), 1), 1);
+}
