refactor: let one piece of code serve where two stood

Cause: the load tool had an ideal response time of its own beside that of the demo; entry and sidecar each asked for newer configurations in the same lines; the entry had a wrapper with an unused argument and a handler with two. Change: the load tool calls SlotSpeeds, ConfigurationKeeper::pull asks on behalf of both roles, the wrapper and the arguments are gone. Ruled out: one type for the control state of both roles, since what else they share is a line or two each; one text for the lab's configurations, since tests pin them one by one. Conclusion: behaviour as before, no test touched.

--- a/knapweedrill/src/entry/core.rs
+++ b/knapweedrill/src/entry/core.rs
@@ -211,7 +211,7 @@
             Message::RelayAnswer(answer) => self.take_relay_answer(answer, actions),
             Message::Roster(notice) => self.relays.learn_roster(notice),
             Message::HandOver(part) => self.take_over(peer, part, now, actions),
-            Message::HandOverTaken { from, part } => self.hand_over_taken(from, part, actions),
+            Message::HandOverTaken { from, .. } => self.hand_over_taken(from),
             Message::AnswersFor { stopped } => self.relays.learn_successor(stopped, peer),
             _ => actions.push(EntryAction::Count(EntryCounter::Unexpected)),
         }
@@ -231,7 +231,7 @@
                     peer,
                     message: Message::Roster(self.roster_notice()),
                 });
-                self.owner_found(peer, now, actions);
+                self.retry_parked(now, actions);
             }
             Role::Sidecar => self.sidecar_up(peer, now, actions),
         }
--- a/knapweedrill/src/entry/hand_over.rs
+++ b/knapweedrill/src/entry/hand_over.rs
@@ -159,12 +159,7 @@
     }
 
     /// Counts a part of the keys that the successor has taken.
-    pub(super) fn hand_over_taken(
-        &mut self,
-        from: Incarnation,
-        _part: u32,
-        _actions: &mut Vec<EntryAction>,
-    ) {
+    pub(super) fn hand_over_taken(&mut self, from: Incarnation) {
         if from != self.incarnation && !self.relays.adopted.contains_key(&from) {
             return;
         }
--- a/knapweedrill/src/entry/relay.rs
+++ b/knapweedrill/src/entry/relay.rs
@@ -227,17 +227,8 @@
         }
     }
 
-    /// Passes on what waited for an entry that has now been found.
-    pub(super) fn owner_found(
-        &mut self,
-        _entry: Incarnation,
-        now: Instant,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        self.retry_parked(now, actions);
-    }
-
-    fn retry_parked(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
+    /// Passes on what waited for an entry that can now be asked.
+    pub(super) fn retry_parked(&mut self, now: Instant, actions: &mut Vec<EntryAction>) {
         for parked in std::mem::take(&mut self.relays.parked) {
             let owner = parked.request.token().incarnation;
             let is_answerable =
--- a/knapweedrill_daemon/src/control/configuration.rs
+++ b/knapweedrill_daemon/src/control/configuration.rs
@@ -9,8 +9,10 @@
     FoldOutcome, ReadBack,
 };
 use knapweedrill::event::EventKind;
+use knapweedrill::membership::ConfigurationSource;
 use knapweedrill::message::Message;
 
+use super::Peers;
 use crate::http::HttpReply;
 use crate::platform_log::{LogNews, LogPage, LogRecord};
 use crate::telemetry::{Counter, Gauge, Metrics, Timeline};
@@ -114,15 +116,17 @@
         })
     }
 
-    /// Returns whether a peer may be asked now, and notes that it is.
-    pub fn may_pull(&mut self, now: Instant) -> bool {
+    /// Asks a process that has a newer configuration for it, if none was asked just now.
+    pub fn pull(&mut self, source: Option<ConfigurationSource>, peers: &mut Peers, now: Instant) {
         let is_due = self
             .pulled_at
             .is_none_or(|at| now.duration_since(at) > PULL_INTERVAL);
-        if is_due {
-            self.pulled_at = Some(now);
-        }
-        is_due
+        let Some(source) = source.filter(|_| is_due) else {
+            return;
+        };
+        self.pulled_at = Some(now);
+        let have = self.version();
+        peers.send(source.peer, Message::ConfigurationPull { have }, now);
     }
 
     /// Returns the record that repeats the configuration before retention cuts it off, if due.
--- a/knapweedrill_daemon/src/control/sidecar.rs
+++ b/knapweedrill_daemon/src/control/sidecar.rs
@@ -272,14 +272,8 @@
 
     /// Asks whoever has a newer configuration for it.
     fn pull_configuration(&mut self, now: Instant) {
-        let have = self.configuration.version();
-        let Some(source) = self.membership.ahead(have) else {
-            return;
-        };
-        if self.configuration.may_pull(now) {
-            let message = Message::ConfigurationPull { have };
-            self.peers.send(source.peer, message, now);
-        }
+        let source = self.membership.ahead(self.configuration.version());
+        self.configuration.pull(source, &mut self.peers, now);
     }
 
     fn publish(&mut self, now: Instant) {
--- a/knapweedrill_lab/src/load/mod.rs
+++ b/knapweedrill_lab/src/load/mod.rs
@@ -7,7 +7,6 @@
 mod callers;
 mod counters;
 mod disturbance;
-mod ideal;
 mod options;
 mod outcome;
 mod plan;
@@ -17,7 +16,6 @@
 mod usage;
 
 pub use disturbance::{Disturbance, TimedDisturbance};
-pub use ideal::ideal_response;
 pub use options::{LoadOptions, policy_name, policy_named};
 pub use plan::{FlowPlan, Plan, PlannedJob, PlannedTask, TaskWork};
 pub use report::{
--- a/knapweedrill_lab/src/load/run.rs
+++ b/knapweedrill_lab/src/load/run.rs
@@ -15,10 +15,11 @@
 use super::usage::ProcessUsage;
 use super::{
     Disturbance, FlowReport, LoadReport, MessageReport, Plan, PlannedJob, RefusalReport,
-    RoleUsageReport, TimedDisturbance, TimesReport, ideal_response,
+    RoleUsageReport, TimedDisturbance, TimesReport,
 };
 use crate::checker::{self, History};
 use crate::harness::{Cluster, ClusterBuilder, EntryApi, JobOutcome, MinionSpec};
+use crate::ideal::SlotSpeeds;
 use crate::wall_clock::wall_us;
 
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -309,11 +310,8 @@
 }
 
 fn ideal_of(job: &PlannedJob) -> Duration {
-    let works = job.tasks.iter().map(|task| task.work);
-    let speeds = MINION_SPEEDS_PERCENT
-        .iter()
-        .flat_map(|speed| std::iter::repeat_n(*speed, MINION_SLOTS as usize));
-    ideal_response(works, speeds)
+    let slots = SlotSpeeds::new(MINION_SPEEDS_PERCENT.map(|speed| (speed, MINION_SLOTS)));
+    slots.ideal(job.tasks.iter().map(|task| task.work))
 }
 
 fn compare(flows: &mut [FlowReport], alone: &[FlowReport]) {
