--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -0,0 +1,29 @@
+//! Whether a job is taken, by when its tasks are likely to get room.
+
+use std::time::Duration;
+
+/// What decides about a job.
+#[derive(Debug, Clone, Copy)]
+pub struct Admission {
+    /// The work that comes before the job, in thousandths of a core times milliseconds.
+    pub work_before: u64,
+    /// The processor of the fleet, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// How many entries share the fleet, this one included.
+    pub entry_count: u64,
+    /// How long the job can wait and still keep its objective.
+    pub slack: Duration,
+}
+
+impl Admission {
+    /// Returns how long the job is going to wait for room.
+    pub fn wait(&self) -> Duration {
+        let share = (self.cpu_millicores / self.entry_count.max(1)).max(1);
+        Duration::from_millis(self.work_before / share)
+    }
+
+    /// Returns whether the job is taken.
+    pub fn is_admitted(&self) -> bool {
+        self.work_before == 0 || self.wait() <= self.slack
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -0,0 +1,149 @@
+//! The sidecars that an entry knows, and the choice among them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::SidecarView;
+use crate::common::Incarnation;
+use crate::dispatch::Room;
+
+/// Minions whose run times differ by less than this share count as equal, and chance decides,
+/// so that entries do not all choose the same one. Paces are learned to about that much.
+const EQUAL_RUN_TIME_PERCENT: u32 = 10;
+
+/// The share of suspect minions, one in so many, from which on the tasks are to blame and all
+/// minions are used.
+const SUSPECTS_DIVISOR: usize = 3;
+
+/// What a task needs of a minion.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service that it has to belong to.
+    pub service: &'a str,
+    /// The room that it has to have.
+    pub room: Room,
+    /// The estimate of the task's run time.
+    pub estimate: Duration,
+    /// A label that it has to have.
+    pub required_label: Option<&'a str>,
+    /// A label that it had better have.
+    pub preferred_label: Option<&'a str>,
+}
+
+/// The sidecars that an entry knows.
+#[derive(Debug)]
+pub struct Fleet {
+    views: HashMap<Incarnation, SidecarView>,
+    probe_every: Duration,
+    random: SmallRng,
+}
+
+impl Fleet {
+    /// Creates a fleet without sidecars.
+    pub fn new(probe_every: Duration, seed: u64) -> Self {
+        Self {
+            views: HashMap::new(),
+            probe_every,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the view of a sidecar, a new one if need be.
+    pub fn meet(&mut self, sidecar: Incarnation) -> &mut SidecarView {
+        self.views
+            .entry(sidecar)
+            .or_insert_with(|| SidecarView::new(sidecar))
+    }
+
+    /// Returns the view of a sidecar.
+    pub fn view(&self, sidecar: Incarnation) -> Option<&SidecarView> {
+        self.views.get(&sidecar)
+    }
+
+    /// Returns the view of a sidecar.
+    pub fn view_mut(&mut self, sidecar: Incarnation) -> Option<&mut SidecarView> {
+        self.views.get_mut(&sidecar)
+    }
+
+    /// Returns all views.
+    pub fn views(&self) -> impl Iterator<Item = &SidecarView> {
+        self.views.values()
+    }
+
+    /// Forgets sidecars that are gone and run nothing any more.
+    pub fn forget_gone(&mut self) {
+        self.views
+            .retain(|_, view| view.gone_at().is_none() || view.placed_count() > 0);
+    }
+
+    /// Returns the processor of all usable minions of a service, in thousandths of a core.
+    pub fn cpu_millicores(&self, service: &str) -> u64 {
+        self.of_service(service)
+            .filter(|view| view.is_usable())
+            .filter_map(SidecarView::profile)
+            .map(|profile| u64::from(profile.capacity.cpu_millicores))
+            .sum()
+    }
+
+    /// Returns whether some minion could run the task if nothing else ran there.
+    pub fn could_ever_run(&self, wanted: &Wanted<'_>) -> bool {
+        self.of_service(wanted.service)
+            .filter_map(SidecarView::profile)
+            .any(|profile| {
+                wanted.room.fits_into(profile.capacity)
+                    && has_label(&profile.labels, wanted.required_label)
+            })
+    }
+
+    /// Chooses the minion for a task: the one that is going to end it first.
+    ///
+    /// `penalty` says how much worse than its run time a minion is; none excludes it.
+    pub fn choose(
+        &mut self,
+        wanted: &Wanted<'_>,
+        now: Instant,
+        penalty: impl Fn(Incarnation) -> Option<Duration>,
+    ) -> Option<Incarnation> {
+        let trusts_all = self.suspects_are_many(wanted.service);
+        let probe_every = self.probe_every;
+        let mut fitting: Vec<(Duration, Incarnation)> = self
+            .of_service(wanted.service)
+            .filter(|view| view.is_usable() && wanted.room.fits_into(view.free()))
+            .filter(|view| trusts_all || !view.is_suspect() || view.may_be_probed(now, probe_every))
+            .filter_map(|view| {
+                let labels = &view.profile()?.labels;
+                let mut time = view.run_time(wanted.estimate) + penalty(view.incarnation())?;
+                if !has_label(labels, wanted.preferred_label) {
+                    time += wanted.estimate / 2;
+                }
+                has_label(labels, wanted.required_label).then_some((time, view.incarnation()))
+            })
+            .collect();
+        let best = fitting.iter().map(|(time, _)| *time).min()?;
+        let bound = best + best * EQUAL_RUN_TIME_PERCENT / 100;
+        fitting.retain(|(time, _)| *time <= bound);
+        fitting.sort_unstable_by_key(|(_, incarnation)| *incarnation);
+        let index = self.random.random_range(0..fitting.len());
+        fitting.get(index).map(|(_, incarnation)| *incarnation)
+    }
+
+    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a SidecarView> {
+        self.views.values().filter(move |view| {
+            view.profile()
+                .is_some_and(|profile| profile.service == service)
+        })
+    }
+
+    fn suspects_are_many(&self, service: &str) -> bool {
+        let usable = self.of_service(service).filter(|view| view.is_usable());
+        let (suspects, others): (Vec<_>, Vec<_>) = usable.partition(|view| view.is_suspect());
+        suspects.len() * SUSPECTS_DIVISOR > suspects.len() + others.len()
+    }
+}
+
+fn has_label(labels: &[String], wanted: Option<&str>) -> bool {
+    wanted.is_none_or(|wanted| labels.iter().any(|label| label == wanted))
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -0,0 +1,181 @@
+//! A job that an entry owns.
+
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::answer::CallerId;
+use super::submission::{StepRequest, Submission};
+use crate::common::{Incarnation, ServiceName, TaskIndex};
+use crate::dispatch::configuration::{Queue, Terms};
+use crate::dispatch::{Attempt, JobName, StepIndex, TaskName};
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TaskState {
+    /// A step before it is not done.
+    Blocked,
+    /// It waits for room.
+    Waiting,
+    /// It was sent to a sidecar.
+    Placed(Incarnation),
+    /// It has ended with success.
+    Done,
+}
+
+/// A task of a job.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) step: StepIndex,
+    pub(super) index: TaskIndex,
+    pub(super) state: TaskState,
+    pub(super) attempt: Attempt,
+    pub(super) failed_count: u32,
+    /// Where it has failed or was turned down.
+    pub(super) avoided: SmallVec<[Incarnation; 2]>,
+}
+
+/// A job that an entry owns.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) name: JobName,
+    pub(super) queue: String,
+    pub(super) service: ServiceName,
+    pub(super) terms: Terms,
+    pub(super) spec: String,
+    pub(super) steps: Vec<StepRequest>,
+    pub(super) tasks: Vec<Task>,
+    pub(super) callers: SmallVec<[CallerId; 1]>,
+    pub(super) arrived_at: Instant,
+    /// When the callers stop to wait.
+    pub(super) patience_end: Instant,
+    /// The estimate of the longest chain of tasks.
+    pub(super) longest: Duration,
+    /// How many placements have begun, or may have.
+    pub(super) begun_count: u32,
+}
+
+impl Job {
+    pub(super) fn new(
+        submission: Submission,
+        queue: &Queue,
+        caller: CallerId,
+        now: Instant,
+    ) -> Self {
+        let tasks = submission.steps.iter().zip(0..).flat_map(|(step, number)| {
+            let state = if step.after.is_empty() {
+                TaskState::Waiting
+            } else {
+                TaskState::Blocked
+            };
+            (0..step.task_count).map(move |index| Task {
+                step: number,
+                index,
+                state,
+                attempt: 0,
+                failed_count: 0,
+                avoided: SmallVec::new(),
+            })
+        });
+        Self {
+            name: submission.name,
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            terms: queue.terms,
+            tasks: tasks.collect(),
+            longest: longest_chain(&submission.steps),
+            spec: submission.spec,
+            steps: submission.steps,
+            callers: SmallVec::from_elem(caller, 1),
+            arrived_at: now,
+            patience_end: now + submission.patience,
+            begun_count: 0,
+        }
+    }
+
+    pub(super) fn objective(&self) -> Duration {
+        self.terms.objective(self.longest)
+    }
+
+    /// Returns the latest start with which the job can keep its objective.
+    pub(super) fn latest_start(&self) -> Instant {
+        self.arrived_at + self.objective().saturating_sub(self.longest)
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| task.state == TaskState::Waiting)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    pub(super) fn task_name(&self, position: usize) -> TaskName {
+        let task = &self.tasks[position];
+        TaskName {
+            job: self.name,
+            step: task.step,
+            index: task.index,
+        }
+    }
+
+    pub(super) fn position(&self, name: TaskName) -> Option<usize> {
+        self.tasks
+            .iter()
+            .position(|task| task.step == name.step && task.index == name.index)
+    }
+
+    /// Returns how many tasks of a step were sent to a sidecar and have not ended.
+    pub(super) fn placed_count(&self, step: StepIndex, sidecar: Incarnation) -> u32 {
+        let is_there = |task: &&Task| task.step == step && task.state == TaskState::Placed(sidecar);
+        u32::try_from(self.tasks.iter().filter(is_there).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Lets the tasks wait whose earlier steps are all done.
+    pub(super) fn unblock(&mut self) {
+        let done: Vec<bool> = (0..self.steps.len())
+            .map(|step| {
+                self.tasks
+                    .iter()
+                    .filter(|task| usize::from(task.step) == step)
+                    .all(|task| task.state == TaskState::Done)
+            })
+            .collect();
+        for task in &mut self.tasks {
+            let after = &self.steps[usize::from(task.step)].after;
+            let is_ready = after.iter().all(|step| done[usize::from(*step)]);
+            if task.state == TaskState::Blocked && is_ready {
+                task.state = TaskState::Waiting;
+            }
+        }
+    }
+
+    /// Returns the processor time that the tasks which wait are going to take, in thousandths
+    /// of a core times milliseconds.
+    pub(super) fn waiting_work(&self) -> u64 {
+        let waiting = self
+            .tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Waiting);
+        waiting
+            .map(|task| {
+                let step = &self.steps[usize::from(task.step)];
+                let estimate_ms = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+                u64::from(step.room.cpu_millicores).saturating_mul(estimate_ms)
+            })
+            .sum()
+    }
+}
+
+/// Returns the estimate of the longest chain of steps; steps name earlier ones only.
+fn longest_chain(steps: &[StepRequest]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let begin = step.after.iter().map(|before| ends[usize::from(*before)]);
+        let begin = begin.max().unwrap_or_default();
+        ends.push(begin + step.estimate);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/names.rs
@@ -0,0 +1,37 @@
+//! Names of jobs, tasks and runs.
+
+use std::fmt;
+
+use knapweedrill_derive::key;
+
+use crate::common::TaskIndex;
+
+/// The position of a step within its job.
+pub type StepIndex = u16;
+
+/// Counts the placements of a task by its entry; the first is 1.
+pub type Attempt = u32;
+
+/// Numbers the runs of a task at a minion, which takes only rising numbers.
+pub type RunNumber = u32;
+
+/// The name that a caller gave to a job.
+#[key]
+pub struct JobName(pub u64);
+
+impl fmt::Display for JobName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Names a task everywhere.
+#[key]
+pub struct TaskName {
+    /// The job.
+    pub job: JobName,
+    /// The step within the job.
+    pub step: StepIndex,
+    /// The position within the step.
+    pub index: TaskIndex,
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -0,0 +1,318 @@
+//! One side of a session.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::SessionSettings;
+use super::envelope::{Envelope, MessageNumber};
+use super::sessions::Identity;
+use crate::common::Incarnation;
+use crate::dispatch::message::{Message, Role, StampMs, Status};
+
+/// How many messages a datagram carries at the most: twelve orders of 4 KB, the longest there
+/// are, stay below the 64 KiB of a datagram.
+const MESSAGE_COUNT_MAX: usize = 12;
+
+/// How many messages may be on their way without an acknowledgement.
+const WINDOW_MESSAGE_COUNT: usize = 10 * MESSAGE_COUNT_MAX;
+
+/// How many former incarnations of a process are remembered, so that their late datagrams are
+/// told from those of a new one. More than the restarts that late datagrams can span.
+const FORMER_COUNT: usize = 8;
+
+/// How many idle beats a session without work may miss.
+const IDLE_BEATS_MISSED_MAX: u32 = 3;
+
+/// What happened on a session.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SessionEvent {
+    /// The other process can be talked to.
+    Up(Incarnation, Role),
+    /// The other process is gone; another one has its address.
+    Gone(Incarnation),
+    /// Nothing has been heard for a while.
+    Silent(Incarnation),
+    /// Something was heard again.
+    Heard(Incarnation),
+    /// A message arrived.
+    Message(Incarnation, Message),
+    /// The newest state arrived, with the number of our messages that it takes account of.
+    Status(Incarnation, Status, MessageNumber),
+}
+
+/// The events of one datagram.
+pub(super) type SessionEvents = SmallVec<[SessionEvent; 4]>;
+
+/// The session with the process at one address.
+#[derive(Debug)]
+pub(super) struct Peer {
+    settings: SessionSettings,
+    remote: Option<Incarnation>,
+    former: VecDeque<Incarnation>,
+    /// Messages that were not acknowledged; the first has the number `acknowledged` + 1.
+    outbox: VecDeque<Message>,
+    acknowledged: MessageNumber,
+    sent: MessageNumber,
+    resend_at: Option<Instant>,
+    resend_after: Duration,
+    received: MessageNumber,
+    acknowledge_at: Option<Instant>,
+    /// The newest stamp of the other side, and when it arrived.
+    remote_stamp: Option<(StampMs, Instant)>,
+    /// The newest stamp of our own that the other side has named.
+    echo_ms: StampMs,
+    heard_at: Option<Instant>,
+    /// Since when the session has had work.
+    busy_since: Option<Instant>,
+    is_silent: bool,
+    status: Option<Status>,
+    is_status_new: bool,
+    sent_at: Option<Instant>,
+}
+
+impl Peer {
+    pub(super) fn new(settings: SessionSettings) -> Self {
+        Self {
+            settings,
+            remote: None,
+            former: VecDeque::new(),
+            outbox: VecDeque::new(),
+            acknowledged: 0,
+            sent: 0,
+            resend_at: None,
+            resend_after: settings.resend_after,
+            received: 0,
+            acknowledge_at: None,
+            remote_stamp: None,
+            echo_ms: 0,
+            heard_at: None,
+            busy_since: None,
+            is_silent: false,
+            status: None,
+            is_status_new: false,
+            sent_at: None,
+        }
+    }
+
+    pub(super) fn remote(&self) -> Option<Incarnation> {
+        self.remote
+    }
+
+    pub(super) fn echo_ms(&self) -> StampMs {
+        self.echo_ms
+    }
+
+    pub(super) fn remote_stamp(&self) -> Option<(StampMs, Instant)> {
+        self.remote_stamp
+    }
+
+    /// Adds a message to those under way and returns its number.
+    pub(super) fn push(&mut self, message: Message) -> MessageNumber {
+        self.outbox.push_back(message);
+        self.acknowledged + self.outbox.len() as MessageNumber
+    }
+
+    pub(super) fn set_status(&mut self, status: Status) {
+        if self.status != Some(status) {
+            self.status = Some(status);
+            self.is_status_new = true;
+        }
+    }
+
+    /// Says whether the other side has work of ours or we have work of it.
+    pub(super) fn set_busy(&mut self, is_busy: bool, now: Instant) {
+        if is_busy {
+            self.busy_since.get_or_insert(now);
+        } else {
+            self.busy_since = None;
+        }
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        envelope: Envelope,
+        own: &Identity,
+        now: Instant,
+    ) -> SessionEvents {
+        let mut events = SessionEvents::new();
+        if self.former.contains(&envelope.from) {
+            return events;
+        }
+        self.meet(&envelope, &mut events);
+        if envelope.to != own.incarnation {
+            // A greeting, or meant for the process that was here before: answered at once.
+            self.acknowledge_at = Some(now);
+            self.note_heard(envelope.from, now, &mut events);
+            return events;
+        }
+        self.note_heard(envelope.from, now, &mut events);
+        let is_newest = self
+            .remote_stamp
+            .is_none_or(|(stamp, _)| envelope.stamp_ms >= stamp);
+        if self
+            .remote_stamp
+            .is_none_or(|(stamp, _)| envelope.stamp_ms > stamp)
+        {
+            self.remote_stamp = Some((envelope.stamp_ms, now));
+        }
+        self.echo_ms = self.echo_ms.max(envelope.echo_ms);
+        self.take_acknowledgement(envelope.received, now);
+        self.take_messages(envelope.first, envelope.messages, now, &mut events);
+        if let Some(status) = envelope.status.filter(|_| is_newest) {
+            events.push(SessionEvent::Status(
+                envelope.from,
+                status,
+                envelope.received,
+            ));
+        }
+        events
+    }
+
+    fn meet(&mut self, envelope: &Envelope, events: &mut SessionEvents) {
+        if self.remote == Some(envelope.from) {
+            return;
+        }
+        if let Some(old) = self.remote {
+            self.former.push_back(old);
+            if self.former.len() > FORMER_COUNT {
+                self.former.pop_front();
+            }
+            events.push(SessionEvent::Gone(old));
+        }
+        *self = Self {
+            remote: Some(envelope.from),
+            former: std::mem::take(&mut self.former),
+            status: self.status,
+            is_status_new: true,
+            ..Self::new(self.settings)
+        };
+        events.push(SessionEvent::Up(envelope.from, envelope.role));
+    }
+
+    fn note_heard(&mut self, from: Incarnation, now: Instant, events: &mut SessionEvents) {
+        self.heard_at = Some(now);
+        if std::mem::take(&mut self.is_silent) {
+            events.push(SessionEvent::Heard(from));
+        }
+    }
+
+    fn take_acknowledgement(&mut self, received: MessageNumber, now: Instant) {
+        let known = self.acknowledged + self.outbox.len() as MessageNumber;
+        if received <= self.acknowledged || received > known {
+            return;
+        }
+        for _ in self.acknowledged..received {
+            self.outbox.pop_front();
+        }
+        self.acknowledged = received;
+        self.sent = self.sent.max(received);
+        self.resend_after = self.settings.resend_after;
+        self.resend_at = (self.sent > self.acknowledged).then(|| now + self.resend_after);
+    }
+
+    fn take_messages(
+        &mut self,
+        first: MessageNumber,
+        messages: Vec<Message>,
+        now: Instant,
+        events: &mut SessionEvents,
+    ) {
+        let Some(from) = self.remote.filter(|_| !messages.is_empty()) else {
+            return;
+        };
+        self.acknowledge_at
+            .get_or_insert(now + self.settings.acknowledge_after);
+        if first > self.received + 1 {
+            // Something before these was lost; it will be sent again, and these after it.
+            return;
+        }
+        let known_count = usize::try_from(self.received + 1 - first).unwrap_or(usize::MAX);
+        for message in messages.into_iter().skip(known_count) {
+            self.received += 1;
+            events.push(SessionEvent::Message(from, message));
+        }
+    }
+
+    /// Notices silence.
+    pub(super) fn check_silence(&mut self, now: Instant) -> Option<SessionEvent> {
+        let remote = self.remote?;
+        let heard_at = self.heard_at?;
+        let is_over = match self.busy_since.or(self.resend_at.map(|_| heard_at)) {
+            Some(since) => {
+                now.saturating_duration_since(heard_at.max(since)) > self.settings.silent_after
+            }
+            None => {
+                now.saturating_duration_since(heard_at)
+                    > self.settings.idle_beat * IDLE_BEATS_MISSED_MAX
+            }
+        };
+        if self.is_silent || !is_over {
+            return None;
+        }
+        self.is_silent = true;
+        Some(SessionEvent::Silent(remote))
+    }
+
+    /// Returns the datagrams that are due.
+    pub(super) fn poll(&mut self, own: &Identity, now: Instant) -> SmallVec<[Envelope; 1]> {
+        let mut envelopes = SmallVec::new();
+        if self.remote.is_none() || self.is_silent {
+            if self.has_passed(self.settings.greet_every, now) {
+                envelopes.push(self.envelope(own, now, 0, 0));
+            }
+            return envelopes;
+        }
+        if self.resend_at.is_some_and(|at| at <= now) {
+            self.sent = self.acknowledged;
+            self.resend_after = (self.resend_after * 2).min(self.settings.resend_after_max);
+            self.resend_at = None;
+        }
+        while self.has_unsent() {
+            let from = usize::try_from(self.sent - self.acknowledged).unwrap_or(usize::MAX);
+            let count = (self.outbox.len() - from).min(MESSAGE_COUNT_MAX);
+            envelopes.push(self.envelope(own, now, from, count));
+            self.sent += count as MessageNumber;
+            self.resend_at.get_or_insert(now + self.resend_after);
+        }
+        let beat = match self.busy_since {
+            Some(_) => self.settings.busy_beat,
+            None => self.settings.idle_beat,
+        };
+        let is_due = self.acknowledge_at.is_some_and(|at| at <= now)
+            || self.has_passed(beat, now)
+            || (self.is_status_new && self.has_passed(self.settings.status_every, now));
+        if envelopes.is_empty() && is_due {
+            envelopes.push(self.envelope(own, now, 0, 0));
+        }
+        envelopes
+    }
+
+    fn has_unsent(&self) -> bool {
+        let sent = self.sent - self.acknowledged;
+        sent < self.outbox.len() as MessageNumber && sent < WINDOW_MESSAGE_COUNT as MessageNumber
+    }
+
+    fn has_passed(&self, pause: Duration, now: Instant) -> bool {
+        self.sent_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= pause)
+    }
+
+    fn envelope(&mut self, own: &Identity, now: Instant, from: usize, count: usize) -> Envelope {
+        self.sent_at = Some(now);
+        self.acknowledge_at = None;
+        self.is_status_new = false;
+        Envelope {
+            from: own.incarnation,
+            role: own.role,
+            to: self.remote.unwrap_or(0),
+            stamp_ms: own.stamp_ms(now),
+            echo_ms: self.remote_stamp.map_or(0, |(stamp, _)| stamp),
+            received: self.received,
+            first: self.acknowledged + from as MessageNumber + 1,
+            messages: self.outbox.iter().skip(from).take(count).cloned().collect(),
+            status: self.status,
+        }
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -0,0 +1,743 @@
+//! The state of a sidecar.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::action::{
+    CallNumber, EndedRun, HoldAnswer, HoldCall, HowEnded, MinionReport, OrderAnswer, RunKey,
+    SidecarAction, StartCall, StopCall,
+};
+use super::life::Life;
+use super::run::{Phase, Run};
+use super::{Health, SidecarSettings};
+use crate::common::Incarnation;
+use crate::dispatch::message::{
+    Condition, Message, PlacementOutcome, RefusalCause, RunEnd, SidecarStatus, StampMs, StartOrder,
+    TaskReport,
+};
+use crate::dispatch::{Attempt, Room, TaskName};
+
+/// How often a start is ordered before it is given up. Orders without an answer are rare, so
+/// more in a row tell of a minion that is stuck.
+const START_ORDER_COUNT_MAX: u32 = 4;
+
+/// By how much the number of a run rises when the minion has seen a higher one: more than a
+/// task is placed in the life of a job.
+const RUN_NUMBER_STEP: u32 = 16;
+
+/// By how much the fencing token rises when the minion has seen a higher one, in milliseconds:
+/// more than a wall clock is set back.
+const FENCING_TOKEN_STEP_MS: u64 = 10_000;
+
+/// After how many calls without an answer the minion counts as out of reach: one answer may be
+/// lost, two in a row seldom are.
+const HOLD_FAILURES_MAX: u32 = 2;
+
+/// The weight of the newest run in the pace, one in so many.
+const PACE_WEIGHT: u64 = 10;
+
+/// The pace of a minion of which nothing is known: run time and estimate are the same.
+const PACE_START_PERMILLE: u64 = 1_000;
+
+/// The bounds of what one run may say of the pace, in thousandths; estimates are rough.
+const PACE_SAMPLE_PERMILLE: (u64, u64) = (100, 10_000);
+
+#[derive(Debug)]
+struct PendingHold {
+    call: CallNumber,
+    sent_at: Instant,
+}
+
+/// The state of a sidecar.
+///
+/// It starts what fits and belongs on its minion, keeps the lease of the runs, stops the runs of
+/// entries that have fallen silent, and tells each entry what became of its tasks.
+#[derive(Debug)]
+pub struct Sidecar {
+    settings: SidecarSettings,
+    fencing_token: u64,
+    life: Option<Life>,
+    runs: HashMap<RunKey, Run>,
+    /// Runs at the minion that this process has not ordered.
+    foreign: HashSet<RunKey>,
+    /// When each entry was last known to be alive.
+    entries: HashMap<Incarnation, Instant>,
+    health: Health,
+    pace_permille: u64,
+    orders: HashMap<CallNumber, (RunKey, Instant)>,
+    hold: Option<PendingHold>,
+    hold_failures: u32,
+    next_hold_at: Option<Instant>,
+    next_call: CallNumber,
+    is_leaving: bool,
+    actions: Vec<SidecarAction>,
+}
+
+impl Sidecar {
+    /// Creates a sidecar that knows of no minion.
+    ///
+    /// `fencing_token` has to be higher than that of an earlier process beside the same minion;
+    /// it is raised if the minion says otherwise.
+    pub fn new(settings: SidecarSettings, fencing_token: u64) -> Self {
+        Self {
+            settings,
+            fencing_token,
+            life: None,
+            runs: HashMap::new(),
+            foreign: HashSet::new(),
+            entries: HashMap::new(),
+            health: Health::default(),
+            pace_permille: PACE_START_PERMILLE,
+            orders: HashMap::new(),
+            hold: None,
+            hold_failures: 0,
+            next_hold_at: None,
+            next_call: 0,
+            is_leaving: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns what the process has to do.
+    pub fn take_actions(&mut self) -> Vec<SidecarAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the newest state, for the entries.
+    pub fn status(&self) -> SidecarStatus {
+        SidecarStatus {
+            free: self.free(),
+            condition: self.condition(),
+            pace_permille: u32::try_from(self.pace_permille).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns how many runs have not ended.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns whether an entry has runs here.
+    pub fn has_runs_of(&self, entry: Incarnation) -> bool {
+        self.runs.values().any(|run| run.owner == entry)
+    }
+
+    /// Returns the entries that have been met and are not gone.
+    pub fn entries(&self) -> impl Iterator<Item = Incarnation> + '_ {
+        self.entries.keys().copied()
+    }
+
+    /// Starts nothing more.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Takes in that an entry can be talked to.
+    pub fn entry_up(&mut self, entry: Incarnation, now: Instant) {
+        self.entries.entry(entry).or_insert(now);
+        let profile = self.life.as_ref().map(|life| life.profile.clone());
+        self.send(entry, Message::Minion(profile));
+    }
+
+    /// Takes in that an entry was alive at a moment.
+    pub fn entry_alive(&mut self, entry: Incarnation, at: Instant) {
+        if let Some(known) = self.entries.get_mut(&entry) {
+            *known = at.max(*known);
+        }
+    }
+
+    /// Takes in that an entry is gone: its runs serve nobody.
+    pub fn entry_gone(&mut self, entry: Incarnation, now: Instant) {
+        self.entries.remove(&entry);
+        self.stop_runs_of(entry, now);
+    }
+
+    /// Takes in a heartbeat of the minion.
+    ///
+    /// Returns whether it belongs to the minion's newest life.
+    pub fn minion_reported(&mut self, report: MinionReport, now: Instant) -> bool {
+        match &mut self.life {
+            Some(life) if life.is_followed_by(&report) => {
+                log::warn!(
+                    instance = report.profile.instance.as_str(), born_ms = report.born_ms,
+                    runs_lost = self.runs.len(); "minion began a new life"
+                );
+                self.end_life(now);
+                self.begin_life(report, now);
+                true
+            }
+            Some(life) => {
+                let is_current = report.born_ms >= life.born_ms;
+                if life.update(report) {
+                    log::info!(
+                        instance = life.profile.instance.as_str(), is_draining = life.is_draining;
+                        "minion changed"
+                    );
+                    self.announce_minion();
+                }
+                is_current
+            }
+            None => {
+                log::info!(
+                    instance = report.profile.instance.as_str(), born_ms = report.born_ms;
+                    "minion registered"
+                );
+                self.begin_life(report, now);
+                true
+            }
+        }
+    }
+
+    /// Takes in that the minion says it is about to end.
+    ///
+    /// Only one that was draining is believed: the call may be late and of an earlier life.
+    pub fn minion_left(&mut self, instance: &str, now: Instant) {
+        let leaves = |life: &Life| life.profile.instance == instance && life.is_draining;
+        if self.life.as_ref().is_some_and(leaves) {
+            log::info!(instance, runs_lost = self.runs.len(); "minion left");
+            self.end_life(now);
+            self.announce_minion();
+        }
+    }
+
+    /// Takes in an order of an entry to start a task. `stamped_at` is the moment at which the
+    /// entry last knew this process to be alive.
+    pub fn start(
+        &mut self,
+        entry: Incarnation,
+        order: StartOrder,
+        stamped_at: Instant,
+        now: Instant,
+    ) {
+        let refusal = self.refusal(entry, &order, stamped_at, now);
+        if let Some(cause) = refusal {
+            log::info!(
+                job:% = order.task.job, task = order.task.index, attempt = order.attempt,
+                cause:? = cause, free_millicores = self.free().cpu_millicores;
+                "start refused"
+            );
+            let outcome = PlacementOutcome::Refused(cause);
+            self.report(entry, order.task, order.attempt, outcome);
+            return;
+        }
+        self.entry_alive(entry, stamped_at);
+        let key = RunKey {
+            task: order.task,
+            number: order.run_number,
+        };
+        let run = Run {
+            key,
+            owner: entry,
+            attempt: order.attempt,
+            room: order.room,
+            spec: order.spec,
+            estimate: order.estimate,
+            ordered_at: now,
+            phase: Phase::Starting,
+            unanswered_count: 0,
+            order_count: 0,
+            outcome: None,
+        };
+        self.runs.insert(key, run);
+        self.order_start(key, now);
+    }
+
+    /// Takes in an order of an entry to stop a task.
+    pub fn stop(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt, now: Instant) {
+        let key = self
+            .runs
+            .values()
+            .find(|run| run.owner == entry && run.key.task == task && run.attempt == attempt)
+            .map(|run| run.key);
+        if let Some(key) = key {
+            self.begin_stop(key, now);
+        }
+    }
+
+    /// Takes in the answer to an order to start a run.
+    pub fn start_answered(
+        &mut self,
+        call: CallNumber,
+        answer: OrderAnswer,
+        clock_ms: Option<StampMs>,
+        now: Instant,
+    ) {
+        let Some((key, _)) = self.orders.remove(&call) else {
+            return;
+        };
+        self.note_clock(clock_ms, now);
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        if run.phase != Phase::Starting {
+            // It is being stopped; the minion's lists tell the end.
+            return;
+        }
+        let is_certain = run.unanswered_count == 0;
+        let can_repeat = run.order_count < START_ORDER_COUNT_MAX;
+        match answer {
+            OrderAnswer::Accepted => run.phase = Phase::Running(now),
+            // An earlier order without an answer was carried out; the lists tell the rest.
+            OrderAnswer::Old if !is_certain => run.phase = Phase::Running(now),
+            OrderAnswer::Old if can_repeat => self.renumber(key, now),
+            OrderAnswer::Late if can_repeat => self.order_start(key, now),
+            OrderAnswer::Fenced if can_repeat => {
+                self.fencing_token += FENCING_TOKEN_STEP_MS;
+                log::warn!(fencing_token = self.fencing_token; "fencing token raised");
+                self.order_start(key, now);
+            }
+            OrderAnswer::NoAnswer => {
+                run.unanswered_count += 1;
+                log::warn!(
+                    job:% = key.task.job, task = key.task.index, run = key.number,
+                    orders = run.order_count; "start without an answer"
+                );
+                if can_repeat {
+                    self.order_start(key, now);
+                } else {
+                    self.begin_stop(key, now);
+                }
+            }
+            OrderAnswer::OtherLife => self.settle_absent(key, now),
+            _ if !is_certain => self.begin_stop(key, now),
+            OrderAnswer::NoRoom => self.refuse_run(key, RefusalCause::NoRoom),
+            OrderAnswer::Malformed => {
+                let outcome = run.ended(RunEnd::Failed, now);
+                self.settle(key, outcome);
+            }
+            OrderAnswer::Unhealthy => {
+                self.health.note(key.task.job, true);
+                self.refuse_run(key, RefusalCause::Unhealthy);
+            }
+            OrderAnswer::Old | OrderAnswer::Late | OrderAnswer::Fenced => {
+                self.refuse_run(key, RefusalCause::NoMinion);
+            }
+        }
+    }
+
+    /// Takes in the answer to an order to stop a run.
+    pub fn stop_answered(
+        &mut self,
+        call: CallNumber,
+        answer: OrderAnswer,
+        clock_ms: Option<StampMs>,
+        now: Instant,
+    ) {
+        let Some((key, _)) = self.orders.remove(&call) else {
+            return;
+        };
+        self.note_clock(clock_ms, now);
+        match answer {
+            OrderAnswer::NoAnswer => self.order_stop(key, now),
+            OrderAnswer::Fenced => {
+                self.fencing_token += FENCING_TOKEN_STEP_MS;
+                self.order_stop(key, now);
+            }
+            OrderAnswer::OtherLife => self.settle_absent(key, now),
+            _ => {
+                if let Some(run) = self.runs.get_mut(&key) {
+                    run.phase = Phase::Stopped(now);
+                }
+            }
+        }
+    }
+
+    /// Takes in the answer to a hold, or that there was none.
+    pub fn hold_answered(&mut self, call: CallNumber, answer: Option<HoldAnswer>, now: Instant) {
+        let Some(hold) = self.hold.take_if(|hold| hold.call == call) else {
+            return;
+        };
+        let Some(answer) = answer else {
+            self.hold_failed(now);
+            return;
+        };
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        if answer.born_ms > 0 && answer.born_ms != life.born_ms {
+            if answer.born_ms > life.born_ms && life.born_ms > 0 {
+                log::warn!(born_ms = answer.born_ms; "minion began a new life, seen in its lists");
+                self.end_life(now);
+                self.announce_minion();
+            } else {
+                self.next_hold_at = Some(now + self.settings.hold_pause);
+            }
+            return;
+        }
+        if std::mem::take(&mut self.hold_failures) >= HOLD_FAILURES_MAX {
+            log::info!(instance = life.profile.instance.as_str(); "minion answers again");
+        }
+        life.set_clock(answer.clock_ms, now);
+        self.next_hold_at = Some(now);
+        for ended in &answer.ended {
+            self.take_end(ended, now);
+        }
+        self.take_running(&answer, hold.sent_at, now);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant) {
+        self.stop_runs_of_silent_entries(now);
+        self.end_lapsed_runs(now);
+        let is_due = self.next_hold_at.is_some_and(|at| at <= now);
+        if self.hold.is_none() && is_due {
+            self.order_hold(now);
+        }
+    }
+
+    fn condition(&self) -> Condition {
+        let Some(life) = &self.life else {
+            return Condition::Unavailable;
+        };
+        let is_reached = self.hold_failures < HOLD_FAILURES_MAX && life.clock_known();
+        if self.is_leaving || life.is_draining || !is_reached || !self.foreign.is_empty() {
+            Condition::Unavailable
+        } else if self.health.is_suspect() {
+            Condition::Suspect
+        } else {
+            Condition::Ready
+        }
+    }
+
+    fn free(&self) -> Room {
+        let capacity = self
+            .life
+            .as_ref()
+            .map_or_else(Room::default, |life| life.profile.capacity);
+        self.runs
+            .values()
+            .fold(capacity, |free, run| free.minus(run.room))
+    }
+
+    fn refusal(
+        &self,
+        entry: Incarnation,
+        order: &StartOrder,
+        stamped_at: Instant,
+        now: Instant,
+    ) -> Option<RefusalCause> {
+        let Some(life) = &self.life else {
+            return Some(RefusalCause::NoMinion);
+        };
+        let is_known = self.entries.contains_key(&entry);
+        if !is_known || now.saturating_duration_since(stamped_at) > self.settings.entry_silence {
+            return Some(RefusalCause::Stale);
+        }
+        if self.is_leaving || life.is_draining {
+            return Some(RefusalCause::Draining);
+        }
+        if self.condition() == Condition::Unavailable {
+            return Some(RefusalCause::NoMinion);
+        }
+        if life.profile.service != order.service {
+            return Some(RefusalCause::OtherService);
+        }
+        // The minion may still run it for another entry, or in an earlier placement.
+        let runs_already = self.runs.keys().any(|key| key.task == order.task);
+        if runs_already || !order.room.fits_into(self.free()) {
+            return Some(RefusalCause::NoRoom);
+        }
+        None
+    }
+
+    fn order_start(&mut self, key: RunKey, now: Instant) {
+        let call = self.next_call();
+        let (Some(life), Some(run)) = (&mut self.life, self.runs.get_mut(&key)) else {
+            return;
+        };
+        let Some(lease_end_ms) = life.extend_lease(&self.settings, now) else {
+            return;
+        };
+        run.order_count += 1;
+        self.actions.push(SidecarAction::Start(StartCall {
+            call,
+            run: key,
+            spec: run.spec.clone(),
+            lease_end_ms,
+            fencing_token: self.fencing_token,
+            instance: life.profile.instance.clone(),
+        }));
+        self.orders.insert(call, (key, now));
+    }
+
+    fn order_stop(&mut self, key: RunKey, now: Instant) {
+        let call = self.next_call();
+        let Some(life) = &self.life else {
+            return;
+        };
+        if !self.runs.contains_key(&key) && !self.foreign.contains(&key) {
+            return;
+        }
+        self.actions.push(SidecarAction::Stop(StopCall {
+            call,
+            run: key,
+            fencing_token: self.fencing_token,
+            instance: life.profile.instance.clone(),
+        }));
+        self.orders.insert(call, (key, now));
+    }
+
+    fn order_hold(&mut self, now: Instant) {
+        let call = self.next_call();
+        let is_reached = self.hold_failures < HOLD_FAILURES_MAX;
+        let wait = match (self.hold_failures, self.runs.is_empty()) {
+            (0, false) => self.settings.hold_wait,
+            (0, true) => self.settings.idle_hold_wait,
+            _ => Duration::ZERO,
+        };
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        // A minion that does not answer has to end its runs by itself, so that their fate is
+        // known in the end.
+        let lease_end_ms = if is_reached {
+            life.extend_lease(&self.settings, now)
+        } else {
+            None
+        };
+        // The first call only asks for the clock and what runs.
+        let wait = if lease_end_ms.is_some() {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        self.hold = Some(PendingHold { call, sent_at: now });
+        self.actions.push(SidecarAction::Hold(HoldCall {
+            call,
+            lease_end_ms,
+            fencing_token: self.fencing_token,
+            seen: life.seen,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
+            instance: life.profile.instance.clone(),
+        }));
+    }
+
+    fn hold_failed(&mut self, now: Instant) {
+        self.hold_failures += 1;
+        if self.hold_failures == HOLD_FAILURES_MAX {
+            log::warn!(runs = self.runs.len(); "minion does not answer");
+        }
+        self.next_hold_at = Some(now + self.settings.hold_pause);
+    }
+
+    fn begin_life(&mut self, report: MinionReport, now: Instant) {
+        self.life = Some(Life::new(report));
+        self.health = Health::default();
+        self.pace_permille = PACE_START_PERMILLE;
+        self.next_hold_at = Some(now);
+        self.announce_minion();
+    }
+
+    fn end_life(&mut self, now: Instant) {
+        self.settle_all_absent(now);
+        self.life = None;
+        self.foreign.clear();
+        self.orders.clear();
+        self.hold = None;
+        self.hold_failures = 0;
+        self.next_hold_at = None;
+    }
+
+    fn announce_minion(&mut self) {
+        let profile = self.life.as_ref().map(|life| life.profile.clone());
+        let entries: Vec<_> = self.entries.keys().copied().collect();
+        for entry in entries {
+            self.send(entry, Message::Minion(profile.clone()));
+        }
+    }
+
+    fn note_clock(&mut self, clock_ms: Option<StampMs>, now: Instant) {
+        if let (Some(life), Some(clock_ms)) = (&mut self.life, clock_ms) {
+            life.set_clock(clock_ms, now);
+        }
+    }
+
+    fn take_end(&mut self, ended: &EndedRun, now: Instant) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        if ended.number <= life.seen {
+            return;
+        }
+        life.seen = ended.number;
+        let Some(run) = self.runs.get(&ended.run) else {
+            return;
+        };
+        let end = match ended.how {
+            HowEnded::Done => RunEnd::Done,
+            HowEnded::Failed => RunEnd::Failed,
+            HowEnded::Stopped => RunEnd::Stopped,
+            HowEnded::Lapsed => RunEnd::Lost,
+        };
+        let outcome = run.ended(end, now);
+        if end == RunEnd::Done {
+            let estimate = run.estimate.max(Duration::from_millis(1));
+            let run_time = now.saturating_duration_since(run.ordered_at);
+            self.learn_pace(run_time, estimate);
+        }
+        if matches!(end, RunEnd::Done | RunEnd::Failed) {
+            let was_suspect = self.health.is_suspect();
+            self.health.note(ended.run.task.job, end == RunEnd::Failed);
+            if self.health.is_suspect() != was_suspect {
+                log::warn!(is_suspect = !was_suspect; "judgement of the minion changed");
+            }
+        }
+        self.settle(ended.run, outcome);
+    }
+
+    fn learn_pace(&mut self, run_time: Duration, estimate: Duration) {
+        let sample = run_time.as_micros() * 1_000 / estimate.as_micros();
+        let (low, high) = PACE_SAMPLE_PERMILLE;
+        let sample = u64::try_from(sample).unwrap_or(high).clamp(low, high);
+        self.pace_permille = (self.pace_permille * (PACE_WEIGHT - 1) + sample) / PACE_WEIGHT;
+    }
+
+    fn take_running(&mut self, answer: &HoldAnswer, asked_at: Instant, now: Instant) {
+        let running: HashSet<RunKey> = answer.running.iter().map(|(key, _)| *key).collect();
+        let unknown: Vec<_> = running
+            .iter()
+            .filter(|key| !self.runs.contains_key(key))
+            .copied()
+            .collect();
+        let news: Vec<_> = unknown
+            .iter()
+            .filter(|key| !self.foreign.contains(key))
+            .copied()
+            .collect();
+        self.foreign = unknown.into_iter().collect();
+        for key in news {
+            log::warn!(
+                job:% = key.task.job, task = key.task.index, run = key.number;
+                "run of an earlier process found; it is stopped"
+            );
+            self.order_stop(key, now);
+        }
+        if answer.has_more {
+            return;
+        }
+        let absent: Vec<_> = self
+            .runs
+            .values()
+            .filter(|run| !running.contains(&run.key))
+            .filter(|run| match run.phase {
+                Phase::Running(since) | Phase::Stopped(since) => since < asked_at,
+                Phase::Starting | Phase::Stopping => false,
+            })
+            .map(|run| run.key)
+            .collect();
+        for key in absent {
+            self.settle_absent(key, now);
+        }
+    }
+
+    fn stop_runs_of_silent_entries(&mut self, now: Instant) {
+        let silence = self.settings.entry_silence;
+        let silent: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, alive_at)| now.saturating_duration_since(**alive_at) > silence)
+            .map(|(entry, _)| *entry)
+            .collect();
+        for entry in silent {
+            self.stop_runs_of(entry, now);
+        }
+    }
+
+    fn stop_runs_of(&mut self, entry: Incarnation, now: Instant) {
+        let keys: Vec<_> = self
+            .runs
+            .values()
+            .filter(|run| run.owner == entry)
+            .filter(|run| matches!(run.phase, Phase::Starting | Phase::Running(_)))
+            .map(|run| run.key)
+            .collect();
+        if !keys.is_empty() {
+            log::warn!(entry:% = entry, runs = keys.len(); "runs of a silent entry are stopped");
+        }
+        for key in keys {
+            self.begin_stop(key, now);
+        }
+    }
+
+    fn end_lapsed_runs(&mut self, now: Instant) {
+        let lapses_at = self
+            .life
+            .as_ref()
+            .filter(|_| self.hold_failures > 0)
+            .and_then(|life| life.lapses_at(&self.settings));
+        if !self.runs.is_empty() && lapses_at.is_some_and(|at| at <= now) {
+            log::warn!(runs = self.runs.len(); "runs lapsed at a minion out of reach");
+            self.settle_all_absent(now);
+        }
+    }
+
+    fn begin_stop(&mut self, key: RunKey, now: Instant) {
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Starting | Phase::Running(_)) {
+            run.phase = Phase::Stopping;
+            self.order_stop(key, now);
+        }
+    }
+
+    /// Orders a run under a higher number, since the minion has seen this one or a later one.
+    fn renumber(&mut self, key: RunKey, now: Instant) {
+        let Some(mut run) = self.runs.remove(&key) else {
+            return;
+        };
+        run.key.number += RUN_NUMBER_STEP;
+        let key = run.key;
+        self.runs.insert(key, run);
+        self.order_start(key, now);
+    }
+
+    fn refuse_run(&mut self, key: RunKey, cause: RefusalCause) {
+        self.settle(key, PlacementOutcome::Refused(cause));
+    }
+
+    fn settle_absent(&mut self, key: RunKey, now: Instant) {
+        self.foreign.remove(&key);
+        if let Some(run) = self.runs.get(&key) {
+            let outcome = run.absent(now);
+            self.settle(key, outcome);
+        }
+    }
+
+    fn settle_all_absent(&mut self, now: Instant) {
+        let keys: Vec<_> = self.runs.keys().copied().collect();
+        for key in keys {
+            self.settle_absent(key, now);
+        }
+    }
+
+    fn settle(&mut self, key: RunKey, outcome: PlacementOutcome) {
+        if let Some(run) = self.runs.remove(&key) {
+            self.report(run.owner, key.task, run.attempt, outcome);
+        }
+    }
+
+    fn report(
+        &mut self,
+        entry: Incarnation,
+        task: TaskName,
+        attempt: Attempt,
+        outcome: PlacementOutcome,
+    ) {
+        let report = TaskReport {
+            task,
+            attempt,
+            outcome,
+        };
+        self.send(entry, Message::Report(report));
+    }
+
+    fn send(&mut self, entry: Incarnation, message: Message) {
+        self.actions.push(SidecarAction::Send(entry, message));
+    }
+
+    fn next_call(&mut self) -> CallNumber {
+        self.next_call += 1;
+        self.next_call
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/sidecar/life.rs
@@ -0,0 +1,96 @@
+//! One life of a minion, as its sidecar knows it.
+
+use std::time::{Duration, Instant};
+
+use super::{MinionReport, SidecarSettings};
+use crate::dispatch::message::{MinionProfile, StampMs};
+
+/// One life of a minion.
+#[derive(Debug)]
+pub(super) struct Life {
+    pub(super) profile: MinionProfile,
+    pub(super) born_ms: u64,
+    sequence: u64,
+    pub(super) is_draining: bool,
+    /// The minion's clock, and when the answer that told it arrived.
+    clock: Option<(StampMs, Instant)>,
+    /// The ends up to this number have been taken note of.
+    pub(super) seen: u64,
+    /// The latest end of the lease that any order named.
+    lease_end_ms: StampMs,
+}
+
+impl Life {
+    pub(super) fn new(report: MinionReport) -> Self {
+        Self {
+            profile: report.profile,
+            born_ms: report.born_ms,
+            sequence: report.sequence,
+            is_draining: report.is_draining,
+            clock: None,
+            seen: 0,
+            lease_end_ms: 0,
+        }
+    }
+
+    /// Returns whether a heartbeat belongs to a later life.
+    pub(super) fn is_followed_by(&self, report: &MinionReport) -> bool {
+        match report.born_ms.cmp(&self.born_ms) {
+            std::cmp::Ordering::Greater => true,
+            std::cmp::Ordering::Equal => report.profile.instance != self.profile.instance,
+            std::cmp::Ordering::Less => false,
+        }
+    }
+
+    /// Takes in a heartbeat of this life and returns whether it changed anything that matters.
+    pub(super) fn update(&mut self, report: MinionReport) -> bool {
+        let is_older = report.born_ms < self.born_ms || report.sequence <= self.sequence;
+        if is_older {
+            return false;
+        }
+        self.sequence = report.sequence;
+        let has_changed = self.profile != report.profile || self.is_draining != report.is_draining;
+        self.profile = report.profile;
+        self.is_draining = report.is_draining;
+        has_changed
+    }
+
+    pub(super) fn set_clock(&mut self, clock_ms: StampMs, now: Instant) {
+        // Answers may overtake each other; the clock never goes back.
+        if self.clock_ms(now).is_none_or(|known| clock_ms > known) || self.clock.is_none() {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    pub(super) fn clock_known(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Returns the minion's clock, as far as it is known; it may be a little further.
+    pub(super) fn clock_ms(&self, now: Instant) -> Option<StampMs> {
+        let (clock_ms, at) = self.clock?;
+        Some(clock_ms + millis(now.saturating_duration_since(at)))
+    }
+
+    /// Returns a new end of the lease and remembers it.
+    pub(super) fn extend_lease(
+        &mut self,
+        settings: &SidecarSettings,
+        now: Instant,
+    ) -> Option<StampMs> {
+        let end_ms = self.clock_ms(now)? + millis(settings.lease);
+        self.lease_end_ms = self.lease_end_ms.max(end_ms);
+        Some(end_ms)
+    }
+
+    /// Returns when the minion has ended all runs even if nobody reaches it any more.
+    pub(super) fn lapses_at(&self, settings: &SidecarSettings) -> Option<Instant> {
+        let (clock_ms, at) = self.clock?;
+        let left = Duration::from_millis(self.lease_end_ms.saturating_sub(clock_ms));
+        Some(at + left + left * settings.clock_drift_permille / 1_000 + settings.stop_time)
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -0,0 +1,16 @@
+//! The sidecar: the only process that gives orders to its minion.
+
+mod action;
+mod core;
+mod health;
+mod life;
+mod run;
+mod settings;
+
+pub use action::{
+    CallNumber, EndedRun, HoldAnswer, HoldCall, HowEnded, MinionReport, OrderAnswer, RunKey,
+    SidecarAction, StartCall, StopCall,
+};
+pub use core::Sidecar;
+pub use health::Health;
+pub use settings::SidecarSettings;
--- /dev/null
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of a sidecar.
+
+use std::time::Duration;
+
+/// Times of a sidecar.
+#[derive(Debug, Clone, Copy)]
+pub struct SidecarSettings {
+    /// How far ahead the lease of the runs reaches. Below the longest that a minion grants, so
+    /// that the end is the one that was asked for.
+    pub lease: Duration,
+    /// How long runs of an entry go on after the last sign that it was alive. With the time to
+    /// stop them it stays below the pause after which a caller hands its job in elsewhere.
+    pub entry_silence: Duration,
+    /// How long the minion may wait for an end before it answers. A quarter of the lease, so
+    /// that a lost answer leaves time for another call.
+    pub hold_wait: Duration,
+    /// The same while nothing runs.
+    pub idle_hold_wait: Duration,
+    /// The pause before the minion is asked again after it gave no answer.
+    pub hold_pause: Duration,
+    /// How much slower than ours the minion's clock may go, in thousandths.
+    pub clock_drift_permille: u32,
+    /// How long the minion takes to end a run at the most.
+    pub stop_time: Duration,
+}
+
+impl Default for SidecarSettings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(900),
+            entry_silence: Duration::from_millis(800),
+            hold_wait: Duration::from_millis(225),
+            idle_hold_wait: Duration::from_millis(1_000),
+            hold_pause: Duration::from_millis(50),
+            clock_drift_permille: 20,
+            stop_time: Duration::from_millis(50),
+        }
+    }
+}
--- a/knapweedrill/src/lib.rs
+++ b/knapweedrill/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod common;
 pub mod contract;
+pub mod dispatch;
 pub mod entry;
 pub mod event;
 pub mod failure_domain;
--- a/knapweedrill_daemon/src/command/mod.rs
+++ b/knapweedrill_daemon/src/command/mod.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use crate::dispatch::{self, DispatchRole};
 use crate::process;
 use crate::settings::Settings;
 
@@ -11,6 +12,10 @@
 Runs one process of knapweedrill, as an entry or as the sidecar of a minion.
 
 Usage: knapweedrilld --settings FILE [--check]
+       knapweedrilld entry|sidecar
+
+With a role instead of a settings file it runs on the platform of its users, with the settings
+file that the environment variable KNAPWEEDRILL_NODE_FILE names.
 
 Options:
   --settings FILE  the settings of the process, an INI file
@@ -29,6 +34,7 @@
 enum Command {
     Run(PathBuf),
     Check(PathBuf),
+    Dispatch(DispatchRole),
     Help,
     Version,
 }
@@ -48,6 +54,7 @@
             println!("{}: the settings are valid", file.display());
             ExitCode::SUCCESS
         }),
+        Ok(Command::Dispatch(role)) => dispatch::run(role),
         Ok(Command::Run(file)) => with_settings(&file, run),
         Err(error) => {
             eprintln!("knapweedrilld: {error}\n\n{USAGE}");
@@ -67,6 +74,7 @@
             Long("check") => is_check = true,
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
+            Value(role) if file.is_none() && !is_check => return read_role(role, parser),
             _ => return Err(argument.unexpected()),
         }
     }
@@ -78,6 +86,18 @@
     })
 }
 
+fn read_role(role: OsString, mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let role = match role.to_str() {
+        Some("entry") => DispatchRole::Entry,
+        Some("sidecar") => DispatchRole::Sidecar,
+        _ => return Err(format!("{role:?} is not a role; there are entry and sidecar").into()),
+    };
+    match parser.next()? {
+        None => Ok(Command::Dispatch(role)),
+        Some(argument) => Err(argument.unexpected()),
+    }
+}
+
 fn with_settings(file: &PathBuf, then: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
     let text = match std::fs::read_to_string(file) {
         Ok(text) => text,
--- /dev/null
+++ b/knapweedrill_daemon/src/dispatch/common.rs
@@ -0,0 +1,194 @@
+//! What a process of either role is made of.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use eyre::WrapErr;
+use knapweedrill::dispatch::message::Role;
+use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
+use knapweedrill_platform::{ProcessSettings, SETTINGS_VARIABLE};
+
+use super::DispatchRole;
+use crate::telemetry;
+
+/// The pause between two looks at time-outs: below the shortest of them, the delay of an
+/// acknowledgement.
+pub(super) const TICK: Duration = Duration::from_millis(10);
+
+/// How many events are dealt with before their effects are sent.
+pub(super) const BATCH_EVENT_COUNT: usize = 128;
+
+/// How long before the end of the grace a process that was asked to stop ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long a process that was asked to stop must have had no work before it ends.
+const QUIET_BEFORE_STOP: Duration = Duration::from_millis(1_500);
+
+/// What a process of either role is made of.
+pub(super) struct Process {
+    pub(super) settings: ProcessSettings,
+    pub(super) settings_file: String,
+    pub(super) identity: Identity,
+    pub(super) stop: StopRequest,
+}
+
+impl Process {
+    /// Reads the settings and sets up logs and signals.
+    pub(super) fn start(role: DispatchRole) -> eyre::Result<Self> {
+        let started_at = Instant::now();
+        telemetry::init_stdout_logs()?;
+        let settings_file = std::env::var(SETTINGS_VARIABLE)
+            .wrap_err_with(|| format!("the environment variable {SETTINGS_VARIABLE}"))?;
+        let settings = read_settings(&settings_file)?;
+        let role = match role {
+            DispatchRole::Entry => Role::Entry,
+            DispatchRole::Sidecar => Role::Sidecar,
+        };
+        let identity = Identity {
+            // 0 stands for a process that is not known.
+            incarnation: rand::random::<u64>().max(1),
+            role,
+            started_at,
+        };
+        log::info!(
+            process = settings.name.as_str(), role:? = role, incarnation:% = identity.incarnation,
+            failure_domain = settings.failure_domain.as_str(),
+            version = env!("CARGO_PKG_VERSION"); "process started"
+        );
+        Ok(Self {
+            stop: StopRequest::watch(settings.stop_grace)?,
+            settings,
+            settings_file,
+            identity,
+        })
+    }
+
+    /// Returns the sessions of the process, which greet the seeds.
+    pub(super) fn sessions(&self) -> Sessions {
+        let mut sessions = Sessions::new(self.identity, SessionSettings::default());
+        for seed in &self.settings.seed_addresses {
+            let address = SocketAddr::new(seed.ip(), self.settings.internal_ports.0);
+            if address != self.address() {
+                sessions.greet(address);
+            }
+        }
+        sessions
+    }
+
+    /// Returns where other processes reach this one.
+    pub(super) fn address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.ip, self.settings.internal_ports.0)
+    }
+}
+
+fn read_settings(file: &str) -> eyre::Result<ProcessSettings> {
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("can't read the settings file {file}"))?;
+    Ok(ProcessSettings::parse(&text, file)?)
+}
+
+/// Returns the wall clock, in Unix milliseconds.
+pub(super) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Runs HTTP on a thread of its own.
+pub(super) fn start_traffic<F>(traffic: impl FnOnce() -> F + Send + 'static) -> eyre::Result<()>
+where
+    F: Future<Output = eyre::Result<()>>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .wrap_err("can't start the runtime of the traffic thread")?;
+    thread::Builder::new()
+        .name("traffic".into())
+        .spawn(move || {
+            if let Err(error) = runtime.block_on(traffic()) {
+                // Without HTTP the process serves nobody; the platform starts it anew.
+                log::error!(error:? = error; "traffic ended");
+                eprintln!("knapweedrilld: {error:?}");
+                std::process::exit(1);
+            }
+        })
+        .wrap_err("can't start the traffic thread")?;
+    Ok(())
+}
+
+/// Whether and when the process was asked to stop or to read its settings anew.
+pub(super) struct StopRequest {
+    is_asked: Arc<AtomicBool>,
+    is_reload_asked: Arc<AtomicBool>,
+    grace: Duration,
+    asked_at: Option<Instant>,
+    busy_at: Option<Instant>,
+}
+
+impl StopRequest {
+    fn watch(grace: Duration) -> eyre::Result<Self> {
+        let is_asked = Arc::new(AtomicBool::new(false));
+        let is_reload_asked = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(signal_hook::consts::SIGTERM, Arc::clone(&is_asked))
+            .wrap_err("can't watch for SIGTERM")?;
+        signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&is_reload_asked))
+            .wrap_err("can't watch for SIGHUP")?;
+        Ok(Self {
+            is_asked,
+            is_reload_asked,
+            grace,
+            asked_at: None,
+            busy_at: None,
+        })
+    }
+
+    /// Returns whether the process was just asked to stop.
+    pub(super) fn has_begun(&mut self, now: Instant) -> bool {
+        if self.asked_at.is_some() || !self.is_asked.load(Ordering::Relaxed) {
+            return false;
+        }
+        log::info!(grace_ms = self.grace.as_millis() as u64; "asked to stop");
+        self.asked_at = Some(now);
+        self.busy_at = Some(now);
+        true
+    }
+
+    /// Returns whether it is time to end.
+    pub(super) fn is_over(&mut self, has_work: bool, now: Instant) -> bool {
+        let Some(asked_at) = self.asked_at else {
+            return false;
+        };
+        if has_work {
+            self.busy_at = Some(now);
+        }
+        let is_quiet = self
+            .busy_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= QUIET_BEFORE_STOP);
+        is_quiet || now >= asked_at + self.grace.saturating_sub(STOP_MARGIN)
+    }
+
+    /// Reads the settings anew if the process was asked to.
+    ///
+    /// What can change without a restart is checked and told; the addresses can't.
+    pub(super) fn reload(&self, file: &str, known: &ProcessSettings) {
+        if !self.is_reload_asked.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        match read_settings(file) {
+            Ok(settings) if settings == *known => {
+                log::info!("settings read anew, none has changed")
+            }
+            Ok(_) => log::info!("settings read anew; changes are in force after a restart"),
+            Err(error) => {
+                log::error!(error:? = error; "settings not taken over, the old ones hold")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -0,0 +1,272 @@
+//! The process of an entry.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
+use hyper::StatusCode;
+use knapweedrill::dispatch::JobName;
+use knapweedrill::dispatch::configuration::Configuration;
+use knapweedrill::dispatch::entry::{Answer, CallerId, Entry, EntryAction, EntrySettings};
+use knapweedrill::dispatch::session::Envelope;
+use knapweedrill_platform::{
+    CONFIGURATION_KEY, CallerReply, CallerRequest, OPERATOR_TOPIC, ProcessSettings, Record,
+    StoreClient, read_configuration, reply,
+};
+use knapweedrill_wire::EnvelopeSocket;
+use tokio::sync::oneshot;
+
+use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic};
+use super::entry_http::{Call, Gate, Published};
+use super::http::{response, serve};
+use super::store::{ENTRIES_TOPIC, follow, read_address, tell_address};
+
+/// How long the store may let a call wait for a new configuration. A channel that has fallen
+/// silent is noticed within this time and that of a call, well before a change has to be in
+/// force.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(800);
+
+/// The same for addresses of entries, which change seldom and are greeted by others too.
+const ADDRESSES_WAIT: Duration = Duration::from_secs(4);
+
+/// What happens to an entry.
+pub(super) enum EntryEvent {
+    /// A caller asks for something.
+    Call(Box<Call>),
+    /// A caller has left before its answer.
+    CallerLeft(CallerId, JobName),
+    /// A datagram came.
+    Datagram(SocketAddr, Envelope),
+    /// The store has a configuration.
+    Configuration(Configuration),
+    /// The store names an entry.
+    Address(SocketAddr),
+}
+
+/// Runs an entry until it is told to stop.
+pub(super) fn run(process: Process) -> eyre::Result<()> {
+    let (sender, events) = channel::unbounded();
+    let published = Arc::new(Published::default());
+    let gate = Gate::new(sender.clone(), Arc::clone(&published));
+    let datagrams = sender.clone();
+    let socket = EnvelopeSocket::start(process.address(), move |from, envelope| {
+        // After the end of the state nobody needs the datagram.
+        let _ = datagrams.send(EntryEvent::Datagram(from, envelope));
+    })?;
+    let settings = process.settings.clone();
+    let address = process.address();
+    start_traffic(move || traffic(settings, address, gate, sender))?;
+    let entry = Entry::new(
+        EntrySettings {
+            resubmission: process.settings.resubmission,
+            seed: rand::random(),
+            ..EntrySettings::default()
+        },
+        process.sessions(),
+    );
+    let control = Control {
+        own_address: address,
+        entry,
+        socket,
+        published,
+        callers: HashMap::new(),
+    };
+    control.run(process, &events);
+    Ok(())
+}
+
+async fn traffic(
+    settings: ProcessSettings,
+    address: SocketAddr,
+    gate: Gate,
+    events: Sender<EntryEvent>,
+) -> eyre::Result<()> {
+    let store = Arc::new(StoreClient::new(settings.store_address));
+    tokio::spawn(tell_address(
+        Arc::clone(&store),
+        settings.name.clone(),
+        address,
+    ));
+    let sender = events.clone();
+    let addresses = move |record: Record| match read_address(&record) {
+        // After the end of the state nobody needs the news, here and below.
+        Some(address) => drop(sender.send(EntryEvent::Address(address))),
+        None => log::warn!(key = record.key.as_str(); "an entry's address can't be read"),
+    };
+    tokio::spawn(follow(
+        Arc::clone(&store),
+        ENTRIES_TOPIC,
+        ADDRESSES_WAIT,
+        addresses,
+    ));
+    let configurations = move |record: Record| {
+        if record.key != CONFIGURATION_KEY {
+            return;
+        }
+        match read_configuration(&record.value) {
+            Ok(configuration) => drop(events.send(EntryEvent::Configuration(configuration))),
+            Err(error) => log::error!(error:? = error; "configuration not taken over"),
+        }
+    };
+    tokio::spawn(follow(
+        store,
+        OPERATOR_TOPIC,
+        CONFIGURATION_WAIT,
+        configurations,
+    ));
+    let readiness = gate.clone();
+    if let Some(address) = settings.readiness_address {
+        tokio::spawn(serve(address, move |request| {
+            std::future::ready(readiness.readiness(&request))
+        }));
+    }
+    if let Some(address) = settings.registration_address {
+        // Served so that the platform lists this machine among the seeds of the others.
+        tokio::spawn(serve(address, |_| {
+            std::future::ready(response(StatusCode::NOT_FOUND, String::new()))
+        }));
+    }
+    let callers_address = settings
+        .callers_address
+        .ok_or_else(|| eyre::eyre!("the settings name no address for callers"))?;
+    serve(callers_address, move |request| gate.clone().call(request)).await
+}
+
+/// The control state of the process.
+struct Control {
+    own_address: SocketAddr,
+    entry: Entry,
+    socket: EnvelopeSocket,
+    published: Arc<Published>,
+    callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
+}
+
+impl Control {
+    fn run(mut self, mut process: Process, events: &Receiver<EntryEvent>) {
+        let mut next_tick = Instant::now();
+        loop {
+            match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
+                Ok(event) => {
+                    let now = Instant::now();
+                    self.handle(event, now);
+                    for event in events.try_iter().take(BATCH_EVENT_COUNT) {
+                        self.handle(event, now);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                self.entry.tick(now);
+                next_tick = now + TICK;
+                process
+                    .stop
+                    .reload(&process.settings_file, &process.settings);
+            }
+            self.entry.settle(now);
+            self.flush(now);
+            if process.stop.has_begun(now) {
+                self.entry.leave();
+            }
+            if process.stop.is_over(self.entry.job_count() > 0, now) {
+                self.entry.give_up_all(now);
+                self.flush(now);
+                log::info!("process stopped");
+                // The last answers leave on the traffic thread.
+                std::thread::sleep(LAST_ANSWERS);
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: EntryEvent, now: Instant) {
+        match event {
+            EntryEvent::Call(call) => self.call(*call, now),
+            EntryEvent::CallerLeft(caller, job) => {
+                self.callers.remove(&caller);
+                self.entry.caller_left(caller, job, now);
+            }
+            EntryEvent::Datagram(from, envelope) => self.entry.receive(from, envelope, now),
+            EntryEvent::Configuration(configuration) => {
+                self.entry.configure(configuration, "store")
+            }
+            EntryEvent::Address(address) => {
+                if address != self.own_address {
+                    self.entry.greet(address);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, call: Call, now: Instant) {
+        let answer = match call.request {
+            CallerRequest::Submit(submission) => {
+                self.callers.insert(call.caller, call.reply);
+                self.entry.submit(call.caller, submission, now);
+                return;
+            }
+            CallerRequest::Look(job) if self.entry.is_live(job) => {
+                plain(StatusCode::OK, "{\"State\":\"running\"}")
+            }
+            CallerRequest::Cancel(job) if self.entry.cancel(job, now) => plain(StatusCode::OK, ""),
+            CallerRequest::Look(_) | CallerRequest::Cancel(_) => plain(StatusCode::GONE, ""),
+            CallerRequest::QueueLength => match self.entry.queue_length(&call.host, &call.path) {
+                Some(Some(count)) => plain(StatusCode::OK, &format!("{{\"Waiting\":{count}}}")),
+                Some(None) => plain(StatusCode::NOT_FOUND, ""),
+                None => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+            },
+            CallerRequest::Unreadable(problem) => {
+                log::info!(path = call.path.as_str(), problem; "request not understood");
+                match self.entry.queue_length(&call.host, &call.path) {
+                    Some(Some(_)) => plain(StatusCode::BAD_REQUEST, ""),
+                    Some(None) => plain(StatusCode::NOT_FOUND, ""),
+                    None => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+                }
+            }
+        };
+        // A caller that has left needs no answer.
+        let _ = call.reply.send(answer);
+    }
+
+    fn flush(&mut self, now: Instant) {
+        for EntryAction::Answer(caller, answer) in self.entry.take_actions() {
+            self.answer(caller, answer);
+        }
+        for (to, envelope) in self.entry.poll(now) {
+            self.socket.send(to, &envelope);
+        }
+        let is_ready = self.entry.is_ready();
+        if self.published.is_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+            log::info!(
+                is_ready, version = self.entry.version(),
+                minions = self.entry.usable_minion_count(); "readiness changed"
+            );
+        }
+        let body_bytes_max = self.entry.body_bytes_max().unwrap_or(0);
+        self.published
+            .body_bytes_max
+            .store(body_bytes_max, Ordering::Relaxed);
+    }
+
+    fn answer(&mut self, caller: CallerId, answer: Answer) {
+        if let Some(waiting) = self.callers.remove(&caller) {
+            // A caller that has left needs no answer.
+            let _ = waiting.send(reply(answer));
+        }
+    }
+}
+
+/// How long the last answers have to leave.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
+fn plain(status: StatusCode, body: &str) -> CallerReply {
+    CallerReply {
+        status,
+        retry_after_s: None,
+        body: body.to_owned(),
+    }
+}
--- /dev/null
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -0,0 +1,99 @@
+//! The calls of a minion at its sidecar, and the orders to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use knapweedrill::dispatch::sidecar::SidecarAction;
+use knapweedrill_platform::{MinionClient, Registration, read_registration};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{Semaphore, oneshot};
+
+use super::http::{WholeResponse, read_body, response};
+use super::sidecar::SidecarEvent;
+
+/// The largest heartbeat that is read, in bytes.
+const HEARTBEAT_BYTES_MAX: usize = 65_536;
+
+/// How long a minion has to answer an order. It is on the same machine and answers in
+/// milliseconds; orders are repeated, so a short wait costs little.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// How long a minion has to answer a hold, beside the time that it may wait.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How many orders are under way at the same time: enough for a wide job, and far below the
+/// connections that a minion takes.
+const ORDER_COUNT_MAX: usize = 12;
+
+/// Takes in a call of the minion.
+pub(super) async fn register(
+    events: Sender<SidecarEvent>,
+    request: Request<Incoming>,
+) -> WholeResponse {
+    let (head, body) = request.into_parts();
+    let body = match read_body(body, HEARTBEAT_BYTES_MAX).await {
+        Ok(body) => body,
+        Err(status) => return response(status, String::new()),
+    };
+    let Some(registration) = read_registration(&head.method, head.uri.path(), &body) else {
+        return response(StatusCode::BAD_REQUEST, String::new());
+    };
+    let (done, is_done) = oneshot::channel();
+    let event = match registration {
+        Registration::Report(report) => SidecarEvent::Reported(report, done),
+        Registration::Left(instance) => SidecarEvent::Left(instance, done),
+    };
+    // The minion is answered once the state has taken the call in.
+    let is_taken = events.send(event).is_ok() && is_done.await.is_ok();
+    match is_taken {
+        true => response(StatusCode::OK, "{}".to_owned()),
+        false => response(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    }
+}
+
+/// Carries orders to the minion, each as a task of its own.
+pub(super) async fn carry_orders(
+    minion: MinionClient,
+    mut orders: UnboundedReceiver<SidecarAction>,
+    events: Sender<SidecarEvent>,
+) {
+    let minion = Arc::new(minion);
+    let places = Arc::new(Semaphore::new(ORDER_COUNT_MAX));
+    while let Some(order) = orders.recv().await {
+        let (minion, places) = (Arc::clone(&minion), Arc::clone(&places));
+        let events = events.clone();
+        tokio::spawn(async move {
+            if let Some(event) = carry(&minion, &places, order).await {
+                // After the end of the state nobody needs the answer.
+                let _ = events.send(event);
+            }
+        });
+    }
+}
+
+async fn carry(
+    minion: &MinionClient,
+    places: &Semaphore,
+    order: SidecarAction,
+) -> Option<SidecarEvent> {
+    match order {
+        SidecarAction::Start(call) => {
+            let _place = places.acquire().await.ok()?;
+            let (answer, clock_ms) = minion.start(&call, ORDER_TIMEOUT).await;
+            Some(SidecarEvent::StartAnswered(call.call, answer, clock_ms))
+        }
+        SidecarAction::Stop(call) => {
+            let _place = places.acquire().await.ok()?;
+            let (answer, clock_ms) = minion.stop(&call, ORDER_TIMEOUT).await;
+            Some(SidecarEvent::StopAnswered(call.call, answer, clock_ms))
+        }
+        SidecarAction::Hold(call) => {
+            let answer = minion.hold(&call, HOLD_TIMEOUT).await;
+            Some(SidecarEvent::HoldAnswered(call.call, answer))
+        }
+        SidecarAction::Send(..) => None,
+    }
+}
--- /dev/null
+++ b/knapweedrill_daemon/src/dispatch/store.rs
@@ -0,0 +1,95 @@
+//! What a process reads from the store and writes to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweedrill_platform::{Record, StoreClient, StoreFailure};
+
+/// The topic in which entries tell where they are, by the names of their machines.
+pub(super) const ENTRIES_TOPIC: &str = "keyed.knapweedrill-entries";
+
+/// The pauses between attempts while the store does not answer. The first is some answers long,
+/// the longest lets a process catch up within half a second of the store's return.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+
+/// Reads a topic for ever, and calls `on_record` for the newest record of each key and then for
+/// each new one. `wait` is how long the store may let a call wait for news.
+pub(super) async fn follow(
+    store: Arc<StoreClient>,
+    topic: &'static str,
+    wait: Duration,
+    on_record: impl Fn(Record),
+) {
+    let mut pause = Backoff::new();
+    let mut next = None;
+    loop {
+        let page = match next {
+            None => store.newest(topic).await,
+            Some(from) => store.read(topic, from, wait).await,
+        };
+        match page {
+            Ok(page) => {
+                pause.succeeded(topic);
+                next = Some(page.next);
+                page.records.into_iter().for_each(&on_record);
+            }
+            Err(StoreFailure::Gone) => {
+                log::info!(topic; "records were removed, the newest are read");
+                next = None;
+            }
+            Err(failure) => pause.wait(topic, failure).await,
+        }
+    }
+}
+
+/// Tells where this entry is, until the store has confirmed it.
+pub(super) async fn tell_address(store: Arc<StoreClient>, name: String, address: SocketAddr) {
+    let record = Record {
+        key: name,
+        value: address.to_string().into_bytes(),
+    };
+    let mut pause = Backoff::new();
+    while let Err(failure) = store.append(ENTRIES_TOPIC, &record).await {
+        pause.wait(ENTRIES_TOPIC, failure).await;
+    }
+    log::info!(address:% = address; "address told to the store");
+}
+
+/// Reads the address that an entry has told.
+pub(super) fn read_address(record: &Record) -> Option<SocketAddr> {
+    let text = std::str::from_utf8(&record.value).ok()?;
+    text.parse().ok()
+}
+
+/// Pauses that grow while the store does not answer, each drawn at random so that processes do
+/// not come back all at once.
+struct Backoff {
+    longest: Duration,
+    is_failing: bool,
+}
+
+impl Backoff {
+    fn new() -> Self {
+        Self {
+            longest: RETRY_PAUSES.0,
+            is_failing: false,
+        }
+    }
+
+    async fn wait(&mut self, topic: &str, failure: StoreFailure) {
+        if !std::mem::replace(&mut self.is_failing, true) {
+            log::warn!(topic, failure:% = failure; "store lost");
+        }
+        let share = rand::random_range(0.5..1.0);
+        tokio::time::sleep(self.longest.mul_f64(share)).await;
+        self.longest = (self.longest * 2).min(RETRY_PAUSES.1);
+    }
+
+    fn succeeded(&mut self, topic: &str) {
+        if std::mem::replace(&mut self.is_failing, false) {
+            log::info!(topic; "store regained");
+        }
+        self.longest = RETRY_PAUSES.0;
+    }
+}
--- a/knapweedrill_daemon/src/lib.rs
+++ b/knapweedrill_daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod command;
 pub mod control;
+pub mod dispatch;
 pub mod http;
 pub mod minion_calls;
 pub mod platform_log;
--- a/knapweedrill_daemon/src/telemetry/logs.rs
+++ b/knapweedrill_daemon/src/telemetry/logs.rs
@@ -2,7 +2,7 @@
 
 use eyre::{Result, WrapErr as _};
 use log::LevelFilter;
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::filter::rustlog::RustLogFilter;
 use logforth::layout::{JsonLayout, TextLayout};
 
@@ -76,3 +76,22 @@
     log::set_max_level(level.filter());
     Ok(())
 }
+
+/// Sets the logger of a process up that runs on the platform: JSON lines on standard output.
+///
+/// # Errors
+///
+/// Fails if a logger has been set up before.
+pub fn init_stdout_logs() -> Result<()> {
+    let append = Stdout::default().with_layout(JsonLayout::default());
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch
+                .filter(RustLogFilter::from(LogLevel::default().name()))
+                .append(append)
+        })
+        .try_apply()
+        .wrap_err("cannot set the logger up")?;
+    log::set_max_level(LogLevel::default().filter());
+    Ok(())
+}
--- a/knapweedrill_daemon/src/telemetry/mod.rs
+++ b/knapweedrill_daemon/src/telemetry/mod.rs
@@ -12,7 +12,7 @@
 
 pub use counter::Counter;
 pub use gauge::Gauge;
-pub use logs::{LogFormat, LogLevel, init_logs};
+pub use logs::{LogFormat, LogLevel, init_logs, init_stdout_logs};
 pub use metrics::Metrics;
 pub use reading::{MetricsSnapshot, Reading};
 pub use statsd::{StatsdFlusher, StatsdFlusherBuilder};
--- a/knapweedrill_wire/src/lib.rs
+++ b/knapweedrill_wire/src/lib.rs
@@ -1,12 +1,15 @@
 //! Codec, framing and link threads between the processes of knapweedrill.
 //!
-//! [`Links`] carries frames over TCP and [`Datagrams`] carries heartbeats over UDP. Neither knows
+//! [`Links`] carries frames over TCP, [`Datagrams`] carries heartbeats and [`EnvelopeSocket`] the
+//! sessions of dispatch over UDP, and [`HttpClient`] calls a server. None of them knows
 //! what the messages mean: sessions and membership are decided by the state machines of the
 //! library `knapweedrill`.
 
 mod codec;
 mod counters;
 mod datagrams;
+mod envelopes;
+mod http_client;
 mod links;
 
 pub use codec::{
@@ -16,5 +19,7 @@
 };
 pub use counters::{DatagramCounts, KindCounts, LinkCounts};
 pub use datagrams::Datagrams;
+pub use envelopes::EnvelopeSocket;
+pub use http_client::{HttpAnswer, HttpCall, HttpClient, HttpFailure};
 pub use knapweedrill::link::LinkNumber;
 pub use links::{LinkEvent, LinkSettings, Links};
