fix(sidecar): keep the lease of runs that start during an idle hold, and judge a reborn minion by its lists

(3) A sidecar cut off and then frozen could keep a run past the 1.3 s after which callers return: silence and lease now add up to less. Change: the lists of the new life decide; an idle hold is replaced when runs start; shorter lease. Ruled out: late orders and lost answers alone; they pass with the old code.

--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -26,7 +26,7 @@
 impl Default for EntrySettings {
     fn default() -> Self {
         Self {
-            doubt: Duration::from_millis(800 + 920 + 50 + 130),
+            doubt: Duration::from_millis(600 + 561 + 50 + 89),
             resubmission: Duration::from_millis(1_300),
             answer_margin: Duration::from_millis(40),
             useful_factor: 3,
--- a/knapweedrill/src/dispatch/session/settings.rs
+++ b/knapweedrill/src/dispatch/session/settings.rs
@@ -12,8 +12,8 @@
     pub resend_after_max: Duration,
     /// How long an acknowledgement waits for a message to ride on. Half of `resend_after`.
     pub acknowledge_after: Duration,
-    /// The pause between datagrams of a session with work. A fifth of the time after which the
-    /// sidecar stops runs of a silent entry, so that several in a row may be lost.
+    /// The pause between datagrams of a session with work. A quarter of the time after which
+    /// the sidecar stops runs of a silent entry, so that two in a row may be lost.
     pub busy_beat: Duration,
     /// The pause between datagrams of a session without work.
     pub idle_beat: Duration,
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -29,9 +29,10 @@
 /// more than a wall clock is set back.
 const FENCING_TOKEN_STEP_MS: u64 = 10_000;
 
-/// After how many calls without an answer the minion counts as out of reach: one answer may be
-/// lost, two in a row seldom are.
-const HOLD_FAILURES_MAX: u32 = 2;
+/// After how many calls without an answer the minion counts as out of reach and its lease is no
+/// longer renewed. While a quarter of the answers is lost, three in a row are under two in a
+/// hundred.
+const HOLD_FAILURES_MAX: u32 = 3;
 
 /// The weight of the newest run in the pace, one in so many.
 const PACE_WEIGHT: u64 = 10;
@@ -46,6 +47,8 @@
 struct PendingHold {
     call: CallNumber,
     sent_at: Instant,
+    /// Whether nothing ran when it was sent; it may then wait longer than a lease lasts.
+    is_idle: bool,
 }
 
 /// The state of a sidecar.
@@ -162,8 +165,15 @@
                     instance = report.profile.instance.as_str(), born_ms = report.born_ms,
                     runs_lost = self.runs.len(); "minion began a new life"
                 );
-                self.end_life(now);
-                self.begin_life(report, now);
+                if life.profile.instance == report.profile.instance {
+                    // Orders may have reached the new life already; its lists tell which.
+                    life.begin_again(report.born_ms, self.settings.lease_max);
+                    life.update(report);
+                    self.begin_judging_anew(now);
+                } else {
+                    self.end_life(now);
+                    self.begin_life(report, now);
+                }
                 true
             }
             Some(life) => {
@@ -354,16 +364,16 @@
         let Some(life) = &mut self.life else {
             return;
         };
-        if answer.born_ms > 0 && answer.born_ms != life.born_ms {
-            if answer.born_ms > life.born_ms && life.born_ms > 0 {
-                log::warn!(born_ms = answer.born_ms; "minion began a new life, seen in its lists");
-                self.end_life(now);
-                self.announce_minion();
-            } else {
-                self.next_hold_at = Some(now + self.settings.hold_pause);
-            }
+        if answer.born_ms > 0 && answer.born_ms < life.born_ms {
+            // Of a life that is over.
+            self.next_hold_at = Some(now + self.settings.hold_pause);
             return;
         }
+        if answer.born_ms > life.born_ms && life.born_ms > 0 {
+            log::warn!(born_ms = answer.born_ms; "minion began a new life, seen in its lists");
+            life.begin_again(answer.born_ms, self.settings.lease_max);
+            self.health = Health::default();
+        }
         if std::mem::take(&mut self.hold_failures) >= HOLD_FAILURES_MAX {
             log::info!(instance = life.profile.instance.as_str(); "minion answers again");
         }
@@ -379,6 +389,14 @@
     pub fn tick(&mut self, now: Instant) {
         self.stop_runs_of_silent_entries(now);
         self.end_lapsed_runs(now);
+        if self
+            .hold
+            .take_if(|hold| hold.is_idle && !self.runs.is_empty())
+            .is_some()
+        {
+            // The lease of the new runs would end before that call does.
+            self.next_hold_at = Some(now);
+        }
         let is_due = self.next_hold_at.is_some_and(|at| at <= now);
         if self.hold.is_none() && is_due {
             self.order_hold(now);
@@ -390,7 +408,8 @@
             return Condition::Unavailable;
         };
         let is_reached = self.hold_failures < HOLD_FAILURES_MAX && life.clock_known();
-        if self.is_leaving || life.is_draining || !is_reached || !self.foreign.is_empty() {
+        let is_known = life.is_reported && self.foreign.is_empty();
+        if self.is_leaving || life.is_draining || !is_reached || !is_known {
             Condition::Unavailable
         } else if self.health.is_suspect() {
             Condition::Suspect
@@ -501,7 +520,11 @@
         } else {
             Duration::ZERO
         };
-        self.hold = Some(PendingHold { call, sent_at: now });
+        self.hold = Some(PendingHold {
+            call,
+            sent_at: now,
+            is_idle: self.runs.is_empty(),
+        });
         self.actions.push(SidecarAction::Hold(HoldCall {
             call,
             lease_end_ms,
@@ -522,8 +545,14 @@
 
     fn begin_life(&mut self, report: MinionReport, now: Instant) {
         self.life = Some(Life::new(report));
+        self.begin_judging_anew(now);
+    }
+
+    fn begin_judging_anew(&mut self, now: Instant) {
         self.health = Health::default();
         self.pace_permille = PACE_START_PERMILLE;
+        // An answer under way may be that of the life before.
+        self.hold = None;
         self.next_hold_at = Some(now);
         self.announce_minion();
     }
--- a/knapweedrill/src/dispatch/sidecar/life.rs
+++ b/knapweedrill/src/dispatch/sidecar/life.rs
@@ -11,6 +11,8 @@
     pub(super) profile: MinionProfile,
     pub(super) born_ms: u64,
     sequence: u64,
+    /// Whether the profile is that of this life.
+    pub(super) is_reported: bool,
     pub(super) is_draining: bool,
     /// The minion's clock, and when the answer that told it arrived.
     clock: Option<(StampMs, Instant)>,
@@ -26,6 +28,7 @@
             profile: report.profile,
             born_ms: report.born_ms,
             sequence: report.sequence,
+            is_reported: true,
             is_draining: report.is_draining,
             clock: None,
             seen: 0,
@@ -42,12 +45,25 @@
         }
     }
 
+    /// Turns this life into the one that follows it under the same name: it knows nothing of
+    /// before, and its clock and numbers begin anew.
+    pub(super) fn begin_again(&mut self, born_ms: u64, lease_max: Duration) {
+        self.born_ms = born_ms;
+        self.sequence = 0;
+        self.is_reported = false;
+        self.clock = None;
+        self.seen = 0;
+        // Orders of the old life may have reached the new one, which cut their lease to this.
+        self.lease_end_ms = millis(lease_max);
+    }
+
     /// Takes in a heartbeat of this life and returns whether it changed anything that matters.
     pub(super) fn update(&mut self, report: MinionReport) -> bool {
         let is_older = report.born_ms < self.born_ms || report.sequence <= self.sequence;
         if is_older {
             return false;
         }
+        self.is_reported = true;
         self.sequence = report.sequence;
         let has_changed = self.profile != report.profile || self.is_draining != report.is_draining;
         self.profile = report.profile;
@@ -57,7 +73,7 @@
 
     pub(super) fn set_clock(&mut self, clock_ms: StampMs, now: Instant) {
         // Answers may overtake each other; the clock never goes back.
-        if self.clock_ms(now).is_none_or(|known| clock_ms > known) || self.clock.is_none() {
+        if self.clock_ms(now).is_none_or(|known| clock_ms > known) {
             self.clock = Some((clock_ms, now));
         }
     }
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod core;
+mod endpoint;
 mod health;
 mod life;
 mod run;
@@ -12,5 +13,6 @@
     SidecarAction, StartCall, StopCall,
 };
 pub use core::Sidecar;
+pub use endpoint::{Outgoing, SidecarEndpoint};
 pub use health::Health;
 pub use settings::SidecarSettings;
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -8,8 +8,11 @@
     /// How far ahead the lease of the runs reaches. Below the longest that a minion grants, so
     /// that the end is the one that was asked for.
     pub lease: Duration,
-    /// How long runs of an entry go on after the last sign that it was alive. With the time to
-    /// stop them it stays below the pause after which a caller hands its job in elsewhere.
+    /// The longest lease that the minion grants.
+    pub lease_max: Duration,
+    /// How long runs of an entry go on after the last sign that it was alive. With the lease, in
+    /// case this process stands still just then, and the time to stop them it stays below the
+    /// pause after which a caller hands its job in elsewhere.
     pub entry_silence: Duration,
     /// How long the minion may wait for an end before it answers. A quarter of the lease, so
     /// that a lost answer leaves time for another call.
@@ -27,11 +30,12 @@
 impl Default for SidecarSettings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(900),
-            entry_silence: Duration::from_millis(800),
-            hold_wait: Duration::from_millis(225),
+            lease: Duration::from_millis(550),
+            lease_max: Duration::from_millis(1_000),
+            entry_silence: Duration::from_millis(600),
+            hold_wait: Duration::from_millis(140),
             idle_hold_wait: Duration::from_millis(1_000),
-            hold_pause: Duration::from_millis(50),
+            hold_pause: Duration::from_millis(20),
             clock_drift_permille: 20,
             stop_time: Duration::from_millis(50),
         }
--- /dev/null
+++ b/knapweedrill/tests/dispatch_world/minion.rs
@@ -0,0 +1,200 @@
+//! A minion that keeps the platform's promises and no others.
+
+use std::collections::{BTreeMap, HashMap};
+
+use knapweedrill::dispatch::sidecar::{
+    EndedRun, HoldAnswer, HoldCall, HowEnded, OrderAnswer, RunKey, StartCall, StopCall,
+};
+use knapweedrill::dispatch::{Room, RunNumber, TaskName};
+
+/// The longest lease, in milliseconds.
+const LEASE_MAX_MS: u64 = 1_000;
+
+/// How long a stop takes, in milliseconds.
+const STOP_MS: u64 = 40;
+
+#[derive(Debug)]
+struct Running {
+    room: Room,
+    started_ms: u64,
+    /// When the work is done, unless it hangs.
+    done_ms: Option<u64>,
+    fails: bool,
+    stopped_ms: Option<u64>,
+}
+
+/// How a minion treats a task.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub run_ms: u64,
+    pub room: Room,
+    pub fails: bool,
+    pub hangs: bool,
+}
+
+/// A minion; all times are milliseconds of the simulation.
+#[derive(Debug)]
+pub struct Minion {
+    pub instance: String,
+    pub born_ms: u64,
+    pub capacity: Room,
+    /// How much slower its clock goes, in thousandths.
+    pub drift_permille: u64,
+    pub is_up: bool,
+    fence: u64,
+    lease_end_ms: u64,
+    running: BTreeMap<RunKey, Running>,
+    ended: Vec<EndedRun>,
+    end_count: u64,
+    highest: HashMap<TaskName, RunNumber>,
+}
+
+impl Minion {
+    pub fn new(instance: String, capacity: Room, drift_permille: u64, now_ms: u64) -> Self {
+        Self {
+            instance,
+            // Unix milliseconds of a start are never 0.
+            born_ms: now_ms + 1,
+            capacity,
+            drift_permille,
+            is_up: true,
+            fence: 0,
+            lease_end_ms: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            end_count: 0,
+            highest: HashMap::new(),
+        }
+    }
+
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        let age_ms = now_ms + 1 - self.born_ms;
+        age_ms - age_ms * self.drift_permille / 1_000
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = RunKey> + '_ {
+        self.running.keys().copied().filter(|_| self.is_up)
+    }
+
+    pub fn used(&self) -> Room {
+        self.running
+            .values()
+            .fold(Room::default(), |used, run| used.plus(run.room))
+    }
+
+    pub fn start(&mut self, call: &StartCall, work: Work, now_ms: u64) -> OrderAnswer {
+        if call.instance != self.instance {
+            return OrderAnswer::OtherLife;
+        }
+        if call.fencing_token < self.fence {
+            return OrderAnswer::Fenced;
+        }
+        self.fence = call.fencing_token;
+        if call.lease_end_ms <= self.clock_ms(now_ms) {
+            return OrderAnswer::Late;
+        }
+        self.extend(call.lease_end_ms, now_ms);
+        if self.running.contains_key(&call.run) {
+            return OrderAnswer::Accepted;
+        }
+        let highest = self.highest.get(&call.run.task).copied().unwrap_or(0);
+        if call.run.number <= highest {
+            return OrderAnswer::Old;
+        }
+        if !work.room.fits_into(self.capacity.minus(self.used())) {
+            return OrderAnswer::NoRoom;
+        }
+        let run = Running {
+            room: work.room,
+            started_ms: now_ms,
+            done_ms: (!work.hangs).then_some(now_ms + work.run_ms),
+            fails: work.fails,
+            stopped_ms: None,
+        };
+        self.running.insert(call.run, run);
+        OrderAnswer::Accepted
+    }
+
+    pub fn stop(&mut self, call: &StopCall, now_ms: u64) -> OrderAnswer {
+        if call.instance != self.instance {
+            return OrderAnswer::OtherLife;
+        }
+        if call.fencing_token < self.fence {
+            return OrderAnswer::Fenced;
+        }
+        self.fence = call.fencing_token;
+        self.note_highest(call.run);
+        if let Some(run) = self.running.get_mut(&call.run) {
+            run.stopped_ms.get_or_insert(now_ms + STOP_MS);
+        }
+        OrderAnswer::Accepted
+    }
+
+    /// Takes in a hold; the answer is made later with [`Self::hold_answer`].
+    pub fn hold(&mut self, call: &HoldCall, now_ms: u64) -> bool {
+        if call.instance != self.instance || call.fencing_token < self.fence {
+            return false;
+        }
+        self.fence = call.fencing_token;
+        if let Some(end_ms) = call.lease_end_ms {
+            self.extend(end_ms, now_ms);
+        }
+        self.ended.retain(|ended| ended.number > call.seen);
+        true
+    }
+
+    pub fn has_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    pub fn hold_answer(&self, now_ms: u64) -> HoldAnswer {
+        HoldAnswer {
+            born_ms: self.born_ms,
+            clock_ms: self.clock_ms(now_ms),
+            running: self.running.keys().map(|key| (*key, 0)).collect(),
+            ended: self.ended.clone(),
+            has_more: false,
+        }
+    }
+
+    /// Lets time pass; returns the runs that ended with success.
+    pub fn advance(&mut self, now_ms: u64) -> Vec<RunKey> {
+        let has_lapsed = self.clock_ms(now_ms) >= self.lease_end_ms;
+        let mut done = Vec::new();
+        let mut over = Vec::new();
+        for (key, run) in &self.running {
+            let is_due = |at: Option<u64>| at.is_some_and(|at| at <= now_ms);
+            if has_lapsed && run.started_ms < now_ms {
+                over.push((*key, HowEnded::Lapsed));
+            } else if is_due(run.stopped_ms) {
+                over.push((*key, HowEnded::Stopped));
+            } else if is_due(run.done_ms) && run.fails {
+                over.push((*key, HowEnded::Failed));
+            } else if is_due(run.done_ms) {
+                done.push(*key);
+                over.push((*key, HowEnded::Done));
+            }
+        }
+        for (key, how) in over {
+            self.running.remove(&key);
+            self.note_highest(key);
+            self.end_count += 1;
+            self.ended.push(EndedRun {
+                number: self.end_count,
+                run: key,
+                how,
+            });
+        }
+        done
+    }
+
+    fn note_highest(&mut self, key: RunKey) {
+        let highest = self.highest.entry(key.task).or_default();
+        *highest = key.number.max(*highest);
+    }
+
+    fn extend(&mut self, end_ms: u64, now_ms: u64) {
+        let end_ms = end_ms.min(self.clock_ms(now_ms) + LEASE_MAX_MS);
+        self.lease_end_ms = self.lease_end_ms.max(end_ms);
+    }
+}
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
-use knapweedrill::dispatch::message::{Message, Role, StampMs, Status};
-use knapweedrill::dispatch::session::{Envelope, SessionEvent, Sessions};
+use knapweedrill::dispatch::message::StampMs;
+use knapweedrill::dispatch::session::Envelope;
 use knapweedrill::dispatch::sidecar::{
-    CallNumber, HoldAnswer, MinionReport, OrderAnswer, Sidecar, SidecarAction, SidecarSettings,
+    CallNumber, HoldAnswer, MinionReport, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
+    SidecarSettings,
 };
 use knapweedrill_platform::{MinionClient, ProcessSettings, Record, StoreClient};
 use knapweedrill_wire::EnvelopeSocket;
@@ -55,12 +56,12 @@
     let defaults = SidecarSettings::default();
     let settings = SidecarSettings {
         lease: defaults.lease.min(process.settings.lease_max),
+        lease_max: process.settings.lease_max,
         stop_time: process.settings.stop_time,
         ..defaults
     };
     let control = Control {
-        sidecar: Sidecar::new(settings, unix_ms()),
-        sessions: process.sessions(),
+        endpoint: SidecarEndpoint::new(Sidecar::new(settings, unix_ms()), process.sessions()),
         socket,
         orders,
     };
@@ -94,8 +95,7 @@
 
 /// The control state of the process.
 struct Control {
-    sidecar: Sidecar,
-    sessions: Sessions,
+    endpoint: SidecarEndpoint,
     socket: EnvelopeSocket,
     orders: UnboundedSender<SidecarAction>,
 }
@@ -109,7 +109,7 @@
                 Ok(event) => {
                     let now = Instant::now();
                     // Time-outs come first: after a pause of the process they may be long due.
-                    self.sidecar.tick(now);
+                    self.endpoint.sidecar_mut().tick(now);
                     self.handle(event, own_address, now);
                     for event in events.try_iter().take(BATCH_EVENT_COUNT) {
                         self.handle(event, own_address, now);
@@ -119,7 +119,7 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let now = Instant::now();
-            self.sidecar.tick(now);
+            self.endpoint.sidecar_mut().tick(now);
             if now >= next_tick {
                 next_tick = now + TICK;
                 process
@@ -128,10 +128,13 @@
             }
             self.flush(now);
             if process.stop.has_begun(now) {
-                self.sidecar.leave();
+                self.endpoint.sidecar_mut().leave();
             }
-            if process.stop.is_over(self.sidecar.run_count() > 0, now) {
-                log::info!(runs = self.sidecar.run_count(); "process stopped");
+            if process
+                .stop
+                .is_over(self.endpoint.sidecar().run_count() > 0, now)
+            {
+                log::info!(runs = self.endpoint.sidecar().run_count(); "process stopped");
                 return;
             }
         }
@@ -140,93 +143,44 @@
     fn handle(&mut self, event: SidecarEvent, own_address: SocketAddr, now: Instant) {
         match event {
             SidecarEvent::Reported(report, done) => {
-                self.sidecar.minion_reported(report, now);
+                self.endpoint.sidecar_mut().minion_reported(report, now);
                 // A minion that has hung up hears it with its next heartbeat, here and below.
                 let _ = done.send(());
             }
             SidecarEvent::Left(instance, done) => {
-                self.sidecar.minion_left(&instance, now);
+                self.endpoint.sidecar_mut().minion_left(&instance, now);
                 let _ = done.send(());
             }
             SidecarEvent::StartAnswered(call, answer, clock_ms) => {
-                self.sidecar.start_answered(call, answer, clock_ms, now);
+                self.endpoint
+                    .sidecar_mut()
+                    .start_answered(call, answer, clock_ms, now);
             }
             SidecarEvent::StopAnswered(call, answer, clock_ms) => {
-                self.sidecar.stop_answered(call, answer, clock_ms, now);
+                self.endpoint
+                    .sidecar_mut()
+                    .stop_answered(call, answer, clock_ms, now);
             }
             SidecarEvent::HoldAnswered(call, answer) => {
-                self.sidecar.hold_answered(call, answer, now);
+                self.endpoint.sidecar_mut().hold_answered(call, answer, now);
             }
-            SidecarEvent::Datagram(from, envelope) => self.receive(from, envelope, now),
+            SidecarEvent::Datagram(from, envelope) => self.endpoint.receive(from, envelope, now),
             SidecarEvent::Address(address) => {
-                if address != own_address && self.sessions.greet(address) {
-                    log::info!(address:% = address; "entry found");
+                if address != own_address {
+                    self.endpoint.greet(address);
                 }
             }
         }
     }
 
-    fn receive(&mut self, from: SocketAddr, envelope: Envelope, now: Instant) {
-        let process = envelope.from;
-        for event in self.sessions.receive(from, envelope, now) {
-            self.take_event(event, now);
-        }
-        if let Some(at) = self.sessions.echoed_at(process) {
-            self.sidecar.entry_alive(process, at);
-        }
-    }
-
-    fn take_event(&mut self, event: SessionEvent, now: Instant) {
-        match event {
-            SessionEvent::Up(process, Role::Entry) => {
-                log::info!(entry:% = process; "entry reached");
-                self.sidecar.entry_up(process, now);
-            }
-            SessionEvent::Gone(process) => {
-                log::warn!(process:% = process; "process replaced by another at its address");
-                self.sidecar.entry_gone(process, now);
-            }
-            SessionEvent::Silent(process) => {
-                log::warn!(process:% = process; "process out of reach")
-            }
-            SessionEvent::Heard(process) => log::info!(process:% = process; "process heard again"),
-            SessionEvent::Message(process, Message::Start(order)) => {
-                let stamped_at = self.sessions.identity().moment(order.sidecar_stamp_ms);
-                self.sidecar.start(process, order, stamped_at, now);
-            }
-            SessionEvent::Message(process, Message::Stop { task, attempt }) => {
-                self.sidecar.stop(process, task, attempt, now);
-            }
-            SessionEvent::Message(process, message) => {
-                log::warn!(process:% = process, message:? = message; "not a message for a sidecar");
-            }
-            SessionEvent::Up(..) | SessionEvent::Status(..) => {}
-        }
-    }
-
     fn flush(&mut self, now: Instant) {
-        for action in self.sidecar.take_actions() {
-            match action {
-                SidecarAction::Send(entry, message) => {
-                    self.sessions.send(entry, message);
-                }
-                // Without the traffic thread the process is about to end.
-                order => drop(self.orders.send(order)),
-            }
+        let outgoing = self.endpoint.poll(now);
+        for order in outgoing.orders {
+            // Without the traffic thread the process is about to end.
+            drop(self.orders.send(order));
         }
-        let status = Status::Sidecar(self.sidecar.status());
-        let entries: Vec<_> = self.sidecar.entries().collect();
-        for entry in entries {
-            let is_busy = self.sidecar.has_runs_of(entry);
-            self.sessions.set_busy(entry, is_busy, now);
-            self.sessions.set_status(entry, status);
-        }
-        let (datagrams, events) = self.sessions.poll(now);
-        for (to, envelope) in datagrams {
+        for (to, envelope) in outgoing.datagrams {
             self.socket.send(to, &envelope);
         }
-        for event in events {
-            self.take_event(event, now);
-        }
     }
 }
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -19,14 +19,14 @@
 
 /// How long a minion has to answer an order. It is on the same machine and answers in
 /// milliseconds; orders are repeated, so a short wait costs little.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long a minion has to answer a hold, beside the time that it may wait.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(150);
+const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// How many orders are under way at the same time: enough for a wide job, and far below the
-/// connections that a minion takes.
-const ORDER_COUNT_MAX: usize = 12;
+/// How many orders are under way at the same time. Each needs a connection, and the minion answers
+/// in a millisecond, so that more would only open connections that are seldom used again.
+const ORDER_COUNT_MAX: usize = 6;
 
 /// Takes in a call of the minion.
 pub(super) async fn register(
