test(lab): stand-ins of the platform, the whole path on them, and the simulated world

Cause of the fix to sessions, found by the stand-ins: a message sent after a quiet spell made the session count as silent at once; the silence now counts from the message.

--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -57,6 +57,8 @@
     sent: MessageNumber,
     resend_at: Option<Instant>,
     resend_after: Duration,
+    /// Since when a message has had no acknowledgement.
+    unacknowledged_since: Option<Instant>,
     received: MessageNumber,
     acknowledge_at: Option<Instant>,
     /// The newest stamp of the other side, and when it arrived.
@@ -83,6 +85,7 @@
             sent: 0,
             resend_at: None,
             resend_after: settings.resend_after,
+            unacknowledged_since: None,
             received: 0,
             acknowledge_at: None,
             remote_stamp: None,
@@ -210,6 +213,7 @@
         self.sent = self.sent.max(received);
         self.resend_after = self.settings.resend_after;
         self.resend_at = (self.sent > self.acknowledged).then(|| now + self.resend_after);
+        self.unacknowledged_since = self.resend_at.map(|_| now);
     }
 
     fn take_messages(
@@ -239,7 +243,7 @@
     pub(super) fn check_silence(&mut self, now: Instant) -> Option<SessionEvent> {
         let remote = self.remote?;
         let heard_at = self.heard_at?;
-        let is_over = match self.busy_since.or(self.resend_at.map(|_| heard_at)) {
+        let is_over = match self.busy_since.or(self.unacknowledged_since) {
             Some(since) => {
                 now.saturating_duration_since(heard_at.max(since)) > self.settings.silent_after
             }
@@ -275,6 +279,7 @@
             envelopes.push(self.envelope(own, now, from, count));
             self.sent += count as MessageNumber;
             self.resend_at.get_or_insert(now + self.resend_after);
+            self.unacknowledged_since.get_or_insert(now);
         }
         let beat = match self.busy_since {
             Some(_) => self.settings.busy_beat,
--- a/knapweedrill_lab/src/harness/child_process.rs
+++ b/knapweedrill_lab/src/harness/child_process.rs
@@ -1,5 +1,6 @@
 //! A process that the harness started.
 
+use std::ffi::OsStr;
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -33,22 +34,39 @@
         program: &Path,
         arguments: impl IntoIterator<Item = String>,
         directory: &Path,
+    ) -> Result<Self> {
+        let mut command = Command::new(program);
+        command.args(arguments).stdout(Stdio::null());
+        Self::spawn(name.into(), command, directory)
+    }
+
+    /// Starts `program` with a variable in its environment, with its stdout and stderr going to
+    /// files in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start_with_output(
+        name: impl Into<String>,
+        program: &Path,
+        arguments: impl IntoIterator<Item = String>,
+        directory: &Path,
+        (variable, value): (&str, &OsStr),
     ) -> Result<Self> {
         let name = name.into();
+        let stdout = open_output(&directory.join(format!("{name}.stdout")))?;
+        let mut command = Command::new(program);
+        command.args(arguments).env(variable, value).stdout(stdout);
+        Self::spawn(name, command, directory)
+    }
+
+    fn spawn(name: String, mut command: Command, directory: &Path) -> Result<Self> {
         let stderr_path = directory.join(format!("{name}.stderr"));
-        // A process that is started again under its name adds to the file.
-        let stderr = File::options()
-            .create(true)
-            .append(true)
-            .open(&stderr_path)
-            .wrap_err_with(|| format!("can't write {}", stderr_path.display()))?;
-        let child = Command::new(program)
-            .args(arguments)
+        let child = command
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(stderr)
+            .stderr(open_output(&stderr_path)?)
             .spawn()
-            .wrap_err_with(|| format!("can't start {}", program.display()))?;
+            .wrap_err_with(|| format!("can't start {}", command.get_program().display()))?;
         Ok(Self {
             name,
             child,
@@ -164,6 +182,15 @@
     }
 }
 
+/// Opens a file for output; a process that is started again under its name adds to it.
+fn open_output(path: &Path) -> Result<File> {
+    File::options()
+        .create(true)
+        .append(true)
+        .open(path)
+        .wrap_err_with(|| format!("can't write {}", path.display()))
+}
+
 /// Returns whether a child stands still, without taking the notice of it away.
 fn is_stopped(pid: Pid) -> bool {
     let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
--- a/knapweedrill_lab/src/harness/mod.rs
+++ b/knapweedrill_lab/src/harness/mod.rs
@@ -13,6 +13,7 @@
 mod log_control;
 mod metrics_answer;
 mod minion_node;
+mod platform_site;
 mod scratch_directory;
 mod wait;
 
@@ -31,5 +32,6 @@
 pub use log_control::LogNode;
 pub use metrics_answer::{MetricReading, MetricsAnswer};
 pub use minion_node::MinionNode;
+pub use platform_site::{HOST, PlatformSite, SiteAnswer};
 pub use scratch_directory::ScratchDirectory;
 pub use wait::wait_until;
--- a/knapweedrill/tests/dispatch_world/minion.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_model.rs
@@ -1,4 +1,4 @@
-//! A minion that keeps the platform's promises and no others.
+//! What a minion of the platform does, without its clock and its wire.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -26,21 +26,29 @@
 /// How a minion treats a task.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
+    /// How long it runs.
     pub run_ms: u64,
+    /// What it takes up.
     pub room: Room,
+    /// Whether it fails at its end.
     pub fails: bool,
+    /// Whether it never ends by itself.
     pub hangs: bool,
 }
 
-/// A minion; all times are milliseconds of the simulation.
+/// A minion of the platform; it keeps what the platform promises and no more.
+///
+/// All times are given by the caller, in milliseconds.
 #[derive(Debug)]
-pub struct Minion {
+pub struct MinionModel {
+    /// The name of its life.
     pub instance: String,
+    /// When its life began.
     pub born_ms: u64,
+    /// What it offers.
     pub capacity: Room,
     /// How much slower its clock goes, in thousandths.
     pub drift_permille: u64,
-    pub is_up: bool,
     fence: u64,
     lease_end_ms: u64,
     running: BTreeMap<RunKey, Running>,
@@ -49,7 +57,8 @@
     highest: HashMap<TaskName, RunNumber>,
 }
 
-impl Minion {
+impl MinionModel {
+    /// Creates a minion whose life begins now.
     pub fn new(instance: String, capacity: Room, drift_permille: u64, now_ms: u64) -> Self {
         Self {
             instance,
@@ -57,7 +66,6 @@
             born_ms: now_ms + 1,
             capacity,
             drift_permille,
-            is_up: true,
             fence: 0,
             lease_end_ms: 0,
             running: BTreeMap::new(),
@@ -67,21 +75,25 @@
         }
     }
 
+    /// Returns the minion's clock.
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         let age_ms = now_ms + 1 - self.born_ms;
         age_ms - age_ms * self.drift_permille / 1_000
     }
 
+    /// Returns what runs.
     pub fn running(&self) -> impl Iterator<Item = RunKey> + '_ {
-        self.running.keys().copied().filter(|_| self.is_up)
+        self.running.keys().copied()
     }
 
+    /// Returns what the runs take up.
     pub fn used(&self) -> Room {
         self.running
             .values()
             .fold(Room::default(), |used, run| used.plus(run.room))
     }
 
+    /// Takes in an order to start a run.
     pub fn start(&mut self, call: &StartCall, work: Work, now_ms: u64) -> OrderAnswer {
         if call.instance != self.instance {
             return OrderAnswer::OtherLife;
@@ -115,6 +127,7 @@
         OrderAnswer::Accepted
     }
 
+    /// Takes in an order to stop a run.
     pub fn stop(&mut self, call: &StopCall, now_ms: u64) -> OrderAnswer {
         if call.instance != self.instance {
             return OrderAnswer::OtherLife;
@@ -143,10 +156,12 @@
         true
     }
 
+    /// Returns whether something has ended that was not taken note of.
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 
+    /// Returns what runs and what has ended.
     pub fn hold_answer(&self, now_ms: u64) -> HoldAnswer {
         HoldAnswer {
             born_ms: self.born_ms,
--- a/knapweedrill/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -6,8 +6,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
-mod minion;
-
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
@@ -27,7 +25,7 @@
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
-pub use minion::{Minion, Work};
+use knapweedrill_lab::stand_in::platform::{MinionModel as Minion, Work};
 
 /// How long a call of a minion has, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 100;
@@ -43,17 +41,17 @@
 
 /// What can go wrong; shares are in thousandths.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Faults {
-    pub datagrams_lost_permille: u32,
-    pub datagram_delay_max_ms: u64,
+pub(crate) struct Faults {
+    pub(crate) datagrams_lost_permille: u32,
+    pub(crate) datagram_delay_max_ms: u64,
     /// Orders that get no answer and are carried out 2 to 6 s later.
-    pub orders_late_permille: u32,
+    pub(crate) orders_late_permille: u32,
     /// Orders that are carried out and get no answer.
-    pub answers_lost_permille: u32,
+    pub(crate) answers_lost_permille: u32,
     /// Tasks that fail.
-    pub tasks_failed_permille: u32,
+    pub(crate) tasks_failed_permille: u32,
     /// Faults of machines and processes in a second, in thousandths.
-    pub disturbances_permille: u32,
+    pub(crate) disturbances_permille: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,18 +106,18 @@
 
 /// What the world has seen.
 #[derive(Debug, Default)]
-pub struct Seen {
-    pub answers: BTreeMap<JobName, Vec<Answer>>,
-    pub started_count: u64,
-    pub resubmitted_count: u64,
-    pub unanswered: Vec<JobName>,
+pub(crate) struct Seen {
+    pub(crate) answers: BTreeMap<JobName, Vec<Answer>>,
+    pub(crate) started_count: u64,
+    pub(crate) resubmitted_count: u64,
+    pub(crate) unanswered: Vec<JobName>,
 }
 
 /// The simulated system.
 #[derive(Debug)]
-pub struct World {
-    pub faults: Faults,
-    pub seen: Seen,
+pub(crate) struct World {
+    pub(crate) faults: Faults,
+    pub(crate) seen: Seen,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -142,7 +140,7 @@
 }
 
 impl World {
-    pub fn new(entry_count: usize, sidecar_count: usize, seed: u64, faults: Faults) -> Self {
+    pub(crate) fn new(entry_count: usize, sidecar_count: usize, seed: u64, faults: Faults) -> Self {
         let epoch = Instant::now();
         let mut random = SmallRng::seed_from_u64(seed);
         let work_default = Work {
@@ -201,56 +199,56 @@
     }
 
     /// Lets the system find itself, without faults.
-    pub fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         let faults = std::mem::take(&mut self.faults);
         self.advance(2_500);
         self.faults = faults;
     }
 
-    pub fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         self.now_ms
     }
 
-    pub fn random(&mut self) -> &mut SmallRng {
+    pub(crate) fn random(&mut self) -> &mut SmallRng {
         &mut self.random
     }
 
-    pub fn entry(&self, index: usize) -> Option<&Entry> {
+    pub(crate) fn entry(&self, index: usize) -> Option<&Entry> {
         self.nodes[index].entry.as_ref()
     }
 
-    pub fn set_work(&mut self, task: TaskName, work: Work) {
+    pub(crate) fn set_work(&mut self, task: TaskName, work: Work) {
         self.works.insert(task, work);
     }
 
     /// Lets all tasks run that long.
-    pub fn set_run_ms(&mut self, run_ms: u64) {
+    pub(crate) fn set_run_ms(&mut self, run_ms: u64) {
         self.work_default.run_ms = run_ms;
     }
 
-    pub fn kill(&mut self, node: usize, down_ms: u64) {
+    pub(crate) fn kill(&mut self, node: usize, down_ms: u64) {
         self.end_process(node, down_ms);
     }
 
-    pub fn freeze(&mut self, node: usize, for_ms: u64) {
+    pub(crate) fn freeze(&mut self, node: usize, for_ms: u64) {
         self.nodes[node].frozen_until_ms = self.now_ms + for_ms;
     }
 
-    pub fn cut(&mut self, node: usize, for_ms: u64) {
+    pub(crate) fn cut(&mut self, node: usize, for_ms: u64) {
         self.nodes[node].cut_until_ms = self.now_ms + for_ms;
     }
 
-    pub fn drain(&mut self, minion: usize) {
+    pub(crate) fn drain(&mut self, minion: usize) {
         self.heartbeats[minion].2 = true;
         self.heartbeats[minion].0 = self.now_ms;
     }
 
-    pub fn has_runs_at(&self, minion: usize) -> bool {
+    pub(crate) fn has_runs_at(&self, minion: usize) -> bool {
         self.minions[minion].running().next().is_some()
     }
 
     /// Hands a job of one step in, at a random entry that is up.
-    pub fn submit(&mut self, tasks: u32, patience_ms: u64) -> JobName {
+    pub(crate) fn submit(&mut self, tasks: u32, patience_ms: u64) -> JobName {
         self.next_id += 1;
         let name = JobName(self.next_id);
         let submission = Submission {
@@ -275,7 +273,7 @@
     }
 
     /// Lets time pass.
-    pub fn advance(&mut self, for_ms: u64) {
+    pub(crate) fn advance(&mut self, for_ms: u64) {
         for _ in 0..for_ms {
             self.step();
         }
@@ -325,7 +323,7 @@
     }
 
     /// Returns what happened to a job, and to machines in the last seconds.
-    pub fn story(&self, job: JobName) -> String {
+    pub(crate) fn story(&self, job: JobName) -> String {
         let matters = |(at, of, _): &&(u64, Option<JobName>, String)| match of {
             Some(of) => *of == job,
             None => *at + 6_000 > self.now_ms,
@@ -791,7 +789,7 @@
 }
 
 /// Returns what each task takes up.
-pub fn task_room() -> Room {
+pub(crate) fn task_room() -> Room {
     Room {
         cpu_millicores: 1_000,
         memory_mib: 100,
@@ -800,7 +798,7 @@
 }
 
 /// Returns a configuration with one queue.
-pub fn configuration() -> Configuration {
+pub(crate) fn configuration() -> Configuration {
     Configuration {
         version: 1,
         queues: vec![Queue {
--- a/knapweedrill_wire/src/http_client.rs
+++ b/knapweedrill_wire/src/http_client.rs
@@ -8,7 +8,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -22,7 +23,7 @@
     pub method: Method,
     /// The path, with the query.
     pub path: String,
-    /// Headers beside those of HTTP itself.
+    /// Headers beside those of HTTP itself; `Host` replaces the server's address.
     pub headers: Vec<(&'static str, String)>,
     /// The type of the body.
     pub content_type: &'static str,
@@ -37,6 +38,8 @@
 pub struct HttpAnswer {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -114,8 +117,10 @@
         let mut request = Request::builder()
             .method(call.method)
             .uri(call.path)
-            .header("Host", self.address.to_string())
-            .header("Content-Type", call.content_type);
+            .header(CONTENT_TYPE, call.content_type);
+        if !call.headers.iter().any(|(name, _)| HOST == *name) {
+            request = request.header(HOST, self.address.to_string());
+        }
         for (name, value) in call.headers {
             request = request.header(name, value);
         }
@@ -126,8 +131,8 @@
             .send_request(request)
             .await
             .map_err(|_| HttpFailure::NoAnswer)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_BYTES_MAX)
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_BYTES_MAX)
             .collect()
             .await
             .map_err(|_| HttpFailure::NoAnswer)?
@@ -135,7 +140,11 @@
         if connection.ready().await.is_ok() {
             self.lock().push((connection, Instant::now()));
         }
-        Ok(HttpAnswer { status, body })
+        Ok(HttpAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     }
 
     async fn connection(&self) -> Result<Connection, HttpFailure> {
