--- a/knapweedrill/src/dispatch/entry/configuration_exchange.rs
+++ b/knapweedrill/src/dispatch/entry/configuration_exchange.rs
@@ -15,11 +15,14 @@
 /// time in which a change has to be in force.
 const ASK_EVERY: Duration = Duration::from_millis(200);
 
+/// The pieces that have come of a version.
+type Pieces = (Version, Vec<Option<Vec<u8>>>);
+
 /// The exchange of configurations with other entries.
 #[derive(Debug, Default)]
 pub(super) struct ConfigurationExchange {
     asked_at: Option<Instant>,
-    parts: HashMap<Incarnation, (Version, Vec<Option<Vec<u8>>>)>,
+    parts: HashMap<Incarnation, Pieces>,
 }
 
 impl ConfigurationExchange {
--- a/knapweedrill_lab/src/stand_in/platform/store.rs
+++ b/knapweedrill_lab/src/stand_in/platform/store.rs
@@ -251,5 +251,5 @@
     let value = pairs
         .filter(|(key, _)| *key == name)
         .map(|(_, value)| value);
-    value.last().map(str::to_owned)
+    value.next_back().map(str::to_owned)
 }
