--- a/knapweedrill/src/dispatch/session/settings.rs
+++ b/knapweedrill/src/dispatch/session/settings.rs
@@ -15,7 +15,8 @@
     /// The pause between datagrams of a session with work. A quarter of the time after which
     /// the sidecar stops runs of a silent entry, so that two in a row may be lost.
     pub busy_beat: Duration,
-    /// The pause between datagrams of a session without work.
+    /// The pause between datagrams of a session without work. An order names the newest stamp
+    /// of its sidecar, which is to be young enough for the run to outlive the next beats.
     pub idle_beat: Duration,
     /// How long the other side may be silent before it counts as out of reach. Two and a half
     /// beats of a session with work.
@@ -33,7 +34,7 @@
             resend_after_max: Duration::from_millis(320),
             acknowledge_after: Duration::from_millis(20),
             busy_beat: Duration::from_millis(150),
-            idle_beat: Duration::from_millis(400),
+            idle_beat: Duration::from_millis(250),
             silent_after: Duration::from_millis(375),
             greet_every: Duration::from_millis(400),
             status_every: Duration::from_millis(40),
--- a/knapweedrill_lab/src/stand_in/platform/store.rs
+++ b/knapweedrill_lab/src/stand_in/platform/store.rs
@@ -248,7 +248,7 @@
 fn query_text(request: &Request, name: &str) -> Option<String> {
     let (_, query) = request.url().split_once('?')?;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let value = pairs
+    let mut value = pairs
         .filter(|(key, _)| *key == name)
         .map(|(_, value)| value);
     value.next_back().map(str::to_owned)
