feat(admission): less urgent jobs make room for what was taken before

Pattern: long tasks fill the fleet, and short ones of a more urgent queue keep coming; the long ones were taken and then starved until they were refused after 1.6 s.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -30,6 +30,9 @@
 /// it down: it is used only if no other has room soon.
 const AVOIDED_PENALTY_FACTOR: u32 = 2;
 
+/// The priority of the most urgent queues.
+const MOST_URGENT: u8 = 0;
+
 /// How many jobs that find no room are passed over before the search ends. Tasks differ little
 /// in size, so what does not fit now seldom fits after more.
 const PASSED_OVER_MAX: usize = 8;
@@ -300,8 +303,15 @@
             .filter(|(_, is_heard)| *is_heard)
             .count()
             + 1;
+        // Jobs of the most urgent queues only wait for what comes before them. The others also
+        // make room for what was taken before, however urgent, so that it keeps its promise.
+        let work_before = if job.terms.priority == MOST_URGENT {
+            self.waiting.work_before(job)
+        } else {
+            self.waiting.work()
+        };
         Admission {
-            work_before: self.waiting.work_before(job),
+            work_before,
             cpu_millicores: self.fleet.cpu_millicores(&job.service),
             entry_count: entries as u64,
             slack: job.objective().saturating_sub(job.longest),
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -46,6 +46,11 @@
         self.places.keys().next().map(|(priority, _, _)| *priority)
     }
 
+    /// Returns all work that waits.
+    pub(super) fn work(&self) -> u64 {
+        self.places.values().sum()
+    }
+
     /// Returns the work that comes before a job.
     pub(super) fn work_before(&self, job: &Job) -> u64 {
         self.places.range(..place(job)).map(|(_, work)| work).sum()
