feat(sidecar): stop runs that stand still; number placements over all jobs of an entry

Pattern: a minion lets tasks hang or crawls while its heartbeats are good, and its share of the fleet holds wide urgent jobs back. Its lists tell how far a run is; one eight times behind its estimate is stopped and placed elsewhere, at most twice for a task, and the minion becomes suspect. Placements are numbered over the whole entry now. Ruled out: the stop of a stalled run itself (its end is awaited before the task is placed again).

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -19,7 +19,7 @@
     TaskReport,
 };
 use crate::dispatch::session::{Envelope, MessageNumber, SessionEvent, Sessions};
-use crate::dispatch::{JobName, TaskName};
+use crate::dispatch::{Attempt, JobName, TaskName};
 
 /// The pause that refused callers are asked for: long enough for a burst to drain, spread by
 /// the name of the job so that they do not all return at once.
@@ -30,6 +30,9 @@
 /// it down: it is used only if no other has room soon.
 const AVOIDED_PENALTY_FACTOR: u32 = 2;
 
+/// How often a task is moved off a minion on which it seems to stand still.
+const MOVES_MAX: usize = 2;
+
 /// The priority of the most urgent queues.
 const MOST_URGENT: u8 = 0;
 
@@ -60,6 +63,7 @@
     jobs: HashMap<JobName, Job>,
     waiting: WaitingJobs,
     answered: Answered,
+    next_attempt: Attempt,
     is_leaving: bool,
     actions: Vec<EntryAction>,
 }
@@ -77,6 +81,7 @@
             jobs: HashMap::new(),
             waiting: WaitingJobs::default(),
             answered: Answered::default(),
+            next_attempt: 1,
             is_leaving: false,
             actions: Vec::new(),
         }
@@ -479,7 +484,10 @@
                     return;
                 }
             }
-            RunEnd::Stopped | RunEnd::Lost => task.state = TaskState::Waiting,
+            RunEnd::Stopped | RunEnd::Lost => {
+                task.avoided.push(from);
+                task.state = TaskState::Waiting;
+            }
         }
         if job.is_done() {
             self.end_job(name, Some(Answer::Completed), now);
@@ -679,13 +687,14 @@
         let room = step.room;
         let order = StartOrder {
             task: job.task_name(position),
-            attempt: task.attempt + 1,
+            attempt: self.next_attempt,
             room,
             estimate: step.estimate,
+            is_movable: task.avoided.len() < MOVES_MAX,
             service: job.service.clone(),
             spec: job.spec.clone(),
             sidecar_stamp_ms: stamp_ms,
-            run_number: task.attempt + 1,
+            run_number: task.placement_count + 1,
         };
         let Some(number) = self.sessions.send(sidecar, Message::Start(order)) else {
             return false;
@@ -693,7 +702,9 @@
         self.note_placed(sidecar, number, room, now);
         job.begun_count += 1;
         let task = &mut job.tasks[position];
-        task.attempt += 1;
+        task.attempt = self.next_attempt;
+        task.placement_count += 1;
+        self.next_attempt += 1;
         task.state = TaskState::Placed(sidecar);
         true
     }
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -8,7 +8,7 @@
 use super::submission::{StepRequest, Submission};
 use crate::common::{Incarnation, ServiceName, TaskIndex};
 use crate::dispatch::configuration::{Queue, Terms};
-use crate::dispatch::{Attempt, JobName, StepIndex, TaskName};
+use crate::dispatch::{Attempt, JobName, RunNumber, StepIndex, TaskName};
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,7 +29,9 @@
     pub(super) step: StepIndex,
     pub(super) index: TaskIndex,
     pub(super) state: TaskState,
+    /// The newest placement.
     pub(super) attempt: Attempt,
+    pub(super) placement_count: RunNumber,
     pub(super) failed_count: u32,
     /// Where it has failed or was turned down.
     pub(super) avoided: SmallVec<[Incarnation; 2]>,
@@ -73,6 +75,7 @@
                 index,
                 state,
                 attempt: 0,
+                placement_count: 0,
                 failed_count: 0,
                 avoided: SmallVec::new(),
             })
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -62,6 +62,9 @@
     pub room: Room,
     /// The caller's estimate of its run time.
     pub estimate: Duration,
+    /// Whether the run may be stopped when it seems to stand still. Not once the task has been
+    /// moved: then its estimate is to blame.
+    pub is_movable: bool,
     /// The service whose minion has to run it.
     pub service: ServiceName,
     /// What the caller wants to be run.
--- a/knapweedrill/src/dispatch/names.rs
+++ b/knapweedrill/src/dispatch/names.rs
@@ -9,8 +9,9 @@
 /// The position of a step within its job.
 pub type StepIndex = u16;
 
-/// Counts the placements of a task by its entry; the first is 1.
-pub type Attempt = u32;
+/// Numbers the placements of one run of an entry process, over all its tasks. A job that is handed
+/// in again has the same task names, so only this tells its placements from the earlier ones.
+pub type Attempt = u64;
 
 /// Numbers the runs of a task at a minion, which takes only rising numbers.
 pub type RunNumber = u32;
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -242,6 +242,7 @@
             room: order.room,
             spec: order.spec,
             estimate: order.estimate,
+            is_movable: order.is_movable,
             ordered_at: now,
             phase: Phase::Starting,
             unanswered_count: 0,
@@ -641,6 +642,7 @@
             );
             self.order_stop(key, now);
         }
+        self.stop_stalled(&answer.running, now);
         if answer.has_more {
             return;
         }
@@ -659,6 +661,26 @@
         }
     }
 
+    /// Stops runs that stand still or nearly so, so that their entries place them elsewhere.
+    fn stop_stalled(&mut self, running: &[(RunKey, u8)], now: Instant) {
+        for (key, percent) in running {
+            let stalled = self
+                .runs
+                .get(key)
+                .filter(|run| run.is_stalled(*percent, now));
+            let Some(run) = stalled else {
+                continue;
+            };
+            log::warn!(
+                job:% = key.task.job, task = key.task.index, run = key.number, percent = percent,
+                age_ms = now.saturating_duration_since(run.ordered_at).as_millis() as u64,
+                estimate_ms = run.estimate.as_millis() as u64; "run stands still, it is stopped"
+            );
+            self.health.note(key.task.job, true);
+            self.begin_stop(*key, now);
+        }
+    }
+
     fn stop_runs_of_silent_entries(&mut self, now: Instant) {
         let silence = self.settings.entry_silence;
         let silent: Vec<_> = self
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -29,6 +29,7 @@
     pub(super) room: Room,
     pub(super) spec: String,
     pub(super) estimate: Duration,
+    pub(super) is_movable: bool,
     pub(super) ordered_at: Instant,
     pub(super) phase: Phase,
     /// How many orders to start it had no answer.
@@ -39,7 +40,25 @@
     pub(super) outcome: Option<PlacementOutcome>,
 }
 
+/// How many times slower than its estimate a run may get on before it counts as standing still.
+/// Estimates are off by less than a factor of four in all but one of a thousand tasks.
+const STALL_FACTOR: u128 = 8;
+
+/// How long a run is left alone before its progress is judged, beside half of its estimate: the
+/// figures of the minion are a heartbeat of its lists old.
+const STALL_GRACE: Duration = Duration::from_millis(60);
+
 impl Run {
+    /// Returns whether the run stands still, or nearly so, by the share that is done.
+    pub(super) fn is_stalled(&self, percent: u8, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.ordered_at);
+        let is_judged = self.is_movable && matches!(self.phase, Phase::Running(_));
+        if !is_judged || age < self.estimate / 2 + STALL_GRACE {
+            return false;
+        }
+        u128::from(percent) * STALL_FACTOR * self.estimate.as_millis() < 100 * age.as_millis()
+    }
+
     pub(super) fn ended(&self, end: RunEnd, now: Instant) -> PlacementOutcome {
         PlacementOutcome::Ended {
             end,
--- a/knapweedrill_lab/src/stand_in/platform/minion_model.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_model.rs
@@ -23,6 +23,17 @@
     stopped_ms: Option<u64>,
 }
 
+impl Running {
+    fn percent(&self, now_ms: u64) -> u8 {
+        let Some(done_ms) = self.done_ms else {
+            return 0;
+        };
+        let age_ms = (now_ms - self.started_ms) * 100;
+        let share = age_ms / (done_ms - self.started_ms).max(1);
+        u8::try_from(share.min(100)).unwrap_or(100)
+    }
+}
+
 /// How a minion treats a task.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
@@ -166,7 +177,11 @@
         HoldAnswer {
             born_ms: self.born_ms,
             clock_ms: self.clock_ms(now_ms),
-            running: self.running.keys().map(|key| (*key, 0)).collect(),
+            running: self
+                .running
+                .iter()
+                .map(|(key, run)| (*key, run.percent(now_ms)))
+                .collect(),
             ended: self.ended.clone(),
             has_more: false,
         }
--- a/knapweedrill_lab/tests/dispatch_promises.rs
+++ b/knapweedrill_lab/tests/dispatch_promises.rs
@@ -147,3 +147,22 @@
     world.advance(1_500);
     assert_eq!(world.seen.started_count, before);
 }
+
+#[test]
+fn task_that_stands_still_runs_elsewhere() {
+    let mut world = World::new(1, 3, 9, Faults::default());
+    world.settle();
+    world.set_run_ms(200);
+    world.hang_tasks_of(0);
+    let jobs: Vec<_> = (0..8).map(|_| world.submit(3, 3_000)).collect();
+    world.advance(2_000);
+    for job in jobs {
+        let answers = world.seen.answers.get(&job).map(Vec::as_slice);
+        assert_eq!(
+            answers,
+            Some(&[Answer::Completed][..]),
+            "{}",
+            world.story(job)
+        );
+    }
+}
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -125,6 +125,7 @@
     entry_count: usize,
     minions: Vec<Minion>,
     heartbeats: Vec<(u64, u64, bool)>,
+    hanging: HashSet<usize>,
     datagrams: BTreeMap<(u64, u64), (usize, SocketAddr, Envelope)>,
     calls: Vec<PendingCall>,
     lives: Vec<u64>,
@@ -170,6 +171,7 @@
             entry_count,
             minions,
             heartbeats: vec![(1, 1, false); sidecar_count],
+            hanging: HashSet::new(),
             datagrams: BTreeMap::new(),
             calls: Vec::new(),
             lives: vec![0; entry_count + sidecar_count],
@@ -238,6 +240,11 @@
         self.nodes[node].cut_until_ms = self.now_ms + for_ms;
     }
 
+    /// Lets all tasks that a minion begins from now on stand still.
+    pub(crate) fn hang_tasks_of(&mut self, minion: usize) {
+        self.hanging.insert(minion);
+    }
+
     pub(crate) fn drain(&mut self, minion: usize) {
         self.heartbeats[minion].2 = true;
         self.heartbeats[minion].0 = self.now_ms;
@@ -334,6 +341,12 @@
             .collect()
     }
 
+    /// Returns the stories of the jobs whose callers still wait.
+    pub(crate) fn waiting_stories(&self) -> String {
+        let waiting = self.callers.values();
+        waiting.map(|caller| self.story(caller.job)).collect()
+    }
+
     fn note(&mut self, job: Option<JobName>, text: String) {
         self.trace.push((self.now_ms, job, text));
     }
@@ -452,6 +465,7 @@
                     let work = self.works.get(&start.run.task).copied();
                     let mut work = work.unwrap_or(self.work_default);
                     let permille = self.faults.tasks_failed_permille;
+                    work.hangs |= self.hanging.contains(&(call.node - self.entry_count));
                     work.fails |= self.random.random_range(0..1_000) < permille;
                     let before = minion.running().any(|run| run == start.run);
                     let answer = minion.start(start, work, self.now_ms);
