--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -41,10 +41,17 @@
 const PASSED_OVER_MAX: usize = 8;
 
 /// What an entry asks its process to do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryAction {
     /// Answers a caller.
-    Answer(CallerId, Answer),
+    Answer {
+        /// The caller.
+        caller: CallerId,
+        /// The answer.
+        answer: Answer,
+        /// The queue that took the job; empty if none did.
+        queue: String,
+    },
 }
 
 /// The state of an entry.
@@ -177,7 +184,7 @@
         };
         if let Some(answer) = answer {
             log::info!(job:% = name, answer:? = answer, version = self.version(); "answered at once");
-            self.actions.push(EntryAction::Answer(caller, answer));
+            self.answer(caller, answer, String::new());
             return;
         }
         if let Some(job) = self.jobs.get_mut(&name) {
@@ -196,12 +203,16 @@
         let job = Job::new(submission, queue, caller, now);
         let admission = self.admission(&job);
         if !admission.is_admitted() {
-            log::info!(
+            log::warn!(
                 job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
                 slack_ms = millis(admission.slack), waiting = self.waiting.len();
                 "refused, it would wait too long"
             );
-            self.refuse_caller(caller, name, RefusedBecause::Overload);
+            let answer = Answer::Refused {
+                because: RefusedBecause::Overload,
+                retry_after: retry_after(name),
+            };
+            self.answer(caller, answer, job.queue);
             return;
         }
         log::info!(
@@ -420,7 +431,13 @@
                 self.take_refusal(from, report.task, position, cause)
             }
             PlacementOutcome::Ended { end, run_time } => {
-                log::info!(
+                let level = if end == RunEnd::Done {
+                    log::Level::Info
+                } else {
+                    log::Level::Warn
+                };
+                log::log!(
+                    level,
                     job:% = report.task.job, task = report.task.index, attempt = report.attempt,
                     sidecar:% = from, end:? = end, run_ms = millis(run_time); "task ended"
                 );
@@ -604,7 +621,13 @@
         let Some(answer) = answer else {
             return;
         };
-        log::info!(
+        let level = if answer == Answer::Completed {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        log::log!(
+            level,
             job:% = name, queue = job.queue.as_str(), answer:? = answer,
             age_ms = millis(now.saturating_duration_since(job.arrived_at)),
             objective_ms = millis(job.objective()),
@@ -615,16 +638,16 @@
             self.answered.keep(name, answer, now);
         }
         for caller in &job.callers {
-            self.actions.push(EntryAction::Answer(*caller, answer));
+            self.answer(*caller, answer, job.queue.clone());
         }
     }
 
-    fn refuse_caller(&mut self, caller: CallerId, name: JobName, because: RefusedBecause) {
-        let answer = Answer::Refused {
-            because,
-            retry_after: retry_after(name),
-        };
-        self.actions.push(EntryAction::Answer(caller, answer));
+    fn answer(&mut self, caller: CallerId, answer: Answer, queue: String) {
+        self.actions.push(EntryAction::Answer {
+            caller,
+            answer,
+            queue,
+        });
     }
 
     fn place_waiting(&mut self, now: Instant) {
--- a/knapweedrill_daemon/src/dispatch/common.rs
+++ b/knapweedrill_daemon/src/dispatch/common.rs
@@ -22,6 +22,10 @@
 /// How many events are dealt with before their effects are sent.
 pub(super) const BATCH_EVENT_COUNT: usize = 128;
 
+/// How long the platform takes to notice that a process is not ready: it asks once a second, and
+/// twice in vain.
+const NOT_READY_NOTICED: Duration = Duration::from_millis(2_300);
+
 /// How long before the end of the grace a process that was asked to stop ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
@@ -160,6 +164,13 @@
         true
     }
 
+    /// Returns whether the platform has had the time to send new callers elsewhere, so that those
+    /// whose connections are closed do not come back.
+    pub(super) fn is_to_send_callers_away(&self, now: Instant) -> bool {
+        let is_noticed = |at| now.saturating_duration_since(at) >= NOT_READY_NOTICED;
+        self.asked_at.is_some_and(is_noticed)
+    }
+
     /// Returns whether it is time to end.
     pub(super) fn is_over(&mut self, has_work: bool, now: Instant) -> bool {
         let Some(asked_at) = self.asked_at else {
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -21,7 +21,8 @@
 
 use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic};
 use super::entry_http::{Call, Gate, Published};
-use super::http::{response, serve};
+use super::http::{response, serve, serve_metrics};
+use super::metrics::Metrics;
 use super::store::{ENTRIES_TOPIC, follow, read_address, tell_address};
 
 /// How long the store may let a call wait for a new configuration. A channel that has fallen
@@ -58,7 +59,9 @@
     })?;
     let settings = process.settings.clone();
     let address = process.address();
-    start_traffic(move || traffic(settings, address, gate, sender))?;
+    let metrics = Metrics::new()?;
+    let served = metrics.clone();
+    start_traffic(move || traffic(settings, address, gate, served, sender))?;
     let entry = Entry::new(
         EntrySettings {
             resubmission: process.settings.resubmission,
@@ -72,6 +75,7 @@
         entry,
         socket,
         published,
+        metrics,
         callers: HashMap::new(),
     };
     control.run(process, &events);
@@ -82,6 +86,7 @@
     settings: ProcessSettings,
     address: SocketAddr,
     gate: Gate,
+    metrics: Metrics,
     events: Sender<EntryEvent>,
 ) -> eyre::Result<()> {
     let store = Arc::new(StoreClient::new(settings.store_address));
@@ -117,6 +122,7 @@
         CONFIGURATION_WAIT,
         configurations,
     ));
+    tokio::spawn(serve_metrics(settings.ip, metrics));
     let readiness = gate.clone();
     if let Some(address) = settings.readiness_address {
         tokio::spawn(serve(address, move |request| {
@@ -135,13 +141,20 @@
     serve(callers_address, move |request| gate.clone().call(request)).await
 }
 
+/// A caller that waits for its answer.
+struct WaitingCaller {
+    reply: oneshot::Sender<CallerReply>,
+    since: Instant,
+}
+
 /// The control state of the process.
 struct Control {
     own_address: SocketAddr,
     entry: Entry,
     socket: EnvelopeSocket,
     published: Arc<Published>,
-    callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
+    metrics: Metrics,
+    callers: HashMap<CallerId, WaitingCaller>,
 }
 
 impl Control {
@@ -163,6 +176,7 @@
             if now >= next_tick {
                 self.entry.tick(now);
                 next_tick = now + TICK;
+                self.publish_levels();
                 process
                     .stop
                     .reload(&process.settings_file, &process.settings);
@@ -172,6 +186,11 @@
             if process.stop.has_begun(now) {
                 self.entry.leave();
             }
+            if process.stop.is_to_send_callers_away(now) {
+                self.published
+                    .closes_connections
+                    .store(true, Ordering::Relaxed);
+            }
             if process.stop.is_over(self.entry.job_count() > 0, now) {
                 self.entry.give_up_all(now);
                 self.flush(now);
@@ -205,7 +224,11 @@
     fn call(&mut self, call: Call, now: Instant) {
         let answer = match call.request {
             CallerRequest::Submit(submission) => {
-                self.callers.insert(call.caller, call.reply);
+                let waiting = WaitingCaller {
+                    reply: call.reply,
+                    since: now,
+                };
+                self.callers.insert(call.caller, waiting);
                 self.entry.submit(call.caller, submission, now);
                 return;
             }
@@ -233,8 +256,13 @@
     }
 
     fn flush(&mut self, now: Instant) {
-        for EntryAction::Answer(caller, answer) in self.entry.take_actions() {
-            self.answer(caller, answer);
+        for action in self.entry.take_actions() {
+            let EntryAction::Answer {
+                caller,
+                answer,
+                queue,
+            } = action;
+            self.answer(caller, answer, &queue, now);
         }
         for (to, envelope) in self.entry.poll(now) {
             self.socket.send(to, &envelope);
@@ -252,10 +280,27 @@
             .store(body_bytes_max, Ordering::Relaxed);
     }
 
-    fn answer(&mut self, caller: CallerId, answer: Answer) {
-        if let Some(waiting) = self.callers.remove(&caller) {
-            // A caller that has left needs no answer.
-            let _ = waiting.send(reply(answer));
+    fn answer(&mut self, caller: CallerId, answer: Answer, queue: &str, now: Instant) {
+        let Some(waiting) = self.callers.remove(&caller) else {
+            return;
+        };
+        let time = now.saturating_duration_since(waiting.since);
+        self.metrics.count_answer(queue, answer, time);
+        // A caller that has left needs no answer.
+        let _ = waiting.reply.send(reply(answer));
+    }
+
+    /// Publishes the levels of the process.
+    fn publish_levels(&self) {
+        let levels = [
+            ("configuration_version", self.entry.version()),
+            ("jobs", self.entry.job_count() as u64),
+            ("waiting_jobs", self.entry.waiting_count() as u64),
+            ("usable_minions", self.entry.usable_minion_count() as u64),
+            ("ready", u64::from(self.entry.is_ready())),
+        ];
+        for (name, value) in levels {
+            self.metrics.set_level(name, value);
         }
     }
 }
--- a/knapweedrill_daemon/src/dispatch/entry_http.rs
+++ b/knapweedrill_daemon/src/dispatch/entry_http.rs
@@ -5,7 +5,7 @@
 
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use knapweedrill::dispatch::JobName;
 use knapweedrill::dispatch::entry::CallerId;
@@ -22,6 +22,8 @@
 pub(super) struct Published {
     /// Whether callers may come.
     pub(super) is_ready: AtomicBool,
+    /// Whether connections are closed with the next answer, so that callers go elsewhere.
+    pub(super) closes_connections: AtomicBool,
     /// The largest body that is taken, in bytes; 0 without a configuration.
     pub(super) body_bytes_max: AtomicU32,
 }
@@ -81,6 +83,16 @@
 
     /// Answers a caller.
     pub(super) async fn call(self, request: Request<Incoming>) -> WholeResponse {
+        let published = Arc::clone(&self.published);
+        let mut response = self.answer(request).await;
+        if published.closes_connections.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> WholeResponse {
         let bytes_max = self.published.body_bytes_max.load(Ordering::Relaxed);
         if bytes_max == 0 {
             return response(StatusCode::SERVICE_UNAVAILABLE, String::new());
--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -14,6 +14,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use super::metrics::{METRICS_PATH, METRICS_PORT, Metrics};
+
 /// How long a connection may take to send the head of a request, idle time before it included.
 /// Above the pauses of callers, which keep their connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
@@ -101,3 +103,23 @@
         .insert(hyper::header::CONTENT_TYPE, json);
     response
 }
+
+/// Serves the metrics of a process; without them it works on.
+pub(super) async fn serve_metrics(ip: IpAddr, metrics: Metrics) {
+    let address = SocketAddr::new(ip, METRICS_PORT);
+    let served = serve(address, move |request| {
+        let (status, text) = match request.uri().path() {
+            METRICS_PATH => (StatusCode::OK, metrics.text()),
+            _ => (StatusCode::NOT_FOUND, String::new()),
+        };
+        let mut response = response(status, text);
+        let plain = hyper::header::HeaderValue::from_static("text/plain; version=0.0.4");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, plain);
+        std::future::ready(response)
+    });
+    if let Err(error) = served.await {
+        log::error!(error:? = error; "metrics are not served");
+    }
+}
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod entry_http;
 mod http;
+mod metrics;
 mod sidecar;
 mod sidecar_http;
 mod store;
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
-use knapweedrill::dispatch::message::StampMs;
+use knapweedrill::dispatch::message::{Condition, StampMs};
 use knapweedrill::dispatch::session::Envelope;
 use knapweedrill::dispatch::sidecar::{
     CallNumber, HoldAnswer, MinionReport, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
@@ -17,7 +17,8 @@
 use tokio::sync::oneshot;
 
 use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic, unix_ms};
-use super::http::serve;
+use super::http::{serve, serve_metrics};
+use super::metrics::Metrics;
 use super::sidecar_http::{carry_orders, register};
 use super::store::{ENTRIES_TOPIC, follow, read_address};
 
@@ -52,7 +53,9 @@
     })?;
     let (orders, ordered) = mpsc::unbounded_channel();
     let settings = process.settings.clone();
-    start_traffic(move || traffic(settings, ordered, sender))?;
+    let metrics = Metrics::new()?;
+    let served = metrics.clone();
+    start_traffic(move || traffic(settings, ordered, served, sender))?;
     let defaults = SidecarSettings::default();
     let settings = SidecarSettings {
         lease: defaults.lease.min(process.settings.lease_max),
@@ -64,6 +67,7 @@
         endpoint: SidecarEndpoint::new(Sidecar::new(settings, unix_ms()), process.sessions()),
         socket,
         orders,
+        metrics,
     };
     control.run(process, &events);
     Ok(())
@@ -72,8 +76,10 @@
 async fn traffic(
     settings: ProcessSettings,
     orders: UnboundedReceiver<SidecarAction>,
+    metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) -> eyre::Result<()> {
+    tokio::spawn(serve_metrics(settings.ip, metrics));
     let store = Arc::new(StoreClient::new(settings.store_address));
     let sender = events.clone();
     let addresses = move |record: Record| match read_address(&record) {
@@ -98,6 +104,7 @@
     endpoint: SidecarEndpoint,
     socket: EnvelopeSocket,
     orders: UnboundedSender<SidecarAction>,
+    metrics: Metrics,
 }
 
 impl Control {
@@ -122,6 +129,7 @@
             self.endpoint.sidecar_mut().tick(now);
             if now >= next_tick {
                 next_tick = now + TICK;
+                self.publish_levels();
                 process
                     .stop
                     .reload(&process.settings_file, &process.settings);
@@ -173,6 +181,26 @@
         }
     }
 
+    /// Publishes the levels of the process.
+    fn publish_levels(&self) {
+        let sidecar = self.endpoint.sidecar();
+        let status = sidecar.status();
+        let levels = [
+            ("runs", sidecar.run_count() as u64),
+            ("free_millicores", u64::from(status.free.cpu_millicores)),
+            ("free_memory_mib", u64::from(status.free.memory_mib)),
+            ("pace_permille", u64::from(status.pace_permille)),
+            (
+                "takes_tasks",
+                u64::from(status.condition != Condition::Unavailable),
+            ),
+            ("suspect", u64::from(status.condition == Condition::Suspect)),
+        ];
+        for (name, value) in levels {
+            self.metrics.set_level(name, value);
+        }
+    }
+
     fn flush(&mut self, now: Instant) {
         let outgoing = self.endpoint.poll(now);
         for order in outgoing.orders {
--- a/knapweedrill_daemon/src/telemetry/logs.rs
+++ b/knapweedrill_daemon/src/telemetry/logs.rs
@@ -2,10 +2,12 @@
 
 use eyre::{Result, WrapErr as _};
 use log::LevelFilter;
-use logforth::append::{Stderr, Stdout};
+use logforth::append::Stderr;
 use logforth::filter::rustlog::RustLogFilter;
 use logforth::layout::{JsonLayout, TextLayout};
 
+use super::BoundedOutput;
+
 /// The least severe level that is written.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LogLevel {
@@ -83,7 +85,8 @@
 ///
 /// Fails if a logger has been set up before.
 pub fn init_stdout_logs() -> Result<()> {
-    let append = Stdout::default().with_layout(JsonLayout::default());
+    let append = BoundedOutput::start(JsonLayout::default(), std::io::stdout())
+        .wrap_err("cannot start the thread that writes the log")?;
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
--- a/knapweedrill_daemon/src/telemetry/mod.rs
+++ b/knapweedrill_daemon/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! What the daemon tells about itself: log lines, metrics and the time line of events.
 
+mod bounded_output;
 mod counter;
 mod gauge;
 mod logs;
@@ -10,6 +11,7 @@
 mod timer;
 mod traffic;
 
+pub use bounded_output::BoundedOutput;
 pub use counter::Counter;
 pub use gauge::Gauge;
 pub use logs::{LogFormat, LogLevel, init_logs, init_stdout_logs};
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -667,7 +667,7 @@
                 SidecarAction::Send(..) => panic!("messages are sent by the endpoint"),
             }
         }
-        for EntryAction::Answer(caller, answer) in answers {
+        for EntryAction::Answer { caller, answer, .. } in answers {
             self.take_answer(index, caller, answer);
         }
     }
