--- /dev/null
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -0,0 +1,283 @@
+//! Who waits, who is refused and where work goes, for loads that were seen or are feared.
+
+use std::time::{Duration, Instant};
+
+use knapweedrill::dispatch::configuration::{Configuration, Queue, Terms};
+use knapweedrill::dispatch::entry::{Admission, Fleet, Wanted};
+use knapweedrill::dispatch::message::{Condition, MinionProfile, SidecarStatus};
+use knapweedrill::dispatch::sidecar::Health;
+use knapweedrill::dispatch::{JobName, Room};
+use test_case::test_case;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn room(cpu_millicores: u32) -> Room {
+    Room {
+        cpu_millicores,
+        memory_mib: 64,
+        accelerator_count: 0,
+    }
+}
+
+fn wanted(cpu_millicores: u32, estimate: Duration) -> Wanted<'static> {
+    Wanted {
+        service: "service",
+        room: room(cpu_millicores),
+        estimate,
+        required_label: None,
+        preferred_label: None,
+    }
+}
+
+/// A fleet of minions with the given condition, free processor and pace.
+fn fleet(minions: &[(Condition, u32, u32)]) -> Fleet {
+    let mut fleet = Fleet::new(500 * MS, 7);
+    for (number, (condition, free_millicores, pace_permille)) in (1..).zip(minions) {
+        let view = fleet.meet(number);
+        view.set_profile(Some(MinionProfile {
+            instance: format!("minion-{number}"),
+            service: "service".into(),
+            capacity: Room {
+                memory_mib: 131_072,
+                ..room(64_000)
+            },
+            labels: vec!["a".into(), format!("rack-{number}")],
+        }));
+        let status = SidecarStatus {
+            free: Room {
+                memory_mib: 131_072,
+                ..room(*free_millicores)
+            },
+            condition: *condition,
+            pace_permille: *pace_permille,
+        };
+        view.set_status(status, 0);
+    }
+    fleet
+}
+
+/// Pattern: minions of unlike speed, most of them with room.
+#[test]
+fn task_goes_to_the_minion_that_ends_it_first() {
+    let mut fleet = fleet(&[
+        (Condition::Ready, 64_000, 1_700),
+        (Condition::Ready, 64_000, 700),
+        (Condition::Ready, 2_000, 500),
+    ]);
+    let chosen = fleet.choose(&wanted(6_200, 900 * MS), Instant::now(), |_| {
+        Some(Duration::ZERO)
+    });
+    assert_eq!(chosen, Some(2));
+}
+
+/// Pattern: several entries place at the same time on a calm fleet of equal minions.
+#[test]
+fn entries_do_not_all_choose_the_same_of_equal_minions() {
+    let minions = [(Condition::Ready, 64_000, 1_000); 6];
+    let mut fleet = fleet(&minions);
+    let mut chosen: Vec<_> = (0..60)
+        .filter_map(|_| {
+            fleet.choose(&wanted(6_200, 60 * MS), Instant::now(), |_| {
+                Some(Duration::ZERO)
+            })
+        })
+        .collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 6);
+}
+
+/// Pattern: one minion fails all it starts while its heartbeats are good; being always free it
+/// would draw all work.
+#[test]
+fn suspect_minion_gets_one_task_at_a_time() {
+    let mut fleet = fleet(&[
+        (Condition::Suspect, 64_000, 100),
+        (Condition::Ready, 64_000, 1_000),
+        (Condition::Ready, 64_000, 1_000),
+        (Condition::Ready, 64_000, 1_000),
+    ]);
+    let now = Instant::now();
+    let choose = |fleet: &mut Fleet, now| {
+        fleet.choose(&wanted(6_200, 60 * MS), now, |_| Some(Duration::ZERO))
+    };
+    assert_eq!(choose(&mut fleet, now), Some(1));
+    let view = fleet.view_mut(1).expect("it was met");
+    view.placed(1, room(6_200), now);
+    assert_ne!(choose(&mut fleet, now), Some(1));
+    fleet.view_mut(1).expect("it was met").ended();
+    assert_ne!(choose(&mut fleet, now + 100 * MS), Some(1));
+    assert_eq!(choose(&mut fleet, now + 600 * MS), Some(1));
+}
+
+/// Pattern: many jobs come that can never be done, so that all minions look bad.
+#[test]
+fn all_minions_are_used_when_many_are_suspect() {
+    let mut fleet = fleet(&[
+        (Condition::Suspect, 64_000, 1_000),
+        (Condition::Suspect, 64_000, 1_000),
+        (Condition::Ready, 1_000, 1_000),
+    ]);
+    let now = Instant::now();
+    for number in 1..=2 {
+        let view = fleet.view_mut(number).expect("it was met");
+        view.placed(1, room(100), now);
+    }
+    let chosen = fleet.choose(&wanted(6_200, 60 * MS), now, |_| Some(Duration::ZERO));
+    assert!(matches!(chosen, Some(1 | 2)), "{chosen:?}");
+}
+
+/// Pattern: a third of the fleet is gone, or about to go.
+#[test_case(Condition::Unavailable; "unavailable")]
+fn nothing_is_placed_on_a_minion_that_takes_no_tasks(condition: Condition) {
+    let mut fleet = fleet(&[(condition, 64_000, 1_000)]);
+    let now = Instant::now();
+    assert_eq!(
+        fleet.choose(&wanted(100, MS), now, |_| Some(Duration::ZERO)),
+        None
+    );
+    let mut silent = self::fleet(&[(Condition::Ready, 64_000, 1_000)]);
+    silent.view_mut(1).expect("it was met").set_silent(true);
+    assert_eq!(
+        silent.choose(&wanted(100, MS), now, |_| Some(Duration::ZERO)),
+        None
+    );
+}
+
+/// Pattern: orders are on their way that the newest state of the minion does not show.
+#[test]
+fn room_of_orders_on_their_way_is_not_given_again() {
+    let mut fleet = fleet(&[(Condition::Ready, 10_000, 1_000)]);
+    let now = Instant::now();
+    let view = fleet.view_mut(1).expect("it was met");
+    view.placed(5, room(6_200), now);
+    assert_eq!(
+        fleet.choose(&wanted(6_200, MS), now, |_| Some(Duration::ZERO)),
+        None
+    );
+    let view = fleet.view_mut(1).expect("it was met");
+    let status = SidecarStatus {
+        free: Room {
+            memory_mib: 1_000,
+            ..room(10_000)
+        },
+        condition: Condition::Ready,
+        pace_permille: 1_000,
+    };
+    view.set_status(status, 5);
+    assert_eq!(
+        fleet.choose(&wanted(6_200, MS), now, |_| Some(Duration::ZERO)),
+        Some(1)
+    );
+}
+
+#[test]
+fn minion_with_the_data_is_preferred_but_not_waited_for() {
+    let mut fleet = fleet(&[
+        (Condition::Ready, 64_000, 1_000),
+        (Condition::Ready, 64_000, 1_200),
+    ]);
+    let mut task = wanted(6_200, 100 * MS);
+    task.preferred_label = Some("rack-2");
+    let now = Instant::now();
+    assert_eq!(fleet.choose(&task, now, |_| Some(Duration::ZERO)), Some(2));
+    task.preferred_label = Some("rack-9");
+    assert_eq!(fleet.choose(&task, now, |_| Some(Duration::ZERO)), Some(1));
+    task.required_label = Some("rack-9");
+    assert_eq!(fleet.choose(&task, now, |_| Some(Duration::ZERO)), None);
+}
+
+/// Pattern: a burst of long tasks fills the fleet.
+#[test]
+fn job_that_would_miss_its_objective_is_refused_at_once() {
+    let admission = |work_before| Admission {
+        work_before,
+        cpu_millicores: 600_000,
+        entry_count: 3,
+        slack: 180 * MS,
+    };
+    assert!(admission(0).is_admitted());
+    // 200 cores are this entry's share: 180 ms of them can wait before it.
+    assert!(admission(200_000 * 180).is_admitted());
+    assert!(!admission(200_000 * 182).is_admitted());
+}
+
+#[test]
+fn jobs_without_slack_are_taken_while_nothing_waits() {
+    let admission = Admission {
+        work_before: 0,
+        cpu_millicores: 0,
+        entry_count: 0,
+        slack: Duration::ZERO,
+    };
+    assert!(admission.is_admitted());
+}
+
+#[test]
+fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
+    let mut health = Health::default();
+    for job in 0..3 {
+        assert!(!health.is_suspect());
+        health.note(JobName(job), true);
+    }
+    assert!(health.is_suspect());
+    for job in 3..6 {
+        health.note(JobName(job), false);
+    }
+    assert!(!health.is_suspect());
+}
+
+#[test]
+fn one_job_that_can_not_be_done_makes_no_minion_suspect() {
+    let mut health = Health::default();
+    for _ in 0..12 {
+        health.note(JobName(1), true);
+    }
+    assert!(!health.is_suspect());
+}
+
+#[test]
+fn minion_that_fails_every_other_job_is_suspect() {
+    let mut health = Health::default();
+    for job in 0..12 {
+        health.note(JobName(job), job % 2 == 1);
+    }
+    assert!(health.is_suspect());
+}
+
+#[test]
+fn queue_is_chosen_by_host_and_longest_prefix() {
+    let queue = |name: &str, host: &str, prefix: &str| Queue {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        service: "service".into(),
+        terms: Terms {
+            priority: 0,
+            attempt_count_max: 1,
+            stretch_permille: 1_600,
+            target_latency: 60 * MS,
+        },
+        has_advice: false,
+    };
+    let configuration = Configuration {
+        version: 1,
+        queues: vec![
+            queue("short", "a.example", "/jobs/"),
+            queue("long", "a.example", "/jobs/urgent/"),
+            queue("other", "b.example", "/jobs/urgent/"),
+        ],
+        body_bytes_max: 1,
+    };
+    let name = |host, path| {
+        configuration
+            .queue(host, path)
+            .map(|queue| queue.name.as_str())
+    };
+    assert_eq!(name("a.example", "/jobs/1"), Some("short"));
+    assert_eq!(name("A.example", "/jobs/urgent/1"), Some("long"));
+    assert_eq!(name("b.example", "/jobs/urgent/1"), Some("other"));
+    assert_eq!(name("b.example", "/jobs/1"), None);
+    let terms = configuration.queues[0].terms;
+    assert_eq!(terms.objective(100 * MS), 220 * MS);
+}
--- a/knapweedrill_daemon/tests/bounded_output.rs
+++ b/knapweedrill_daemon/tests/bounded_output.rs
@@ -39,13 +39,14 @@
 }
 
 fn append(output: &impl Append, level: Level, text: &str) {
-    let record = Record::builder()
-        .level(level)
-        .payload(format_args!("{text}"))
-        .build();
-    output
-        .append(&record, &[])
-        .expect("lines are taken or left out");
+    let taken = output.append(
+        &Record::builder()
+            .level(level)
+            .payload(format_args!("{text}"))
+            .build(),
+        &[],
+    );
+    taken.expect("lines are taken or left out");
 }
 
 #[test]
