--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -704,7 +704,7 @@
         let Some(sidecar) = self.fleet.choose(&wanted, now, penalty) else {
             return false;
         };
-        let Some((stamp_ms, _)) = self.sessions.newest_stamp(sidecar) else {
+        let Some((stamp_ms, heard_at)) = self.sessions.newest_stamp(sidecar) else {
             return false;
         };
         let room = step.room;
@@ -722,6 +722,12 @@
         let Some(number) = self.sessions.send(sidecar, Message::Start(order)) else {
             return false;
         };
+        log::info!(
+            job:% = job.name, task = task.index, attempt = self.next_attempt, sidecar:% = sidecar,
+            free_millicores = self.fleet.view(sidecar).map_or(0, |view| view.free().cpu_millicores),
+            stamp_age_ms = millis(now.saturating_duration_since(heard_at)),
+            estimate_ms = millis(step.estimate); "task placed"
+        );
         self.note_placed(sidecar, number, room, now);
         job.begun_count += 1;
         let task = &mut job.tasks[position];
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -287,7 +287,13 @@
         let is_certain = run.unanswered_count == 0;
         let can_repeat = run.order_count < START_ORDER_COUNT_MAX;
         match answer {
-            OrderAnswer::Accepted => run.phase = Phase::Running(now),
+            OrderAnswer::Accepted => {
+                run.phase = Phase::Running(now);
+                log::info!(
+                    job:% = key.task.job, task = key.task.index, attempt = run.attempt,
+                    run = key.number, orders = run.order_count; "run started"
+                );
+            }
             // An earlier order without an answer was carried out; the lists tell the rest.
             OrderAnswer::Old if !is_certain => run.phase = Phase::Running(now),
             OrderAnswer::Old if can_repeat => self.renumber(key, now),
@@ -600,6 +606,12 @@
             HowEnded::Lapsed => RunEnd::Lost,
         };
         let outcome = run.ended(end, now);
+        if end != RunEnd::Done {
+            log::warn!(
+                job:% = ended.run.task.job, task = ended.run.task.index, attempt = run.attempt,
+                run = ended.run.number, end:? = end; "run ended without success"
+            );
+        }
         if end == RunEnd::Done {
             let estimate = run.estimate.max(Duration::from_millis(1));
             let run_time = now.saturating_duration_since(run.ordered_at);
--- a/knapweedrill_cli/src/command/arguments.rs
+++ b/knapweedrill_cli/src/command/arguments.rs
@@ -70,6 +70,13 @@
         /// The job.
         job: JobName,
     },
+    /// Tell the story of a job from logs.
+    Explain {
+        /// The job, as 16 hexadecimal digits.
+        job: String,
+        /// The file with the logs, or `None` for standard input.
+        file: Option<PathBuf>,
+    },
     /// Check a configuration file.
     Check {
         /// The file.
@@ -213,6 +220,10 @@
             "cancel" => Action::Cancel {
                 job: self.job_name()?,
             },
+            "explain" => Action::Explain {
+                job: self.value("ID")?.string()?,
+                file: self.optional_value().map(PathBuf::from),
+            },
             "check" => Action::Check {
                 file: self.value("FILE")?.into(),
             },
@@ -287,6 +298,10 @@
         }
         Ok(self.values.remove(0))
     }
+
+    fn optional_value(&mut self) -> Option<OsString> {
+        (!self.values.is_empty()).then(|| self.values.remove(0))
+    }
 }
 
 fn is_allowed(command: Option<&str>, option: &str) -> bool {
--- a/knapweedrill_cli/src/command/help.rs
+++ b/knapweedrill_cli/src/command/help.rs
@@ -14,6 +14,8 @@
          [--hint-ms N] [--wait-ms N]
   status --team TEAM --key KEY --owner TOKEN [--wait-ms N]
   cancel --team TEAM --key KEY --owner TOKEN
+  explain ID [FILE]                             tells the story of a job from the logs of all
+                                                processes, in FILE or on standard input
   check FILE                                    checks a configuration file
   apply FILE [--parent VERSION|none] [--wait]   applies a configuration file as a whole
   show                                          shows services, minions, teams and entries
--- a/knapweedrill_cli/src/command/mod.rs
+++ b/knapweedrill_cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod exit_status;
+mod explain;
 mod help;
 mod report;
 mod run;
@@ -11,6 +12,7 @@
 
 pub use arguments::{Action, Arguments, JobName, UsageError};
 pub use exit_status::ExitStatus;
+pub use explain::explain;
 pub use timeline::{TimelineFilter, merge};
 
 use std::ffi::OsString;
--- a/knapweedrill_cli/src/command/run.rs
+++ b/knapweedrill_cli/src/command/run.rs
@@ -1,7 +1,8 @@
 //! Runs a command.
 
 use std::collections::BTreeMap;
-use std::io::{IsTerminal, stderr};
+use std::fs::File;
+use std::io::{BufReader, IsTerminal, stderr, stdin, stdout};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use knapweedrill::contract::{Configuration, OwnerToken};
 
 use super::show::show;
-use super::{Action, Arguments, ExitStatus, TimelineFilter, help, merge, report};
+use super::{Action, Arguments, ExitStatus, TimelineFilter, explain, help, merge, report};
 use crate::client::{Client, ClientBuilder, Submission};
 
 /// How long `apply --wait` waits until the file is in force everywhere.
@@ -58,6 +59,7 @@
             let answer = client()?.cancel(job.token, job.team, job.key)?;
             report_job(&answer, is_json)
         }
+        Action::Explain { job, file } => explain_job(&job, file.as_deref()),
         Action::Check { file } => check(&file),
         Action::Apply {
             file,
@@ -217,3 +219,19 @@
 fn read(file: &Path) -> eyre::Result<String> {
     std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
 }
+
+fn explain_job(job: &str, file: Option<&Path>) -> eyre::Result<ExitStatus> {
+    let count = match file {
+        Some(file) => {
+            let logs =
+                File::open(file).wrap_err_with(|| format!("can't read {}", file.display()))?;
+            explain(job, BufReader::new(logs), stdout().lock())?
+        }
+        None => explain(job, stdin().lock(), stdout().lock())?,
+    };
+    if count == 0 {
+        eprintln!("knapweedrill: the logs do not speak of job {job}");
+        return Ok(ExitStatus::Error);
+    }
+    Ok(ExitStatus::Success)
+}
