feat(sidecar): move runs off a minion that turned slow, unless they are nearly done

Pattern: a fifth of the minions works seven times slower for some seconds. Ruled out: the minion hangs; its runs got on, slowly.

--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -41,8 +41,13 @@
 }
 
 /// How many times slower than its estimate a run may get on before it counts as standing still.
-/// Estimates are off by less than a factor of four in all but one of a thousand tasks.
-const STALL_FACTOR: u128 = 8;
+/// Estimates are off by less than a factor of three in all but a few of a thousand tasks, and the slowest
+/// kind of minion takes half as long again.
+const STALL_FACTOR: u128 = 5;
+
+/// The share from which on a run is left to end where it is, in percent: to begin anew elsewhere
+/// would seldom be sooner.
+const NEARLY_DONE_PERCENT: u8 = 40;
 
 /// How long a run is left alone before its progress is judged, beside half of its estimate: the
 /// figures of the minion are a heartbeat of its lists old.
@@ -56,7 +61,8 @@
             return false;
         };
         let age = now.saturating_duration_since(since);
-        if !self.is_movable || age < self.estimate / 2 + STALL_GRACE {
+        let is_judged = self.is_movable && percent < NEARLY_DONE_PERCENT;
+        if !is_judged || age < self.estimate / 2 + STALL_GRACE {
             return false;
         }
         u128::from(percent) * STALL_FACTOR * self.estimate.as_millis() < 100 * age.as_millis()
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -309,3 +309,27 @@
     bench.sidecar.minion_left("minion", bench.now);
     assert_eq!(bench.sidecar.status().condition, Condition::Ready);
 }
+
+/// Pattern: a minion turns seven times slower in the middle of the day.
+#[test]
+fn run_on_a_minion_that_turned_slow_is_moved_early_or_not_at_all() {
+    let stops_at = |age: Duration, percent| {
+        let mut bench = Bench::new();
+        bench.order(0, 1);
+        bench.answer_start(OrderAnswer::Accepted);
+        bench.advance(age);
+        bench.answer_hold(vec![(run(0), percent)], Vec::new());
+        bench.stops
+    };
+    assert_eq!(
+        stops_at(84 * MS, 30),
+        0,
+        "seven tenths slower than its estimate of 40 ms"
+    );
+    assert_eq!(stops_at(84 * MS, 28), 1, "seven times slower");
+    assert_eq!(
+        stops_at(200 * MS, 60),
+        0,
+        "seven times slower, but nearly done"
+    );
+}
