--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -85,21 +85,19 @@
     }
 
     fn order(&mut self, index: u32, attempt: u64) {
-        let order = StartOrder {
-            task: task(index),
-            attempt,
-            room: room(1),
-            estimate: 40 * MS,
-            is_movable: true,
-            service: "service".into(),
-            spec: String::new(),
-            sidecar_stamp_ms: 0,
-            run_number: 1,
-        };
+        let order = start_order(index, attempt);
         self.sidecar.start(ENTRY, order, self.now, self.now);
         self.collect();
     }
 
+    /// Returns how the only run that was reported has ended.
+    fn only_end(&self) -> RunEnd {
+        let [PlacementOutcome::Ended { end, .. }] = self.outcomes[..] else {
+            panic!("{:?}", self.outcomes);
+        };
+        end
+    }
+
     fn answer_start(&mut self, answer: OrderAnswer) {
         let call = self.starts.last().expect("a start was ordered").call;
         self.sidecar
@@ -137,6 +135,20 @@
     }
 }
 
+fn start_order(index: u32, attempt: u64) -> StartOrder {
+    StartOrder {
+        task: task(index),
+        attempt,
+        room: room(1),
+        estimate: 40 * MS,
+        is_movable: true,
+        service: "service".into(),
+        spec: String::new(),
+        sidecar_stamp_ms: 0,
+        run_number: 1,
+    }
+}
+
 fn run(index: u32) -> RunKey {
     RunKey {
         task: task(index),
@@ -173,9 +185,7 @@
         how: HowEnded::Stopped,
     };
     bench.answer_hold(Vec::new(), vec![ended]);
-    let [PlacementOutcome::Ended { end, .. }] = bench.outcomes[..] else {
-        panic!("{:?}", bench.outcomes);
-    };
+    let end = bench.only_end();
     assert_eq!(end, RunEnd::Stopped);
 }
 
@@ -240,9 +250,7 @@
     bench.report();
     bench.advance(MS);
     bench.answer_hold(vec![(run(1), 10)], Vec::new());
-    let [PlacementOutcome::Ended { end, .. }] = bench.outcomes[..] else {
-        panic!("{:?}", bench.outcomes);
-    };
+    let end = bench.only_end();
     assert_eq!(end, RunEnd::Lost);
     assert_eq!(bench.sidecar.run_count(), 1);
 }
@@ -272,9 +280,7 @@
         bench.advance(21 * MS);
     }
     assert_eq!(bench.sidecar.status().condition, Condition::Unavailable);
-    let [PlacementOutcome::Ended { end, .. }] = bench.outcomes[..] else {
-        panic!("{:?}", bench.outcomes);
-    };
+    let end = bench.only_end();
     assert_eq!(end, RunEnd::Lost);
 }
 
@@ -283,17 +289,7 @@
     let mut bench = Bench::new();
     let stamped_at = bench.now;
     bench.now += 700 * MS;
-    let order = StartOrder {
-        task: task(0),
-        attempt: 1,
-        room: room(1),
-        estimate: 40 * MS,
-        is_movable: true,
-        service: "service".into(),
-        spec: String::new(),
-        sidecar_stamp_ms: 0,
-        run_number: 1,
-    };
+    let order = start_order(0, 1);
     bench.sidecar.start(ENTRY, order, stamped_at, bench.now);
     bench.collect();
     assert_eq!(
