fix(wire): an unanswered call costs one connection, not all that are kept

Cause: after each call without an answer the client closed every kept connection that had brought no answer since that call began. While minions leave orders unanswered, each loss cost all connections of the sidecar to its minion. Ruled out: connections that expire (30 s) and holds, which have a client of their own.

--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -258,7 +258,7 @@
             .enable_all()
             .build()
             .wrap_err("can't start a runtime")?;
-        let client = HttpClient::new(address, Duration::ZERO);
+        let client = HttpClient::new(address, Duration::ZERO, 1);
         let answer = runtime
             .block_on(client.call(call))
             .wrap_err("no answer from the entry")?;
--- a/knapweedrill_wire/src/http_client.rs
+++ b/knapweedrill_wire/src/http_client.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -68,30 +68,61 @@
 
 /// A client of one server; it keeps connections for later calls.
 ///
-/// A connection on which an answer is missing is closed. It may have fallen silent, and others
-/// with it, so all are closed too that have brought no answer since that call began.
+/// A connection on which an answer is missing is closed, since it may have fallen silent. Others
+/// may have with it: after enough calls in a row without an answer, all are closed that have
+/// brought none since the first of these calls began.
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
     idle_max: Duration,
-    idle: Mutex<Vec<(Connection, Instant)>>,
+    distrust_after: u32,
+    pool: Mutex<Pool>,
+}
+
+/// The connections that are kept, and what speaks against them.
+#[derive(Debug, Default)]
+struct Pool {
+    /// Connections without a call, with the time of their last answer; the newest last.
+    idle: Vec<(Connection, Instant)>,
+    /// How many calls in a row had no answer.
+    unanswered_count: u32,
+    /// When the first of them began.
+    unanswered_since: Option<Instant>,
+}
+
+impl Pool {
+    fn note_answer(&mut self) {
+        self.unanswered_count = 0;
+        self.unanswered_since = None;
+    }
+
+    fn note_failure(&mut self, began_at: Instant, distrust_after: u32) {
+        self.unanswered_count += 1;
+        let since = self
+            .unanswered_since
+            .map_or(began_at, |since| since.min(began_at));
+        self.unanswered_since = Some(since);
+        if self.unanswered_count >= distrust_after {
+            self.idle.retain(|(_, used_at)| *used_at > since);
+        }
+    }
 }
 
 impl HttpClient {
     /// Creates a client without connections; those unused for `idle_max` are not used again.
-    pub fn new(address: SocketAddr, idle_max: Duration) -> Self {
+    ///
+    /// After `distrust_after` calls in a row without an answer the kept connections count as
+    /// silent. One suits a server that always answers; a server that at times leaves a call
+    /// unanswered needs more, or each such call costs all connections.
+    pub fn new(address: SocketAddr, idle_max: Duration, distrust_after: u32) -> Self {
         Self {
             address,
             idle_max,
-            idle: Mutex::default(),
+            distrust_after,
+            pool: Mutex::default(),
         }
     }
 
-    /// Returns the server's address.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Calls the server.
     ///
     /// # Errors
@@ -102,8 +133,9 @@
         let began_at = Instant::now();
         let outcome = tokio::time::timeout(timeout, self.try_call(call)).await;
         let answer = outcome.unwrap_or(Err(HttpFailure::NoAnswer));
-        if answer.is_err() {
-            self.lock().retain(|(_, used_at)| *used_at > began_at);
+        match answer {
+            Ok(_) => self.lock().note_answer(),
+            Err(_) => self.lock().note_failure(began_at, self.distrust_after),
         }
         answer
     }
@@ -134,7 +166,7 @@
             .map_err(|_| HttpFailure::NoAnswer)?
             .to_bytes();
         if connection.ready().await.is_ok() {
-            self.lock().push((connection, Instant::now()));
+            self.lock().idle.push((connection, Instant::now()));
         }
         Ok(HttpAnswer {
             status: head.status,
@@ -164,8 +196,8 @@
     }
 
     fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.lock();
-        while let Some((connection, since)) = idle.pop() {
+        let mut pool = self.lock();
+        while let Some((connection, since)) = pool.idle.pop() {
             if !connection.is_closed() && since.elapsed() < self.idle_max {
                 return Some(connection);
             }
@@ -173,7 +205,7 @@
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Connection, Instant)>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
