fix(sidecar): no spin of stops at a minion that is down, ends seen soon although answers are lost

Late fit-checks had run 270 ms by their entry's clock for an estimate of 52 ms, of which the minion took about 60. - The pace followed single runs (one in ten), so that entries took the luckiest of many guesses for the fastest minion and all chose the same few: half of all orders in a calm hour were refused for want of room. Change: stops are repeated after a pause, and not while the minion is out of reach; orders that could not be sent are told apart from unanswered ones and refused at once; holds back off, time out sooner, and wait 20 ms only for 1.5 s after a lost answer; the pace is the ratio of decayed sums with a weight of one in twenty; minions within 25 % count as equal, and the roomier of two that are drawn is taken.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -86,6 +86,8 @@
     Malformed,
     /// There was no answer; the order may be carried out, also later.
     NoAnswer,
+    /// The minion has not seen the order, since no connection could be made.
+    NotSent,
 }
 
 /// How a run ended, in the words of the minion.
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -93,7 +93,7 @@
             }
             SessionEvent::Gone(process) => {
                 log::warn!(process:% = process; "process replaced by another at its address");
-                self.sidecar.entry_gone(process, now);
+                self.sidecar.entry_gone(process);
             }
             SessionEvent::Silent(process) => {
                 log::warn!(process:% = process; "process out of reach")
@@ -104,7 +104,7 @@
                 self.sidecar.start(process, order, stamped_at, now);
             }
             SessionEvent::Message(process, Message::Stop { task, attempt }) => {
-                self.sidecar.stop(process, task, attempt, now);
+                self.sidecar.stop(process, task, attempt);
             }
             SessionEvent::Message(process, message) => {
                 log::warn!(process:% = process, message:? = message; "not a message for a sidecar");
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -4,7 +4,9 @@
 mod core;
 mod endpoint;
 mod health;
+mod holds;
 mod life;
+mod pace;
 mod run;
 mod settings;
 
@@ -15,4 +17,5 @@
 pub use core::Sidecar;
 pub use endpoint::{Outgoing, SidecarEndpoint};
 pub use health::Health;
+pub use pace::Pace;
 pub use settings::SidecarSettings;
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -19,7 +19,14 @@
     pub hold_wait: Duration,
     /// The same while nothing runs.
     pub idle_hold_wait: Duration,
-    /// The pause before the minion is asked again after it gave no answer.
+    /// The same while the minion's answers get lost at times: an end that a lost answer told is
+    /// seen only with the next one. A third of the shortest tasks.
+    pub lossy_hold_wait: Duration,
+    /// How long after a lost answer the next are feared to be lost too. Some ten calls, so that a
+    /// loss of one in ten is noticed throughout.
+    pub lossy_for: Duration,
+    /// The pause before the minion is asked again, or a stop is ordered again, after it gave no
+    /// answer: half of the time that it has to answer an order.
     pub hold_pause: Duration,
     /// How much slower than ours the minion's clock may go, in thousandths.
     pub clock_drift_permille: u32,
@@ -35,6 +42,8 @@
             entry_silence: Duration::from_millis(600),
             hold_wait: Duration::from_millis(140),
             idle_hold_wait: Duration::from_millis(1_000),
+            lossy_hold_wait: Duration::from_millis(20),
+            lossy_for: Duration::from_millis(1_500),
             hold_pause: Duration::from_millis(20),
             clock_drift_permille: 20,
             stop_time: Duration::from_millis(50),
