perf(placement): what lost answers of a minion cost its runs counts where work goes

Placement knew run times only. Change: a sidecar tells the mean time that its runs lose by repeated orders and unheard ends; entries add it to the run time. The pace no longer counts the start. Removed with it: the urgency that entries told all sidecars and nobody read (a datagram a change to each), and an address that nobody asked for.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -753,7 +753,6 @@
     fn set_statuses(&mut self, now: Instant) {
         let status = Status::Entry(EntryStatus {
             version: self.version(),
-            waiting_priority: self.waiting.first_priority(),
         });
         let sidecars: HashSet<(Incarnation, bool)> = self
             .fleet
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -41,11 +41,6 @@
         self.places.len()
     }
 
-    /// Returns the priority of the first job.
-    pub(super) fn first_priority(&self) -> Option<u8> {
-        self.places.keys().next().map(|(priority, _, _)| *priority)
-    }
-
     /// Returns all work that waits.
     pub(super) fn work(&self) -> u64 {
         self.places.values().sum()
--- a/knapweedrill/src/dispatch/entry/sidecar_view.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_view.rs
@@ -130,9 +130,12 @@
             .fold(free, |free, (_, room)| free.minus(*room))
     }
 
-    /// Returns how long a task of that estimate is going to run there.
+    /// Returns how long a task of that estimate is going to take there.
     pub fn run_time(&self, estimate: Duration) -> Duration {
-        let pace_permille = self.status.map_or(1_000, |status| status.pace_permille);
-        estimate * pace_permille / 1_000
+        let Some(status) = self.status else {
+            return estimate;
+        };
+        let delay = Duration::from_millis(status.delay_ms.into());
+        estimate * status.pace_permille / 1_000 + delay
     }
 }
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -165,6 +165,9 @@
     pub condition: Condition,
     /// Run time over estimate of late, in thousandths.
     pub pace_permille: u32,
+    /// How much longer a run takes of late, whatever its length, since orders to the minion and
+    /// news of ends had to be repeated.
+    pub delay_ms: u32,
 }
 
 /// The newest state of an entry.
@@ -173,8 +176,6 @@
 pub struct EntryStatus {
     /// The version of the configuration in force; 0 if there is none.
     pub version: Version,
-    /// The priority of the most urgent task that waits for room.
-    pub waiting_priority: Option<u8>,
 }
 
 /// The newest state of a process.
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -101,11 +101,6 @@
         self.peer(from)?.remote_stamp()
     }
 
-    /// Returns the address of a process.
-    pub fn address(&self, of: Incarnation) -> Option<SocketAddr> {
-        self.addresses.get(&of).copied()
-    }
-
     /// Takes in a datagram.
     pub fn receive(
         &mut self,
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -7,6 +7,7 @@
     CallNumber, EndedRun, HoldAnswer, HoldCall, HowEnded, MinionReport, OrderAnswer, RunKey,
     SidecarAction, StartCall, StopCall,
 };
+use super::delay::Delay;
 use super::holds::Holds;
 use super::life::Life;
 use super::pace::Pace;
@@ -47,6 +48,7 @@
     entries: HashMap<Incarnation, Instant>,
     health: Health,
     pace: Pace,
+    delay: Delay,
     /// The orders without an answer, and the runs that they are about.
     orders: HashMap<CallNumber, RunKey>,
     /// The runs whose stop had no answer, and when it is ordered again.
@@ -72,6 +74,7 @@
             entries: HashMap::new(),
             health: Health::default(),
             pace: Pace::default(),
+            delay: Delay::default(),
             orders: HashMap::new(),
             stops_due: HashMap::new(),
             holds: Holds::default(),
@@ -92,6 +95,7 @@
             free: self.free(),
             condition: self.condition(),
             pace_permille: self.pace.permille(),
+            delay_ms: self.delay.ms(),
         }
     }
 
@@ -269,6 +273,8 @@
         match answer {
             OrderAnswer::Accepted => {
                 run.phase = Phase::Running(now);
+                self.delay
+                    .learn_start(now.saturating_duration_since(run.ordered_at));
                 log::info!(
                     job:% = key.task.job, task = key.task.index, attempt = run.attempt,
                     run = key.number, orders = run.order_count; "run started"
@@ -346,7 +352,7 @@
             return;
         };
         let Some(answer) = answer else {
-            if self.holds.failed(&self.settings, now) {
+            if self.holds.failed(&hold, &self.settings, now) {
                 log::warn!(runs = self.runs.len(); "minion does not answer");
             }
             return;
@@ -364,6 +370,7 @@
             life.begin_again(answer.born_ms, self.settings.lease_max);
             self.health = Health::default();
         }
+        self.delay.learn_end(self.holds.unheard_for(now));
         if self.holds.answered(now) {
             log::info!(instance = life.profile.instance.as_str(); "minion answers again");
         }
@@ -516,6 +523,7 @@
     fn begin_judging_anew(&mut self, now: Instant) {
         self.health = Health::default();
         self.pace = Pace::default();
+        self.delay = Delay::default();
         // An answer under way may be that of the life before.
         self.holds.ask_at(now);
         self.announce_minion();
@@ -569,8 +577,7 @@
             );
         }
         if end == RunEnd::Done {
-            let run_time = now.saturating_duration_since(run.ordered_at);
-            self.pace.learn(run_time, run.estimate);
+            self.pace.learn(run.age(now), run.estimate);
         }
         if matches!(end, RunEnd::Done | RunEnd::Failed) {
             let was_suspect = self.health.is_suspect();
--- a/knapweedrill/src/dispatch/sidecar/holds.rs
+++ b/knapweedrill/src/dispatch/sidecar/holds.rs
@@ -32,6 +32,8 @@
     failure_count: u32,
     /// When the last call without an answer was given up.
     failed_at: Option<Instant>,
+    /// When the first of the calls in a row without an answer was sent.
+    unheard_since: Option<Instant>,
     next_at: Option<Instant>,
 }
 
@@ -108,16 +110,30 @@
         self.pending.take_if(|hold| hold.call == call)
     }
 
+    /// Returns for how long ends were not heard of when a call is answered; nothing if the call before
+    /// it was answered as well.
+    pub(super) fn unheard_for(&self, now: Instant) -> Duration {
+        self.unheard_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Takes in an answer; returns whether the minion was out of reach before.
     pub(super) fn answered(&mut self, now: Instant) -> bool {
         let was_reached = self.is_reached();
         self.failure_count = 0;
+        self.unheard_since = None;
         self.next_at = Some(now);
         !was_reached
     }
 
-    /// Takes in that there was no answer; returns whether the minion is out of reach from now on.
-    pub(super) fn failed(&mut self, settings: &SidecarSettings, now: Instant) -> bool {
+    /// Takes in that a call had no answer; returns whether the minion is out of reach from now on.
+    pub(super) fn failed(
+        &mut self,
+        hold: &PendingHold,
+        settings: &SidecarSettings,
+        now: Instant,
+    ) -> bool {
+        self.unheard_since.get_or_insert(hold.sent_at);
         self.failure_count += 1;
         self.failed_at = Some(now);
         let doublings = (self.failure_count - 1).min(PAUSE_DOUBLINGS_MAX);
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod core;
+mod delay;
 mod endpoint;
 mod health;
 mod holds;
@@ -15,6 +16,7 @@
     SidecarAction, StartCall, StopCall,
 };
 pub use core::Sidecar;
+pub use delay::Delay;
 pub use endpoint::{Outgoing, SidecarEndpoint};
 pub use health::Health;
 pub use pace::Pace;
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -54,6 +54,16 @@
 const STALL_GRACE: Duration = Duration::from_millis(60);
 
 impl Run {
+    /// Returns how long the run has lasted, as far as it is known: from the answer to its start on, or
+    /// from the first order if there was none.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        let since = match self.phase {
+            Phase::Running(since) => since,
+            Phase::Starting | Phase::Stopping | Phase::Stopped(_) => self.ordered_at,
+        };
+        now.saturating_duration_since(since)
+    }
+
     /// Returns whether the run stands still, or nearly so, by the share that is done.
     pub(super) fn is_stalled(&self, percent: u8, now: Instant) -> bool {
         // From the answer on: an order that had to be repeated began late.
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -5,7 +5,7 @@
 use knapweedrill::dispatch::configuration::{Configuration, Queue, Terms};
 use knapweedrill::dispatch::entry::{Admission, Fleet, Wanted};
 use knapweedrill::dispatch::message::{Condition, MinionProfile, SidecarStatus};
-use knapweedrill::dispatch::sidecar::{Health, Pace};
+use knapweedrill::dispatch::sidecar::{Delay, Health, Pace};
 use knapweedrill::dispatch::{JobName, Room};
 use test_case::test_case;
 
@@ -50,6 +50,7 @@
             },
             condition: *condition,
             pace_permille: *pace_permille,
+            delay_ms: 0,
         };
         view.set_status(status, 0);
     }
@@ -163,6 +164,7 @@
         },
         condition: Condition::Ready,
         pace_permille: 1_000,
+        delay_ms: 0,
     };
     view.set_status(status, 5);
     assert_eq!(
@@ -334,3 +336,51 @@
     }
     assert!(pace.permille() > 2_500, "{pace:?}");
 }
+
+/// Pattern: half of the minions lose a third of their answers, while short urgent tasks come beside
+/// long ones.
+#[test]
+fn short_tasks_avoid_minions_that_lose_answers() {
+    let mut fleet = fleet(&[(Condition::Ready, 64_000, 1_000); 4]);
+    for lossy in [1, 2] {
+        let status = SidecarStatus {
+            free: Room {
+                memory_mib: 131_072,
+                ..room(64_000)
+            },
+            condition: Condition::Ready,
+            pace_permille: 1_000,
+            delay_ms: 40,
+        };
+        fleet.meet(lossy).set_status(status, 0);
+    }
+    let mut lossy_count = |estimate| {
+        (0..100)
+            .filter_map(|_| {
+                fleet.choose(&wanted(6_200, estimate), Instant::now(), |_| {
+                    Some(Duration::ZERO)
+                })
+            })
+            .filter(|chosen| [1, 2].contains(chosen))
+            .count()
+    };
+    assert_eq!(lossy_count(60 * MS), 0);
+    assert!(lossy_count(900 * MS) > 25, "long tasks use all minions");
+}
+
+#[test]
+fn delay_rises_with_lost_answers_and_falls_after_them() {
+    let mut delay = Delay::default();
+    let mut answer = |count: usize, has_loss: fn(usize) -> bool| {
+        for index in 0..count {
+            let (start, end) = if has_loss(index) { (42, 80) } else { (1, 0) };
+            delay.learn_start(start * MS);
+            delay.learn_end(end * MS);
+        }
+        delay.ms()
+    };
+    assert!(answer(60, |_| false) <= 1);
+    let lossy_ms = answer(60, |index| index % 3 == 0);
+    assert!((20..=70).contains(&lossy_ms), "{lossy_ms}");
+    assert!(answer(100, |_| false) <= 2);
+}
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -190,6 +190,7 @@
             ("free_millicores", u64::from(status.free.cpu_millicores)),
             ("free_memory_mib", u64::from(status.free.memory_mib)),
             ("pace_permille", u64::from(status.pace_permille)),
+            ("delay_ms", u64::from(status.delay_ms)),
             (
                 "takes_tasks",
                 u64::from(status.condition != Condition::Unavailable),
