--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -1,6 +1,5 @@
 //! The state of an entry.
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -8,38 +7,30 @@
 use super::answer::{Answer, CallerId, RefusedBecause};
 use super::answered::Answered;
 use super::configuration_exchange::ConfigurationExchange;
+use super::doubts::Doubts;
 use super::fleet::{Fleet, Wanted};
-use super::job::{Job, TaskState};
-use super::queue::WaitingJobs;
+use super::job::{Job, Progress, TaskState};
+use super::jobs::Jobs;
+use super::peers::Peers;
+use super::placement::{Placement, stop_all};
 use super::{EntrySettings, Submission};
 use crate::common::Incarnation;
+use crate::dispatch::JobName;
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::message::{
-    EntryStatus, Message, PlacementOutcome, RefusalCause, Role, RunEnd, StartOrder, Status,
-    TaskReport,
+    EntryStatus, Message, PlacementOutcome, Role, RunEnd, Status, TaskReport,
 };
-use crate::dispatch::session::{Envelope, MessageNumber, SessionEvent, Sessions};
-use crate::dispatch::{Attempt, JobName, TaskName};
+use crate::dispatch::session::{Envelope, SessionEvent, Sessions};
+use crate::dispatch::units::millis;
 
 /// The pause that refused callers are asked for: long enough for a burst to drain, spread by
 /// the name of the job so that they do not all return at once.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const RETRY_AFTER_SPREAD_S: u64 = 3;
 
-/// How much worse than its estimate a minion counts on which the task has failed or which turned
-/// it down: it is used only if no other has room soon.
-const AVOIDED_PENALTY_FACTOR: u32 = 2;
-
-/// How often a task is moved off a minion on which it seems to stand still.
-const MOVES_MAX: usize = 2;
-
 /// The priority of the most urgent queues.
 const MOST_URGENT: u8 = 0;
 
-/// How many jobs that find no room are passed over before the search ends. Tasks differ little
-/// in size, so what does not fit now seldom fits after more.
-const PASSED_OVER_MAX: usize = 8;
-
 /// What an entry asks its process to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryAction {
@@ -52,6 +43,8 @@
         /// The queue that took the job; empty if none did.
         queue: String,
     },
+    /// Counts the end of a placement.
+    Count(PlacementOutcome),
 }
 
 /// The state of an entry.
@@ -63,14 +56,14 @@
     settings: EntrySettings,
     sessions: Sessions,
     configuration: Option<Configuration>,
+    /// When the configuration in force was taken over.
+    configured_at: Option<Instant>,
     exchange: ConfigurationExchange,
-    /// The other entries, with the version of the configuration that each has told.
-    peers: HashMap<Incarnation, (Version, bool)>,
+    peers: Peers,
     fleet: Fleet,
-    jobs: HashMap<JobName, Job>,
-    waiting: WaitingJobs,
+    jobs: Jobs,
+    placement: Placement,
     answered: Answered,
-    next_attempt: Attempt,
     is_leaving: bool,
     actions: Vec<EntryAction>,
 }
@@ -82,13 +75,13 @@
             settings,
             sessions,
             configuration: None,
+            configured_at: None,
             exchange: ConfigurationExchange::default(),
-            peers: HashMap::new(),
+            peers: Peers::default(),
             fleet: Fleet::new(settings.probe_every, settings.seed),
-            jobs: HashMap::new(),
-            waiting: WaitingJobs::default(),
+            jobs: Jobs::default(),
+            placement: Placement::default(),
             answered: Answered::default(),
-            next_attempt: 1,
             is_leaving: false,
             actions: Vec::new(),
         }
@@ -106,6 +99,11 @@
             .map_or(0, |configuration| configuration.version)
     }
 
+    /// Returns when the configuration in force was taken over.
+    pub fn configured_at(&self) -> Option<Instant> {
+        self.configured_at
+    }
+
     /// Returns the largest body that is taken, in bytes, or nothing without a configuration.
     pub fn body_bytes_max(&self) -> Option<u32> {
         Some(self.configuration.as_ref()?.body_bytes_max)
@@ -124,7 +122,7 @@
 
     /// Returns how many jobs wait for room.
     pub fn waiting_count(&self) -> usize {
-        self.waiting.len()
+        self.jobs.waiting().len()
     }
 
     /// Returns how many sidecars have a minion that takes tasks.
@@ -140,7 +138,7 @@
             return Some(None);
         };
         let waits = |job: &&Job| job.queue == queue.name && job.begun_count == 0;
-        Some(Some(self.jobs.values().filter(waits).count()))
+        Some(Some(self.jobs.iter().filter(waits).count()))
     }
 
     /// Begins to talk to the process at an address.
@@ -151,7 +149,7 @@
     }
 
     /// Puts a configuration into force if it is newer than the one in force.
-    pub fn configure(&mut self, configuration: Configuration, source: &'static str) {
+    pub fn configure(&mut self, configuration: Configuration, source: &'static str, now: Instant) {
         if configuration.version <= self.version() {
             return;
         }
@@ -160,6 +158,7 @@
             queues = configuration.queues.len(), source; "configuration in force"
         );
         self.configuration = Some(configuration);
+        self.configured_at = Some(now);
     }
 
     /// Takes no more callers than need be, since the process is about to stop.
@@ -169,7 +168,7 @@
 
     /// Answers all callers, since the process stops now.
     pub fn give_up_all(&mut self, now: Instant) {
-        let names: Vec<_> = self.jobs.keys().copied().collect();
+        let names: Vec<_> = self.jobs.iter().map(|job| job.name).collect();
         for name in names {
             self.give_up(name, RefusedBecause::Stopping, now);
         }
@@ -187,9 +186,11 @@
             self.answer(caller, answer, String::new());
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&name) {
+        let joined = self.jobs.change(name, |job| {
             job.callers.push(caller);
             job.patience_end = job.patience_end.max(now + submission.patience);
+        });
+        if joined.is_some() {
             log::info!(job:% = name; "another request joined the job");
             return;
         }
@@ -205,7 +206,7 @@
         if !admission.is_admitted() {
             log::warn!(
                 job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
-                slack_ms = millis(admission.slack), waiting = self.waiting.len();
+                slack_ms = millis(admission.slack), waiting = self.jobs.waiting().len();
                 "refused, it would wait too long"
             );
             let answer = Answer::Refused {
@@ -219,20 +220,19 @@
             job:% = name, queue = job.queue.as_str(), tasks = job.tasks.len(),
             estimate_ms = millis(job.longest), version = self.version(); "admitted"
         );
-        self.waiting.update(&job);
-        self.jobs.insert(name, job);
-        self.place_waiting(now);
+        self.jobs.insert(job);
+        self.settle(now);
     }
 
     /// Takes in that a caller has gone; a job that nobody waits for is stopped.
     pub fn caller_left(&mut self, caller: CallerId, name: JobName, now: Instant) {
-        let Some(job) = self.jobs.get_mut(&name) else {
-            return;
-        };
-        job.callers.retain(|waiting| *waiting != caller);
-        if job.callers.is_empty() {
+        let left = self.jobs.change(name, |job| {
+            job.callers.retain(|waiting| *waiting != caller);
+            job.callers.is_empty().then_some(job.arrived_at)
+        });
+        if let Some(Some(arrived_at)) = left {
             log::info!(
-                job:% = name, age_ms = millis(now.saturating_duration_since(job.arrived_at));
+                job:% = name, age_ms = millis(now.saturating_duration_since(arrived_at));
                 "stopped, since its caller has gone"
             );
             self.end_job(name, None, now);
@@ -241,7 +241,7 @@
 
     /// Returns whether a job has no answer yet.
     pub fn is_live(&self, name: JobName) -> bool {
-        self.jobs.contains_key(&name)
+        self.jobs.get(name).is_some()
     }
 
     /// Stops a job and answers its callers; returns whether it was there.
@@ -260,7 +260,8 @@
 
     /// Places tasks for which there is room now; called once all that is at hand was taken in.
     pub fn settle(&mut self, now: Instant) {
-        self.place_waiting(now);
+        self.placement
+            .place_waiting(&mut self.jobs, &mut self.fleet, &mut self.sessions, now);
     }
 
     /// Does what is due and returns the datagrams to send.
@@ -279,7 +280,7 @@
         self.end_overdue(now);
         self.answered.forget_before(now, self.settings.answers_kept);
         self.fleet.forget_gone();
-        self.place_waiting(now);
+        self.settle(now);
     }
 
     /// Returns the answer to a job that can't be taken, whatever else goes on.
@@ -313,23 +314,17 @@
     }
 
     fn admission(&self, job: &Job) -> Admission {
-        let entries = self
-            .peers
-            .values()
-            .filter(|(_, is_heard)| *is_heard)
-            .count()
-            + 1;
         // Jobs of the most urgent queues only wait for what comes before them. The others also
         // make room for what was taken before, however urgent, so that it keeps its promise.
         let work_before = if job.terms.priority == MOST_URGENT {
-            self.waiting.work_before(job)
+            self.jobs.waiting().work_before(job)
         } else {
-            self.waiting.work()
+            self.jobs.waiting().work()
         };
         Admission {
             work_before,
             cpu_millicores: self.fleet.cpu_millicores(&job.service),
-            entry_count: entries as u64,
+            entry_count: self.peers.heard_count() as u64 + 1,
             slack: job.objective().saturating_sub(job.longest),
         }
     }
@@ -338,7 +333,7 @@
         match event {
             SessionEvent::Up(process, Role::Entry) => {
                 log::info!(peer:% = process; "entry reached");
-                self.peers.insert(process, (0, true));
+                self.peers.met(process);
             }
             SessionEvent::Up(process, Role::Sidecar) => {
                 log::info!(sidecar:% = process; "sidecar reached");
@@ -346,7 +341,7 @@
             }
             SessionEvent::Gone(process) => {
                 log::warn!(process:% = process; "process replaced by another at its address");
-                self.peers.remove(&process);
+                self.peers.gone(process);
                 self.exchange.forget(process);
                 if let Some(view) = self.fleet.view_mut(process) {
                     view.set_gone(now);
@@ -371,15 +366,10 @@
         if let Some(view) = self.fleet.view_mut(process) {
             view.set_silent(is_silent);
         }
-        if let Some(peer) = self.peers.get_mut(&process) {
-            peer.1 = !is_silent;
-        }
+        self.peers.set_heard(process, !is_silent);
     }
 
     fn take_peer_status(&mut self, peer: Incarnation, status: EntryStatus, now: Instant) {
-        if let Some(known) = self.peers.get_mut(&peer) {
-            known.0 = status.version;
-        }
         if status.version > self.version() && self.exchange.is_to_ask(now) {
             self.sessions.send(peer, Message::AskConfiguration);
         }
@@ -410,7 +400,7 @@
             } => {
                 let whole = self.exchange.take_part(from, version, index, count, bytes);
                 if let Some(configuration) = whole {
-                    self.configure(configuration, "peer");
+                    self.configure(configuration, "peer", now);
                 }
             }
             Message::Start(_) | Message::Stop { .. } => {
@@ -420,15 +410,23 @@
     }
 
     fn take_report(&mut self, from: Incarnation, report: TaskReport, now: Instant) {
-        let Some(position) = self.placement(from, &report) else {
+        let name = report.task.job;
+        let placement = |job: &Job| job.placement(from, &report);
+        let Some(position) = self.jobs.get(name).and_then(placement) else {
             return;
         };
         if let Some(view) = self.fleet.view_mut(from) {
             view.ended();
         }
+        self.actions.push(EntryAction::Count(report.outcome));
         match report.outcome {
             PlacementOutcome::Refused(cause) => {
-                self.take_refusal(from, report.task, position, cause)
+                log::info!(
+                    job:% = name, task = report.task.index, sidecar:% = from, cause:? = cause;
+                    "task turned down"
+                );
+                self.jobs
+                    .change(name, |job| job.refused(position, from, cause));
             }
             PlacementOutcome::Ended { end, run_time } => {
                 let level = if end == RunEnd::Done {
@@ -438,127 +436,52 @@
                 };
                 log::log!(
                     level,
-                    job:% = report.task.job, task = report.task.index, attempt = report.attempt,
+                    job:% = name, task = report.task.index, attempt = report.attempt,
                     sidecar:% = from, end:? = end, run_ms = millis(run_time); "task ended"
                 );
-                self.take_end(from, report.task.job, position, end, now);
+                self.take_end(from, name, position, end, now);
             }
         }
     }
 
-    /// Returns the task of a report, if the placement that it speaks of is the newest.
-    fn placement(&self, from: Incarnation, report: &TaskReport) -> Option<usize> {
-        let job = self.jobs.get(&report.task.job)?;
-        let position = job.position(report.task)?;
-        let task = &job.tasks[position];
-        let is_newest = task.state == TaskState::Placed(from) && task.attempt == report.attempt;
-        is_newest.then_some(position)
-    }
-
-    fn take_refusal(
-        &mut self,
-        from: Incarnation,
-        name: TaskName,
-        position: usize,
-        cause: RefusalCause,
-    ) {
-        let Some(job) = self.jobs.get_mut(&name.job) else {
-            return;
-        };
-        log::info!(
-            job:% = name.job, task = name.index, sidecar:% = from, cause:? = cause;
-            "task turned down"
-        );
-        let task = &mut job.tasks[position];
-        task.state = TaskState::Waiting;
-        if cause == RefusalCause::Unhealthy {
-            task.avoided.push(from);
-        }
-        job.begun_count = job.begun_count.saturating_sub(1);
-        self.waiting.update(job);
-    }
-
     fn take_end(
         &mut self,
-        from: Incarnation,
+        at: Incarnation,
         name: JobName,
         position: usize,
         end: RunEnd,
         now: Instant,
     ) {
-        let Some(job) = self.jobs.get_mut(&name) else {
-            return;
-        };
-        let task = &mut job.tasks[position];
-        match end {
-            RunEnd::Done => task.state = TaskState::Done,
-            RunEnd::Failed => {
-                task.failed_count += 1;
-                task.avoided.push(from);
-                task.state = TaskState::Waiting;
-                if task.failed_count >= job.terms.attempt_count_max {
-                    self.end_job(name, Some(Answer::Failed), now);
-                    return;
-                }
-            }
-            RunEnd::Stopped | RunEnd::Lost => {
-                task.avoided.push(from);
-                task.state = TaskState::Waiting;
-            }
-        }
-        if job.is_done() {
-            self.end_job(name, Some(Answer::Completed), now);
-            return;
+        let progress = self.jobs.change(name, |job| job.ended(position, at, end));
+        match progress {
+            Some(Progress::Completed) => self.end_job(name, Some(Answer::Completed), now),
+            Some(Progress::Failed) => self.end_job(name, Some(Answer::Failed), now),
+            Some(Progress::GoesOn) | None => {}
         }
-        job.unblock();
-        self.waiting.update(job);
     }
 
     /// Places again the tasks of sidecars out of reach, once they can't run there any more.
     fn end_doubts(&mut self, now: Instant) {
-        let mut over = HashMap::new();
-        for view in self.fleet.views() {
-            let sidecar = view.incarnation();
-            let since = match view.gone_at() {
-                Some(gone_at) => gone_at,
-                None if view.is_silent() => match self.sessions.newest_stamp(sidecar) {
-                    Some((_, at)) => at,
-                    None => continue,
-                },
-                None => continue,
-            };
-            over.insert(sidecar, since + self.settings.doubt);
-        }
-        if over.is_empty() {
+        let doubts = Doubts::of(&self.fleet, &self.sessions, &self.settings);
+        if doubts.is_empty() {
             return;
         }
-        let mut lost = Vec::new();
-        let mut hopeless = Vec::new();
-        for job in self.jobs.values() {
-            let useful_until = job.arrived_at + job.objective() * self.settings.useful_factor;
-            for (position, task) in job.tasks.iter().enumerate() {
-                let TaskState::Placed(sidecar) = task.state else {
-                    continue;
-                };
-                let Some(over_at) = over.get(&sidecar) else {
-                    continue;
-                };
-                let estimate = job.steps[usize::from(task.step)].estimate;
-                if *over_at <= now {
-                    lost.push((job.name, position, sidecar));
-                } else if *over_at + estimate > useful_until.min(job.patience_end)
-                    && now + self.settings.resubmission >= *over_at
-                {
-                    hopeless.push(job.name);
-                }
-            }
-        }
-        for (name, position, sidecar) in lost {
-            log::warn!(job:% = name, sidecar:% = sidecar; "task lost with its sidecar");
-            if let Some(view) = self.fleet.view_mut(sidecar) {
+        let jobs = self.jobs.iter();
+        let lost: Vec<_> = jobs.flat_map(|job| doubts.lost_tasks(job, now)).collect();
+        let hopeless: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|job| doubts.is_hopeless(job, &self.settings, now))
+            .map(|job| job.name)
+            .collect();
+        for task in lost {
+            log::warn!(
+                job:% = task.job, sidecar:% = task.sidecar; "task lost with its sidecar"
+            );
+            if let Some(view) = self.fleet.view_mut(task.sidecar) {
                 view.ended();
             }
-            self.take_end(sidecar, name, position, RunEnd::Lost, now);
+            self.take_end(task.sidecar, task.job, task.position, RunEnd::Lost, now);
         }
         for name in hopeless {
             self.give_up(name, RefusedBecause::Waited, now);
@@ -569,14 +492,13 @@
     fn end_overdue(&mut self, now: Instant) {
         let overdue: Vec<JobName> = self
             .jobs
-            .values()
+            .iter()
             .filter(|job| {
                 let answer_by = job.patience_end - self.settings.answer_margin;
                 if job.begun_count > 0 {
                     return now >= answer_by;
                 }
-                let useful = job.arrived_at + job.objective() * self.settings.useful_factor;
-                now + job.longest >= useful.min(answer_by)
+                now + job.longest >= job.useful_until(&self.settings).min(answer_by)
             })
             .map(|job| job.name)
             .collect();
@@ -586,7 +508,7 @@
     }
 
     fn give_up(&mut self, name: JobName, because: RefusedBecause, now: Instant) {
-        let Some(job) = self.jobs.get(&name) else {
+        let Some(job) = self.jobs.get(name) else {
             return;
         };
         let answer = if job.begun_count == 0 {
@@ -602,22 +524,10 @@
 
     /// Ends a job: stops what runs of it, and answers its callers if there is an answer.
     fn end_job(&mut self, name: JobName, answer: Option<Answer>, now: Instant) {
-        let Some(job) = self.jobs.remove(&name) else {
+        let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        self.waiting.remove(&job);
-        for (position, task) in job.tasks.iter().enumerate() {
-            if let TaskState::Placed(sidecar) = task.state {
-                let stop = Message::Stop {
-                    task: job.task_name(position),
-                    attempt: task.attempt,
-                };
-                self.sessions.send(sidecar, stop);
-                if let Some(view) = self.fleet.view_mut(sidecar) {
-                    view.ended();
-                }
-            }
-        }
+        stop_all(&job, &mut self.fleet, &mut self.sessions);
         let Some(answer) = answer else {
             return;
         };
@@ -650,122 +560,18 @@
         });
     }
 
-    fn place_waiting(&mut self, now: Instant) {
-        let names: Vec<_> = self.waiting.in_order().collect();
-        let mut passed_over = 0;
-        for name in names {
-            if !self.place_job(name, now) {
-                passed_over += 1;
-            }
-            if passed_over >= PASSED_OVER_MAX {
-                return;
-            }
-        }
-    }
-
-    /// Places the tasks of a job that wait; returns whether all found room.
-    fn place_job(&mut self, name: JobName, now: Instant) -> bool {
-        let Some(mut job) = self.jobs.remove(&name) else {
-            return true;
-        };
-        let mut has_room = true;
-        for position in 0..job.tasks.len() {
-            if job.tasks[position].state != TaskState::Waiting {
-                continue;
-            }
-            if !self.place_task(&mut job, position, now) {
-                has_room = false;
-                break;
-            }
-        }
-        self.waiting.update(&job);
-        self.jobs.insert(name, job);
-        has_room
-    }
-
-    fn place_task(&mut self, job: &mut Job, position: usize, now: Instant) -> bool {
-        let task = &job.tasks[position];
-        let step = &job.steps[usize::from(task.step)];
-        let wanted = Wanted {
-            service: &job.service,
-            room: step.room,
-            estimate: step.estimate,
-            required_label: step.required_label.as_deref(),
-            preferred_label: step.data_rack.as_deref(),
-        };
-        let penalty = |sidecar| {
-            let there = job.placed_count(task.step, sidecar);
-            if step.per_minion_max.is_some_and(|max| there >= max) {
-                return None;
-            }
-            let factor = u32::from(task.avoided.contains(&sidecar)) * AVOIDED_PENALTY_FACTOR;
-            Some(step.estimate * factor)
-        };
-        let Some(sidecar) = self.fleet.choose(&wanted, now, penalty) else {
-            return false;
-        };
-        let Some((stamp_ms, heard_at)) = self.sessions.newest_stamp(sidecar) else {
-            return false;
-        };
-        let room = step.room;
-        let order = StartOrder {
-            task: job.task_name(position),
-            attempt: self.next_attempt,
-            room,
-            estimate: step.estimate,
-            is_movable: task.avoided.len() < MOVES_MAX,
-            service: job.service.clone(),
-            spec: job.spec.clone(),
-            sidecar_stamp_ms: stamp_ms,
-            run_number: task.placement_count + 1,
-        };
-        let Some(number) = self.sessions.send(sidecar, Message::Start(order)) else {
-            return false;
-        };
-        log::info!(
-            job:% = job.name, task = task.index, attempt = self.next_attempt, sidecar:% = sidecar,
-            free_millicores = self.fleet.view(sidecar).map_or(0, |view| view.free().cpu_millicores),
-            stamp_age_ms = millis(now.saturating_duration_since(heard_at)),
-            estimate_ms = millis(step.estimate); "task placed"
-        );
-        self.note_placed(sidecar, number, room, now);
-        job.begun_count += 1;
-        let task = &mut job.tasks[position];
-        task.attempt = self.next_attempt;
-        task.placement_count += 1;
-        self.next_attempt += 1;
-        task.state = TaskState::Placed(sidecar);
-        true
-    }
-
-    fn note_placed(
-        &mut self,
-        sidecar: Incarnation,
-        number: MessageNumber,
-        room: crate::dispatch::Room,
-        now: Instant,
-    ) {
-        if let Some(view) = self.fleet.view_mut(sidecar) {
-            view.placed(number, room, now);
-        }
-    }
-
     fn set_statuses(&mut self, now: Instant) {
         let status = Status::Entry(EntryStatus {
             version: self.version(),
         });
-        let sidecars: HashSet<(Incarnation, bool)> = self
-            .fleet
-            .views()
-            .filter(|view| view.gone_at().is_none())
-            .map(|view| (view.incarnation(), view.placed_count() > 0))
-            .collect();
-        for (sidecar, is_busy) in sidecars {
-            self.sessions.set_busy(sidecar, is_busy, now);
+        let there = self.fleet.views().filter(|view| view.gone_at().is_none());
+        for view in there {
+            let sidecar = view.incarnation();
+            self.sessions
+                .set_busy(sidecar, view.placed_count() > 0, now);
             self.sessions.set_status(sidecar, status);
         }
-        let peers: Vec<_> = self.peers.keys().copied().collect();
-        for peer in peers {
+        for peer in self.peers.iter() {
             self.sessions.set_status(peer, status);
         }
     }
@@ -774,7 +580,3 @@
 fn retry_after(name: JobName) -> Duration {
     RETRY_AFTER + Duration::from_secs(name.0 % RETRY_AFTER_SPREAD_S)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -4,10 +4,13 @@
 
 use smallvec::SmallVec;
 
+use super::EntrySettings;
 use super::answer::CallerId;
 use super::submission::{StepRequest, Submission};
 use crate::common::{Incarnation, ServiceName, TaskIndex};
 use crate::dispatch::configuration::{Queue, Terms};
+use crate::dispatch::message::{RefusalCause, RunEnd, TaskReport};
+use crate::dispatch::units::millis;
 use crate::dispatch::{Attempt, JobName, RunNumber, StepIndex, TaskName};
 
 /// Where a task stands.
@@ -23,6 +26,17 @@
     Done,
 }
 
+/// Where a job stands after a run of one of its tasks has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Other tasks have not ended, or this one runs again.
+    GoesOn,
+    /// All tasks have ended with success.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+}
+
 /// A task of a job.
 #[derive(Debug)]
 pub(super) struct Task {
@@ -105,16 +119,81 @@
         self.arrived_at + self.objective().saturating_sub(self.longest)
     }
 
+    /// Returns until when its end is of use to its callers.
+    pub(super) fn useful_until(&self, settings: &EntrySettings) -> Instant {
+        self.arrived_at + self.objective() * settings.useful_factor
+    }
+
+    /// Returns the estimate of a task's run time.
+    pub(super) fn estimate(&self, position: usize) -> Duration {
+        self.steps[usize::from(self.tasks[position].step)].estimate
+    }
+
+    /// Returns the positions of the tasks that wait for room.
+    pub(super) fn waiting_positions(&self) -> impl Iterator<Item = usize> + '_ {
+        let waits = |(_, task): &(usize, &Task)| task.state == TaskState::Waiting;
+        let waiting = self.tasks.iter().enumerate().filter(waits);
+        waiting.map(|(position, _)| position)
+    }
+
+    /// Returns the task of a report, if the placement that it speaks of is the newest.
+    pub(super) fn placement(&self, from: Incarnation, report: &TaskReport) -> Option<usize> {
+        let position = self.position(report.task)?;
+        let task = &self.tasks[position];
+        let is_newest = task.state == TaskState::Placed(from) && task.attempt == report.attempt;
+        is_newest.then_some(position)
+    }
+
+    /// Takes in that a task was sent to a sidecar.
+    pub(super) fn placed(&mut self, position: usize, sidecar: Incarnation, attempt: Attempt) {
+        self.begun_count += 1;
+        let task = &mut self.tasks[position];
+        task.attempt = attempt;
+        task.placement_count += 1;
+        task.state = TaskState::Placed(sidecar);
+    }
+
+    /// Takes in that a sidecar has not started a task and will not.
+    pub(super) fn refused(&mut self, position: usize, by: Incarnation, cause: RefusalCause) {
+        self.begun_count = self.begun_count.saturating_sub(1);
+        let task = &mut self.tasks[position];
+        task.state = TaskState::Waiting;
+        if cause == RefusalCause::Unhealthy {
+            task.avoided.push(by);
+        }
+    }
+
+    /// Takes in that a run of a task has ended; returns where that leaves the job.
+    pub(super) fn ended(&mut self, position: usize, at: Incarnation, end: RunEnd) -> Progress {
+        let task = &mut self.tasks[position];
+        match end {
+            RunEnd::Done => task.state = TaskState::Done,
+            RunEnd::Failed => {
+                task.failed_count += 1;
+                task.avoided.push(at);
+                task.state = TaskState::Waiting;
+                if task.failed_count >= self.terms.attempt_count_max {
+                    return Progress::Failed;
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lost => {
+                task.avoided.push(at);
+                task.state = TaskState::Waiting;
+            }
+        }
+        if self.tasks.iter().all(|task| task.state == TaskState::Done) {
+            return Progress::Completed;
+        }
+        self.unblock();
+        Progress::GoesOn
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         self.tasks
             .iter()
             .any(|task| task.state == TaskState::Waiting)
     }
 
-    pub(super) fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.state == TaskState::Done)
-    }
-
     pub(super) fn task_name(&self, position: usize) -> TaskName {
         let task = &self.tasks[position];
         TaskName {
@@ -124,7 +203,7 @@
         }
     }
 
-    pub(super) fn position(&self, name: TaskName) -> Option<usize> {
+    fn position(&self, name: TaskName) -> Option<usize> {
         self.tasks
             .iter()
             .position(|task| task.step == name.step && task.index == name.index)
@@ -137,7 +216,7 @@
     }
 
     /// Lets the tasks wait whose earlier steps are all done.
-    pub(super) fn unblock(&mut self) {
+    fn unblock(&mut self) {
         let done: Vec<bool> = (0..self.steps.len())
             .map(|step| {
                 self.tasks
@@ -165,8 +244,7 @@
         waiting
             .map(|task| {
                 let step = &self.steps[usize::from(task.step)];
-                let estimate_ms = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-                u64::from(step.room.cpu_millicores).saturating_mul(estimate_ms)
+                u64::from(step.room.cpu_millicores).saturating_mul(millis(step.estimate))
             })
             .sum()
     }
--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/jobs.rs
@@ -0,0 +1,57 @@
+//! The jobs of an entry, and the order in which they get room.
+
+use std::collections::HashMap;
+
+use super::job::Job;
+use super::queue::WaitingJobs;
+use crate::dispatch::JobName;
+
+/// The jobs that have no answer yet. Those with tasks that wait for room stand in an order, which is
+/// kept in step with each change of a job.
+#[derive(Debug, Default)]
+pub(super) struct Jobs {
+    jobs: HashMap<JobName, Job>,
+    waiting: WaitingJobs,
+}
+
+impl Jobs {
+    pub(super) fn insert(&mut self, job: Job) {
+        self.waiting.update(&job);
+        self.jobs.insert(job.name, job);
+    }
+
+    pub(super) fn remove(&mut self, name: JobName) -> Option<Job> {
+        let job = self.jobs.remove(&name)?;
+        self.waiting.remove(&job);
+        Some(job)
+    }
+
+    pub(super) fn get(&self, name: JobName) -> Option<&Job> {
+        self.jobs.get(&name)
+    }
+
+    /// Changes a job and returns what the change returns, or nothing if there is no such job.
+    pub(super) fn change<T>(
+        &mut self,
+        name: JobName,
+        change: impl FnOnce(&mut Job) -> T,
+    ) -> Option<T> {
+        let job = self.jobs.get_mut(&name)?;
+        let result = change(job);
+        self.waiting.update(job);
+        Some(result)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the jobs with tasks that wait for room, in their order.
+    pub(super) fn waiting(&self) -> &WaitingJobs {
+        &self.waiting
+    }
+}
--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/placement.rs
@@ -0,0 +1,144 @@
+//! The way of a task from the queue to a sidecar.
+
+use std::time::Instant;
+
+use super::fleet::{Fleet, Wanted};
+use super::job::{Job, TaskState};
+use super::jobs::Jobs;
+use crate::dispatch::Attempt;
+use crate::dispatch::message::{Message, StartOrder};
+use crate::dispatch::session::Sessions;
+use crate::dispatch::units::millis;
+
+/// How much worse than its estimate a minion counts on which the task has failed or which turned
+/// it down: it is used only if no other has room soon.
+const AVOIDED_PENALTY_FACTOR: u32 = 2;
+
+/// How often a task is moved off a minion on which it seems to stand still.
+const MOVES_MAX: usize = 2;
+
+/// How many jobs that find no room are passed over before the search ends. Tasks differ little
+/// in size, so what does not fit now seldom fits after more.
+const PASSED_OVER_MAX: usize = 8;
+
+/// Sends tasks to sidecars and numbers the placements.
+#[derive(Debug, Default)]
+pub(super) struct Placement {
+    last_attempt: Attempt,
+}
+
+impl Placement {
+    /// Places what waits, in its order, as long as there is room.
+    pub(super) fn place_waiting(
+        &mut self,
+        jobs: &mut Jobs,
+        fleet: &mut Fleet,
+        sessions: &mut Sessions,
+        now: Instant,
+    ) {
+        let names: Vec<_> = jobs.waiting().in_order().collect();
+        let mut passed_over = 0;
+        for name in names {
+            let has_room = jobs.change(name, |job| self.place_job(job, fleet, sessions, now));
+            if has_room == Some(false) {
+                passed_over += 1;
+            }
+            if passed_over >= PASSED_OVER_MAX {
+                return;
+            }
+        }
+    }
+
+    /// Places the tasks of a job that wait; returns whether all found room.
+    fn place_job(
+        &mut self,
+        job: &mut Job,
+        fleet: &mut Fleet,
+        sessions: &mut Sessions,
+        now: Instant,
+    ) -> bool {
+        let waiting: Vec<usize> = job.waiting_positions().collect();
+        waiting
+            .into_iter()
+            .all(|position| self.place_task(job, position, fleet, sessions, now))
+    }
+
+    fn place_task(
+        &mut self,
+        job: &mut Job,
+        position: usize,
+        fleet: &mut Fleet,
+        sessions: &mut Sessions,
+        now: Instant,
+    ) -> bool {
+        let task = &job.tasks[position];
+        let step = &job.steps[usize::from(task.step)];
+        let wanted = Wanted {
+            service: &job.service,
+            room: step.room,
+            estimate: step.estimate,
+            required_label: step.required_label.as_deref(),
+            preferred_label: step.data_rack.as_deref(),
+        };
+        let penalty = |sidecar| {
+            let there = job.placed_count(task.step, sidecar);
+            if step.per_minion_max.is_some_and(|max| there >= max) {
+                return None;
+            }
+            let factor = u32::from(task.avoided.contains(&sidecar)) * AVOIDED_PENALTY_FACTOR;
+            Some(step.estimate * factor)
+        };
+        let Some(sidecar) = fleet.choose(&wanted, now, penalty) else {
+            return false;
+        };
+        let Some((stamp_ms, heard_at)) = sessions.newest_stamp(sidecar) else {
+            return false;
+        };
+        let attempt = self.last_attempt + 1;
+        let (room, estimate) = (step.room, step.estimate);
+        let order = StartOrder {
+            task: job.task_name(position),
+            attempt,
+            room,
+            estimate,
+            is_movable: task.avoided.len() < MOVES_MAX,
+            service: job.service.clone(),
+            spec: job.spec.clone(),
+            sidecar_stamp_ms: stamp_ms,
+            run_number: task.placement_count + 1,
+        };
+        let Some(number) = sessions.send(sidecar, Message::Start(order)) else {
+            return false;
+        };
+        self.last_attempt = attempt;
+        log::info!(
+            job:% = job.name, task = task.index, attempt, sidecar:% = sidecar,
+            free_millicores = fleet.view(sidecar).map_or(0, |view| view.free().cpu_millicores),
+            stamp_age_ms = millis(now.saturating_duration_since(heard_at)),
+            estimate_ms = millis(estimate); "task placed"
+        );
+        if let Some(view) = fleet.view_mut(sidecar) {
+            view.placed(number, room, now);
+        }
+        job.placed(position, sidecar, attempt);
+        true
+    }
+}
+
+/// Orders the end of all that runs of a job, and takes it off the accounts of the sidecars.
+pub(super) fn stop_all(job: &Job, fleet: &mut Fleet, sessions: &mut Sessions) {
+    for (position, task) in job.tasks.iter().enumerate() {
+        let TaskState::Placed(sidecar) = task.state else {
+            continue;
+        };
+        let stop = Message::Stop {
+            task: job.task_name(position),
+            attempt: task.attempt,
+        };
+        // A sidecar that is not known any more has stopped the run by itself, or will.
+        let _ = sessions.send(sidecar, stop);
+        if let Some(view) = fleet.view_mut(sidecar) {
+            view.ended();
+        }
+    }
+}
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use crate::dispatch::RunTiming;
+
 /// Times and bounds of an entry.
 #[derive(Debug, Clone, Copy)]
 pub struct EntrySettings {
     /// How long after the last stamp of a sidecar that this entry may have echoed a task there
-    /// can still run: the silence after which the sidecar stops it, the lease of the minion with
-    /// the drift of its clock, the time to stop, and a margin.
+    /// can still run; see [`RunTiming`].
     pub doubt: Duration,
     /// The pause before a caller hands a job in again after a failure.
     pub resubmission: Duration,
@@ -23,11 +24,12 @@
     pub seed: u64,
 }
 
-impl Default for EntrySettings {
-    fn default() -> Self {
+impl EntrySettings {
+    /// Creates settings for callers that pause for `resubmission` before they hand a job in again.
+    pub fn new(timing: RunTiming, resubmission: Duration) -> Self {
         Self {
-            doubt: Duration::from_millis(600 + 561 + 50 + 89),
-            resubmission: Duration::from_millis(1_300),
+            doubt: timing.doubt(),
+            resubmission,
             answer_margin: Duration::from_millis(40),
             useful_factor: 3,
             answers_kept: Duration::from_secs(5),
@@ -36,3 +38,9 @@
         }
     }
 }
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self::new(RunTiming::default(), Duration::from_millis(1_300))
+    }
+}
--- a/knapweedrill/src/dispatch/mod.rs
+++ b/knapweedrill/src/dispatch/mod.rs
@@ -9,8 +9,11 @@
 pub mod message;
 mod names;
 mod room;
+mod run_timing;
 pub mod session;
 pub mod sidecar;
+mod units;
 
 pub use names::{Attempt, JobName, RunNumber, StepIndex, TaskName};
 pub use room::Room;
+pub use run_timing::RunTiming;
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -1,23 +1,24 @@
 //! The state of a sidecar.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use super::SidecarSettings;
 use super::action::{
-    CallNumber, EndedRun, HoldAnswer, HoldCall, HowEnded, MinionReport, OrderAnswer, RunKey,
-    SidecarAction, StartCall, StopCall,
+    CallNumber, EndedRun, HoldAnswer, HowEnded, MinionReport, OrderAnswer, RunKey, SidecarAction,
 };
-use super::delay::Delay;
 use super::holds::Holds;
+use super::judgement::Judgement;
 use super::life::Life;
-use super::pace::Pace;
+use super::orders::Orders;
 use super::run::{Phase, Run};
-use super::{Health, SidecarSettings};
+use super::runs::Runs;
 use crate::common::Incarnation;
 use crate::dispatch::message::{
     Condition, Message, PlacementOutcome, RefusalCause, RunEnd, SidecarStatus, StampMs, StartOrder,
     TaskReport,
 };
+use crate::dispatch::units::millis;
 use crate::dispatch::{Attempt, Room, TaskName};
 
 /// How often a start is ordered before it is given up. Orders without an answer are rare, so
@@ -28,10 +29,6 @@
 /// task is placed in the life of a job.
 const RUN_NUMBER_STEP: u32 = 16;
 
-/// By how much the fencing token rises when the minion has seen a higher one, in milliseconds:
-/// more than a wall clock is set back.
-const FENCING_TOKEN_STEP_MS: u64 = 10_000;
-
 /// The state of a sidecar.
 ///
 /// It starts what fits and belongs on its minion, keeps the lease of the runs, stops the runs of
@@ -39,22 +36,13 @@
 #[derive(Debug)]
 pub struct Sidecar {
     settings: SidecarSettings,
-    fencing_token: u64,
     life: Option<Life>,
-    runs: HashMap<RunKey, Run>,
-    /// Runs at the minion that this process has not ordered.
-    foreign: HashSet<RunKey>,
+    runs: Runs,
     /// When each entry was last known to be alive.
     entries: HashMap<Incarnation, Instant>,
-    health: Health,
-    pace: Pace,
-    delay: Delay,
-    /// The orders without an answer, and the runs that they are about.
-    orders: HashMap<CallNumber, RunKey>,
-    /// The runs whose stop had no answer, and when it is ordered again.
-    stops_due: HashMap<RunKey, Instant>,
+    judgement: Judgement,
+    orders: Orders,
     holds: Holds,
-    next_call: CallNumber,
     is_leaving: bool,
     actions: Vec<SidecarAction>,
 }
@@ -67,18 +55,12 @@
     pub fn new(settings: SidecarSettings, fencing_token: u64) -> Self {
         Self {
             settings,
-            fencing_token,
             life: None,
-            runs: HashMap::new(),
-            foreign: HashSet::new(),
+            runs: Runs::default(),
             entries: HashMap::new(),
-            health: Health::default(),
-            pace: Pace::default(),
-            delay: Delay::default(),
-            orders: HashMap::new(),
-            stops_due: HashMap::new(),
+            judgement: Judgement::default(),
+            orders: Orders::new(fencing_token),
             holds: Holds::default(),
-            next_call: 0,
             is_leaving: false,
             actions: Vec::new(),
         }
@@ -94,8 +76,8 @@
         SidecarStatus {
             free: self.free(),
             condition: self.condition(),
-            pace_permille: self.pace.permille(),
-            delay_ms: self.delay.ms(),
+            pace_permille: self.judgement.pace_permille(),
+            delay_ms: self.judgement.delay_ms(),
         }
     }
 
@@ -106,7 +88,7 @@
 
     /// Returns whether an entry has runs here.
     pub fn has_runs_of(&self, entry: Incarnation) -> bool {
-        self.runs.values().any(|run| run.owner == entry)
+        self.runs.has_runs_of(entry)
     }
 
     /// Returns the entries that have been met and are not gone.
@@ -231,20 +213,14 @@
             phase: Phase::Starting,
             unanswered_count: 0,
             order_count: 0,
-            outcome: None,
         };
-        self.runs.insert(key, run);
+        self.runs.insert(run);
         self.order_start(key, now);
     }
 
     /// Takes in an order of an entry to stop a task.
     pub fn stop(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt) {
-        let key = self
-            .runs
-            .values()
-            .find(|run| run.owner == entry && run.key.task == task && run.attempt == attempt)
-            .map(|run| run.key);
-        if let Some(key) = key {
+        if let Some(key) = self.runs.of_placement(entry, task, attempt) {
             self.begin_stop(key);
         }
     }
@@ -257,11 +233,11 @@
         clock_ms: Option<StampMs>,
         now: Instant,
     ) {
-        let Some(key) = self.orders.remove(&call) else {
+        let Some(key) = self.orders.answered(call) else {
             return;
         };
         self.note_clock(clock_ms, now);
-        let Some(run) = self.runs.get_mut(&key) else {
+        let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if run.phase != Phase::Starting {
@@ -273,7 +249,7 @@
         match answer {
             OrderAnswer::Accepted => {
                 run.phase = Phase::Running(now);
-                self.delay
+                self.judgement
                     .learn_start(now.saturating_duration_since(run.ordered_at));
                 log::info!(
                     job:% = key.task.job, task = key.task.index, attempt = run.attempt,
@@ -285,7 +261,7 @@
             OrderAnswer::Old if can_repeat => self.renumber(key, now),
             OrderAnswer::Late if can_repeat => self.order_start(key, now),
             OrderAnswer::Fenced if can_repeat => {
-                self.raise_fencing_token();
+                self.orders.raise_fencing_token();
                 self.order_start(key, now);
             }
             OrderAnswer::NoAnswer => {
@@ -308,7 +284,7 @@
                 self.settle(key, outcome);
             }
             OrderAnswer::Unhealthy => {
-                self.health.note(key.task.job, true);
+                self.judgement.note(key.task.job, true);
                 self.refuse_run(key, RefusalCause::Unhealthy);
             }
             OrderAnswer::Old | OrderAnswer::Late | OrderAnswer::Fenced | OrderAnswer::NotSent => {
@@ -325,21 +301,22 @@
         clock_ms: Option<StampMs>,
         now: Instant,
     ) {
-        let Some(key) = self.orders.remove(&call) else {
+        let Some(key) = self.orders.answered(call) else {
             return;
         };
         self.note_clock(clock_ms, now);
         match answer {
             OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
-                self.stops_due.insert(key, now + self.settings.hold_pause);
+                self.orders
+                    .stop_again_at(key, now + self.settings.hold_pause);
             }
             OrderAnswer::Fenced => {
-                self.raise_fencing_token();
+                self.orders.raise_fencing_token();
                 self.order_stop(key);
             }
             OrderAnswer::OtherLife => self.settle_absent(key, now),
             _ => {
-                if let Some(run) = self.runs.get_mut(&key) {
+                if let Some(run) = self.runs.get_mut(key) {
                     run.phase = Phase::Stopped(now);
                 }
             }
@@ -368,9 +345,9 @@
         if answer.born_ms > life.born_ms && life.born_ms > 0 {
             log::warn!(born_ms = answer.born_ms; "minion began a new life, seen in its lists");
             life.begin_again(answer.born_ms, self.settings.lease_max);
-            self.health = Health::default();
+            self.judgement = Judgement::default();
         }
-        self.delay.learn_end(self.holds.unheard_for(now));
+        self.judgement.learn_end(self.holds.unheard_for(now));
         if self.holds.answered(now) {
             log::info!(instance = life.profile.instance.as_str(); "minion answers again");
         }
@@ -396,10 +373,10 @@
             return Condition::Unavailable;
         };
         let is_reached = self.holds.is_reached() && life.clock_known();
-        let is_known = life.is_reported && self.foreign.is_empty();
+        let is_known = life.is_reported && !self.runs.has_foreign();
         if self.is_leaving || life.is_draining || !is_reached || !is_known {
             Condition::Unavailable
-        } else if self.health.is_suspect() {
+        } else if self.judgement.is_suspect() {
             Condition::Suspect
         } else {
             Condition::Ready
@@ -411,9 +388,7 @@
             .life
             .as_ref()
             .map_or_else(Room::default, |life| life.profile.capacity);
-        self.runs
-            .values()
-            .fold(capacity, |free, run| free.minus(run.room))
+        capacity.minus(self.runs.room())
     }
 
     fn refusal(
@@ -440,79 +415,40 @@
             return Some(RefusalCause::OtherService);
         }
         // The minion may still run it for another entry, or in an earlier placement.
-        let runs_already = self.runs.keys().any(|key| key.task == order.task);
-        if runs_already || !order.room.fits_into(self.free()) {
+        if self.runs.has_task(order.task) || !order.room.fits_into(self.free()) {
             return Some(RefusalCause::NoRoom);
         }
         None
     }
 
     fn order_start(&mut self, key: RunKey, now: Instant) {
-        let call = self.next_call();
-        let (Some(life), Some(run)) = (&mut self.life, self.runs.get_mut(&key)) else {
-            return;
-        };
-        let Some(lease_end_ms) = life.extend_lease(&self.settings, now) else {
+        let (Some(life), Some(run)) = (&mut self.life, self.runs.get_mut(key)) else {
             return;
         };
-        run.order_count += 1;
-        self.actions.push(SidecarAction::Start(StartCall {
-            call,
-            run: key,
-            spec: run.spec.clone(),
-            lease_end_ms,
-            fencing_token: self.fencing_token,
-            instance: life.profile.instance.clone(),
-        }));
-        self.orders.insert(call, key);
+        let call = self.orders.start(run, life, &self.settings, now);
+        self.actions.extend(call.map(SidecarAction::Start));
     }
 
     fn order_stop(&mut self, key: RunKey) {
-        let call = self.next_call();
-        let Some(life) = &self.life else {
+        let Some(life) = self.life.as_ref().filter(|_| self.runs.may_be_there(key)) else {
             return;
         };
-        if !self.runs.contains_key(&key) && !self.foreign.contains(&key) {
-            return;
-        }
-        self.actions.push(SidecarAction::Stop(StopCall {
-            call,
-            run: key,
-            fencing_token: self.fencing_token,
-            instance: life.profile.instance.clone(),
-        }));
-        self.orders.insert(call, key);
+        let call = self.orders.stop(key, life);
+        self.actions.push(SidecarAction::Stop(call));
     }
 
     fn order_hold(&mut self, now: Instant) {
-        let call = self.next_call();
-        let has_runs = !self.runs.is_empty();
-        let wait = self.holds.wait(&self.settings, has_runs, now);
         let Some(life) = &mut self.life else {
             return;
         };
+        let has_runs = !self.runs.is_empty();
+        let wait = self.holds.wait(&self.settings, has_runs, now);
         // A minion that does not answer has to end its runs by itself, so that their fate is
         // known in the end.
-        let lease_end_ms = if self.holds.is_reached() {
-            life.extend_lease(&self.settings, now)
-        } else {
-            None
-        };
-        // The first call only asks for the clock and what runs.
-        let wait = if lease_end_ms.is_some() {
-            wait
-        } else {
-            Duration::ZERO
-        };
-        self.holds.sent(call, !has_runs, now);
-        self.actions.push(SidecarAction::Hold(HoldCall {
-            call,
-            lease_end_ms,
-            fencing_token: self.fencing_token,
-            seen: life.seen,
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
-            instance: life.profile.instance.clone(),
-        }));
+        let renews = self.holds.is_reached();
+        let call = self.orders.hold(life, renews, wait, &self.settings, now);
+        self.holds.sent(call.call, !has_runs, now);
+        self.actions.push(SidecarAction::Hold(call));
     }
 
     fn begin_life(&mut self, report: MinionReport, now: Instant) {
@@ -521,9 +457,7 @@
     }
 
     fn begin_judging_anew(&mut self, now: Instant) {
-        self.health = Health::default();
-        self.pace = Pace::default();
-        self.delay = Delay::default();
+        self.judgement = Judgement::default();
         // An answer under way may be that of the life before.
         self.holds.ask_at(now);
         self.announce_minion();
@@ -532,9 +466,8 @@
     fn end_life(&mut self, now: Instant) {
         self.settle_all_absent(now);
         self.life = None;
-        self.foreign.clear();
-        self.orders.clear();
-        self.stops_due.clear();
+        self.runs.forget_foreign(None);
+        self.orders.forget();
         self.holds.reset();
     }
 
@@ -560,7 +493,7 @@
             return;
         }
         life.seen = ended.number;
-        let Some(run) = self.runs.get(&ended.run) else {
+        let Some(run) = self.runs.get(ended.run) else {
             return;
         };
         let end = match ended.how {
@@ -577,32 +510,18 @@
             );
         }
         if end == RunEnd::Done {
-            self.pace.learn(run.age(now), run.estimate);
+            self.judgement.learn_run(run.age(now), run.estimate);
         }
         if matches!(end, RunEnd::Done | RunEnd::Failed) {
-            let was_suspect = self.health.is_suspect();
-            self.health.note(ended.run.task.job, end == RunEnd::Failed);
-            if self.health.is_suspect() != was_suspect {
-                log::warn!(is_suspect = !was_suspect; "judgement of the minion changed");
-            }
+            self.judgement
+                .note(ended.run.task.job, end == RunEnd::Failed);
         }
         self.settle(ended.run, outcome);
     }
 
     fn take_running(&mut self, answer: &HoldAnswer, asked_at: Instant, now: Instant) {
         let running: HashSet<RunKey> = answer.running.iter().map(|(key, _)| *key).collect();
-        let unknown: Vec<_> = running
-            .iter()
-            .filter(|key| !self.runs.contains_key(key))
-            .copied()
-            .collect();
-        let news: Vec<_> = unknown
-            .iter()
-            .filter(|key| !self.foreign.contains(key))
-            .copied()
-            .collect();
-        self.foreign = unknown.into_iter().collect();
-        for key in news {
+        for key in self.runs.find_foreign(&running) {
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number;
                 "run of an earlier process found; it is stopped"
@@ -613,17 +532,7 @@
         if answer.has_more {
             return;
         }
-        let absent: Vec<_> = self
-            .runs
-            .values()
-            .filter(|run| !running.contains(&run.key))
-            .filter(|run| match run.phase {
-                Phase::Running(since) | Phase::Stopped(since) => since < asked_at,
-                Phase::Starting | Phase::Stopping => false,
-            })
-            .map(|run| run.key)
-            .collect();
-        for key in absent {
+        for key in self.runs.absent(&running, asked_at) {
             self.settle_absent(key, now);
         }
     }
@@ -633,17 +542,17 @@
         for (key, percent) in running {
             let stalled = self
                 .runs
-                .get(key)
+                .get(*key)
                 .filter(|run| run.is_stalled(*percent, now));
             let Some(run) = stalled else {
                 continue;
             };
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number, percent = percent,
-                age_ms = now.saturating_duration_since(run.ordered_at).as_millis() as u64,
-                estimate_ms = run.estimate.as_millis() as u64; "run stands still, it is stopped"
+                age_ms = millis(now.saturating_duration_since(run.ordered_at)),
+                estimate_ms = millis(run.estimate); "run stands still, it is stopped"
             );
-            self.health.note(key.task.job, true);
+            self.judgement.note(key.task.job, true);
             self.begin_stop(*key);
         }
     }
@@ -662,13 +571,7 @@
     }
 
     fn stop_runs_of(&mut self, entry: Incarnation) {
-        let keys: Vec<_> = self
-            .runs
-            .values()
-            .filter(|run| run.owner == entry)
-            .filter(|run| matches!(run.phase, Phase::Starting | Phase::Running(_)))
-            .map(|run| run.key)
-            .collect();
+        let keys = self.runs.active_of(entry);
         if !keys.is_empty() {
             log::warn!(entry:% = entry, runs = keys.len(); "runs of a silent entry are stopped");
         }
@@ -683,12 +586,7 @@
         if self.holds.is_failing() {
             return;
         }
-        let due: Vec<_> = self
-            .stops_due
-            .extract_if(|_, at| *at <= now)
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
+        for key in self.orders.take_due_stops(now) {
             self.order_stop(key);
         }
     }
@@ -706,7 +604,7 @@
     }
 
     fn begin_stop(&mut self, key: RunKey) {
-        let Some(run) = self.runs.get_mut(&key) else {
+        let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if matches!(run.phase, Phase::Starting | Phase::Running(_)) {
@@ -717,12 +615,12 @@
 
     /// Orders a run under a higher number, since the minion has seen this one or a later one.
     fn renumber(&mut self, key: RunKey, now: Instant) {
-        let Some(mut run) = self.runs.remove(&key) else {
+        let Some(mut run) = self.runs.remove(key) else {
             return;
         };
         run.key.number += RUN_NUMBER_STEP;
         let key = run.key;
-        self.runs.insert(key, run);
+        self.runs.insert(run);
         self.order_start(key, now);
     }
 
@@ -731,22 +629,21 @@
     }
 
     fn settle_absent(&mut self, key: RunKey, now: Instant) {
-        self.foreign.remove(&key);
-        if let Some(run) = self.runs.get(&key) {
+        self.runs.forget_foreign(Some(key));
+        if let Some(run) = self.runs.get(key) {
             let outcome = run.absent(now);
             self.settle(key, outcome);
         }
     }
 
     fn settle_all_absent(&mut self, now: Instant) {
-        let keys: Vec<_> = self.runs.keys().copied().collect();
-        for key in keys {
+        for key in self.runs.keys() {
             self.settle_absent(key, now);
         }
     }
 
     fn settle(&mut self, key: RunKey, outcome: PlacementOutcome) {
-        if let Some(run) = self.runs.remove(&key) {
+        if let Some(run) = self.runs.remove(key) {
             self.report(run.owner, key.task, run.attempt, outcome);
         }
     }
@@ -769,14 +666,4 @@
     fn send(&mut self, entry: Incarnation, message: Message) {
         self.actions.push(SidecarAction::Send(entry, message));
     }
-
-    fn raise_fencing_token(&mut self) {
-        self.fencing_token += FENCING_TOKEN_STEP_MS;
-        log::warn!(fencing_token = self.fencing_token; "fencing token raised");
-    }
-
-    fn next_call(&mut self) -> CallNumber {
-        self.next_call += 1;
-        self.next_call
-    }
 }
--- a/knapweedrill/src/dispatch/sidecar/life.rs
+++ b/knapweedrill/src/dispatch/sidecar/life.rs
@@ -4,6 +4,8 @@
 
 use super::{MinionReport, SidecarSettings};
 use crate::dispatch::message::{MinionProfile, StampMs};
+use crate::dispatch::run_timing::CLOCK_DRIFT_PERMILLE;
+use crate::dispatch::units::millis;
 
 /// One life of a minion.
 #[derive(Debug)]
@@ -103,10 +105,6 @@
     pub(super) fn lapses_at(&self, settings: &SidecarSettings) -> Option<Instant> {
         let (clock_ms, at) = self.clock?;
         let left = Duration::from_millis(self.lease_end_ms.saturating_sub(clock_ms));
-        Some(at + left + left * settings.clock_drift_permille / 1_000 + settings.stop_time)
+        Some(at + left + left * CLOCK_DRIFT_PERMILLE / 1_000 + settings.stop_time)
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -6,9 +6,12 @@
 mod endpoint;
 mod health;
 mod holds;
+mod judgement;
 mod life;
+mod orders;
 mod pace;
 mod run;
+mod runs;
 mod settings;
 
 pub use action::{
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -36,8 +36,6 @@
     pub(super) unanswered_count: u32,
     /// How many orders to start it were given.
     pub(super) order_count: u32,
-    /// What the entry is told once the run is known to be over, if that is settled.
-    pub(super) outcome: Option<PlacementOutcome>,
 }
 
 /// How many times slower than its estimate a run may get on before it counts as standing still.
@@ -87,9 +85,6 @@
 
     /// Returns what to say of a run that the minion does not have, although it may have had it.
     pub(super) fn absent(&self, now: Instant) -> PlacementOutcome {
-        if let Some(outcome) = self.outcome {
-            return outcome;
-        }
         match self.phase {
             Phase::Starting if self.unanswered_count == 0 => {
                 PlacementOutcome::Refused(RefusalCause::NoMinion)
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::dispatch::RunTiming;
+
 /// Times of a sidecar.
 #[derive(Debug, Clone, Copy)]
 pub struct SidecarSettings {
@@ -28,25 +30,29 @@
     /// The pause before the minion is asked again, or a stop is ordered again, after it gave no
     /// answer: half of the time that it has to answer an order.
     pub hold_pause: Duration,
-    /// How much slower than ours the minion's clock may go, in thousandths.
-    pub clock_drift_permille: u32,
     /// How long the minion takes to end a run at the most.
     pub stop_time: Duration,
 }
 
-impl Default for SidecarSettings {
-    fn default() -> Self {
+impl SidecarSettings {
+    /// Creates settings for a minion that grants leases up to `lease_max`.
+    pub fn new(timing: RunTiming, lease_max: Duration) -> Self {
         Self {
-            lease: Duration::from_millis(550),
-            lease_max: Duration::from_millis(1_000),
-            entry_silence: Duration::from_millis(600),
-            hold_wait: Duration::from_millis(140),
+            lease: timing.lease(),
+            lease_max,
+            entry_silence: timing.entry_silence(),
+            hold_wait: timing.lease() / 4,
             idle_hold_wait: Duration::from_millis(1_000),
             lossy_hold_wait: Duration::from_millis(20),
             lossy_for: Duration::from_millis(1_500),
             hold_pause: Duration::from_millis(20),
-            clock_drift_permille: 20,
-            stop_time: Duration::from_millis(50),
+            stop_time: timing.stop_time(),
         }
     }
 }
+
+impl Default for SidecarSettings {
+    fn default() -> Self {
+        Self::new(RunTiming::default(), Duration::from_millis(1_000))
+    }
+}
--- a/knapweedrill_daemon/src/dispatch/common.rs
+++ b/knapweedrill_daemon/src/dispatch/common.rs
@@ -8,11 +8,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eyre::WrapErr;
+use knapweedrill::dispatch::RunTiming;
 use knapweedrill::dispatch::message::Role;
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
 use knapweedrill_platform::{ProcessSettings, SETTINGS_VARIABLE};
 
 use super::DispatchRole;
+use super::settings_watch::SettingsWatch;
 use crate::telemetry;
 
 /// The pause between two looks at time-outs: below the shortest of them, the delay of an
@@ -35,7 +37,7 @@
 /// What a process of either role is made of.
 pub(super) struct Process {
     pub(super) settings: ProcessSettings,
-    pub(super) settings_file: String,
+    watch: SettingsWatch,
     pub(super) identity: Identity,
     pub(super) stop: StopRequest,
 }
@@ -45,9 +47,9 @@
     pub(super) fn start(role: DispatchRole) -> eyre::Result<Self> {
         let started_at = Instant::now();
         telemetry::init_stdout_logs()?;
-        let settings_file = std::env::var(SETTINGS_VARIABLE)
+        let file = std::env::var(SETTINGS_VARIABLE)
             .wrap_err_with(|| format!("the environment variable {SETTINGS_VARIABLE}"))?;
-        let settings = read_settings(&settings_file)?;
+        let (watch, settings) = SettingsWatch::start(file, started_at)?;
         let role = match role {
             DispatchRole::Entry => Role::Entry,
             DispatchRole::Sidecar => Role::Sidecar,
@@ -66,7 +68,7 @@
         Ok(Self {
             stop: StopRequest::watch(settings.stop_grace)?,
             settings,
-            settings_file,
+            watch,
             identity,
         })
     }
@@ -74,27 +76,62 @@
     /// Returns the sessions of the process, which greet the seeds.
     pub(super) fn sessions(&self) -> Sessions {
         let mut sessions = Sessions::new(self.identity, SessionSettings::default());
-        for seed in &self.settings.seed_addresses {
-            let address = SocketAddr::new(seed.ip(), self.settings.internal_ports.0);
-            if address != self.address() {
-                sessions.greet(address);
-            }
+        for address in self.seeds() {
+            sessions.greet(address);
         }
         sessions
     }
 
+    /// Looks whether the settings have changed. The grace of a planned stop and the seeds are taken
+    /// over; returns the addresses to greet if there are new ones.
+    ///
+    /// Addresses of this process need a restart, and so do the times of runs: processes that took them
+    /// over at different moments would not agree on when a run is over.
+    pub(super) fn reload(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let is_asked = self.stop.take_reload();
+        let Some(settings) = self.watch.look(is_asked, now) else {
+            return Vec::new();
+        };
+        let taken_over = ProcessSettings {
+            stop_grace: settings.stop_grace,
+            seed_addresses: settings.seed_addresses.clone(),
+            ..self.settings.clone()
+        };
+        let needs_restart = taken_over != settings;
+        log::info!(
+            needs_restart, grace_ms = settings.stop_grace.as_millis() as u64,
+            seeds = settings.seed_addresses.len(); "settings taken over"
+        );
+        self.settings = taken_over;
+        self.stop.grace = self.settings.stop_grace;
+        self.seeds().collect()
+    }
+
+    /// Returns where other processes may be.
+    fn seeds(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let port = self.settings.internal_ports.0;
+        let seeds = self.settings.seed_addresses.iter();
+        seeds
+            .map(move |seed| SocketAddr::new(seed.ip(), port))
+            .filter(|address| *address != self.address())
+    }
+
+    /// Returns how long runs may outlive the entry that ordered them.
+    pub(super) fn run_timing(&self) -> RunTiming {
+        let settings = &self.settings;
+        RunTiming::new(
+            settings.lease_max,
+            settings.stop_time,
+            settings.resubmission,
+        )
+    }
+
     /// Returns where other processes reach this one.
     pub(super) fn address(&self) -> SocketAddr {
         SocketAddr::new(self.settings.ip, self.settings.internal_ports.0)
     }
 }
 
-fn read_settings(file: &str) -> eyre::Result<ProcessSettings> {
-    let text = std::fs::read_to_string(file)
-        .wrap_err_with(|| format!("can't read the settings file {file}"))?;
-    Ok(ProcessSettings::parse(&text, file)?)
-}
-
 /// Returns the wall clock, in Unix milliseconds.
 pub(super) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -185,21 +222,8 @@
         is_quiet || now >= asked_at + self.grace.saturating_sub(STOP_MARGIN)
     }
 
-    /// Reads the settings anew if the process was asked to.
-    ///
-    /// What can change without a restart is checked and told; the addresses can't.
-    pub(super) fn reload(&self, file: &str, known: &ProcessSettings) {
-        if !self.is_reload_asked.swap(false, Ordering::Relaxed) {
-            return;
-        }
-        match read_settings(file) {
-            Ok(settings) if settings == *known => {
-                log::info!("settings read anew, none has changed")
-            }
-            Ok(_) => log::info!("settings read anew; changes are in force after a restart"),
-            Err(error) => {
-                log::error!(error:? = error; "settings not taken over, the old ones hold")
-            }
-        }
+    /// Returns whether the process was asked to read its settings anew since the last call.
+    fn take_reload(&self) -> bool {
+        self.is_reload_asked.swap(false, Ordering::Relaxed)
     }
 }
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -22,7 +22,7 @@
 use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic};
 use super::entry_http::{Call, Gate, Published};
 use super::http::{response, serve, serve_metrics};
-use super::metrics::Metrics;
+use super::metrics::{LEVELS_EVERY, Metrics};
 use super::store::{ENTRIES_TOPIC, follow, read_address, tell_address};
 
 /// How long the store may let a call wait for a new configuration. A channel that has fallen
@@ -64,9 +64,8 @@
     start_traffic(move || traffic(settings, address, gate, served, sender))?;
     let entry = Entry::new(
         EntrySettings {
-            resubmission: process.settings.resubmission,
             seed: rand::random(),
-            ..EntrySettings::default()
+            ..EntrySettings::new(process.run_timing(), process.settings.resubmission)
         },
         process.sessions(),
     );
@@ -105,6 +104,7 @@
         Arc::clone(&store),
         ENTRIES_TOPIC,
         ADDRESSES_WAIT,
+        metrics.clone(),
         addresses,
     ));
     let configurations = move |record: Record| {
@@ -120,6 +120,7 @@
         store,
         OPERATOR_TOPIC,
         CONFIGURATION_WAIT,
+        metrics.clone(),
         configurations,
     ));
     tokio::spawn(serve_metrics(settings.ip, metrics));
@@ -160,6 +161,7 @@
 impl Control {
     fn run(mut self, mut process: Process, events: &Receiver<EntryEvent>) {
         let mut next_tick = Instant::now();
+        let mut next_levels = next_tick;
         loop {
             match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
                 Ok(event) => {
@@ -176,10 +178,13 @@
             if now >= next_tick {
                 self.entry.tick(now);
                 next_tick = now + TICK;
-                self.publish_levels();
-                process
-                    .stop
-                    .reload(&process.settings_file, &process.settings);
+                for address in process.reload(now) {
+                    self.entry.greet(address);
+                }
+            }
+            if now >= next_levels {
+                next_levels = now + LEVELS_EVERY;
+                self.publish_levels(now);
             }
             self.entry.settle(now);
             self.flush(now);
@@ -211,7 +216,7 @@
             }
             EntryEvent::Datagram(from, envelope) => self.entry.receive(from, envelope, now),
             EntryEvent::Configuration(configuration) => {
-                self.entry.configure(configuration, "store")
+                self.entry.configure(configuration, "store", now)
             }
             EntryEvent::Address(address) => {
                 if address != self.own_address {
@@ -257,12 +262,14 @@
 
     fn flush(&mut self, now: Instant) {
         for action in self.entry.take_actions() {
-            let EntryAction::Answer {
-                caller,
-                answer,
-                queue,
-            } = action;
-            self.answer(caller, answer, &queue, now);
+            match action {
+                EntryAction::Answer {
+                    caller,
+                    answer,
+                    queue,
+                } => self.answer(caller, answer, &queue, now),
+                EntryAction::Count(outcome) => self.metrics.count_placement(outcome),
+            }
         }
         for (to, envelope) in self.entry.poll(now) {
             self.socket.send(to, &envelope);
@@ -291,8 +298,11 @@
     }
 
     /// Publishes the levels of the process.
-    fn publish_levels(&self) {
+    fn publish_levels(&self, now: Instant) {
+        let configured_at = self.entry.configured_at();
+        let age = configured_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let levels = [
+            ("configuration_age_seconds", age.as_secs()),
             ("configuration_version", self.entry.version()),
             ("jobs", self.entry.job_count() as u64),
             ("waiting_jobs", self.entry.waiting_count() as u64),
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -4,6 +4,8 @@
 
 use eyre::{Result, WrapErr};
 use knapweedrill::dispatch::entry::{Answer, RefusedBecause};
+use knapweedrill::dispatch::message::{PlacementOutcome, RefusalCause, RunEnd};
+use knapweedrill::dispatch::sidecar::OrderAnswer;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -17,12 +19,18 @@
 /// The bounds of answer times, in seconds: from a quick task to the longest patience.
 const SECONDS: [f64; 9] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 3.6];
 
+/// The pause between two publications of the levels: well below that between two collections.
+pub(super) const LEVELS_EVERY: Duration = Duration::from_secs(1);
+
 /// What a process counts.
 #[derive(Debug, Clone)]
 pub(super) struct Metrics {
     registry: Registry,
     answers: IntCounterVec,
     answer_seconds: HistogramVec,
+    placements: IntCounterVec,
+    run_seconds: HistogramVec,
+    minion_calls: IntCounterVec,
     levels: IntGaugeVec,
 }
 
@@ -41,6 +49,25 @@
             .buckets(SECONDS.to_vec()),
             &["queue", "answer"],
         );
+        let placements = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_placements_total",
+                "Placements of tasks by how they ended.",
+            ),
+            &["outcome"],
+        );
+        let run_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "knapweedrill_run_seconds",
+                "Time from order to end of runs, as their sidecar knows it.",
+            )
+            .buckets(SECONDS.to_vec()),
+            &["outcome"],
+        );
+        let minion_calls = IntCounterVec::new(
+            Opts::new("knapweedrill_minion_calls_total", "Calls of the minion."),
+            &["call", "answer"],
+        );
         let levels = IntGaugeVec::new(
             Opts::new("knapweedrill_level", "Levels that rise and fall, by name."),
             &["name"],
@@ -49,11 +76,17 @@
             registry: Registry::new(),
             answers: answers.wrap_err("the counter of answers")?,
             answer_seconds: answer_seconds.wrap_err("the histogram of answers")?,
+            placements: placements.wrap_err("the counter of placements")?,
+            run_seconds: run_seconds.wrap_err("the histogram of runs")?,
+            minion_calls: minion_calls.wrap_err("the counter of calls")?,
             levels: levels.wrap_err("the levels")?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.answer_seconds.clone()))?;
+        registry.register(Box::new(metrics.placements.clone()))?;
+        registry.register(Box::new(metrics.run_seconds.clone()))?;
+        registry.register(Box::new(metrics.minion_calls.clone()))?;
         registry.register(Box::new(metrics.levels.clone()))?;
         Ok(metrics)
     }
@@ -69,6 +102,26 @@
             .observe(time.as_secs_f64());
     }
 
+    /// Counts the end of a placement.
+    pub(super) fn count_placement(&self, outcome: PlacementOutcome) {
+        let name = match outcome {
+            PlacementOutcome::Refused(cause) => refusal_name(cause),
+            PlacementOutcome::Ended { end, run_time } => {
+                let name = end_name(end);
+                self.run_seconds
+                    .with_label_values(&[name])
+                    .observe(run_time.as_secs_f64());
+                name
+            }
+        };
+        self.placements.with_label_values(&[name]).inc();
+    }
+
+    /// Counts a call of the minion.
+    pub(super) fn count_minion_call(&self, call: &str, answer: &str) {
+        self.minion_calls.with_label_values(&[call, answer]).inc();
+    }
+
     /// Sets a level.
     pub(super) fn set_level(&self, name: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
@@ -86,6 +139,42 @@
     }
 }
 
+fn end_name(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lost => "lost",
+    }
+}
+
+fn refusal_name(cause: RefusalCause) -> &'static str {
+    match cause {
+        RefusalCause::NoRoom => "refused-no-room",
+        RefusalCause::Draining => "refused-draining",
+        RefusalCause::NoMinion => "refused-no-minion",
+        RefusalCause::OtherService => "refused-other-service",
+        RefusalCause::Stale => "refused-stale",
+        RefusalCause::Unhealthy => "refused-unhealthy",
+    }
+}
+
+/// Returns the name of a minion's answer to an order.
+pub(super) fn order_answer_name(answer: &OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Accepted => "accepted",
+        OrderAnswer::Old => "old",
+        OrderAnswer::Late => "late",
+        OrderAnswer::NoRoom => "no-room",
+        OrderAnswer::Fenced => "fenced",
+        OrderAnswer::Unhealthy => "unhealthy",
+        OrderAnswer::OtherLife => "other-life",
+        OrderAnswer::Malformed => "malformed",
+        OrderAnswer::NoAnswer => "none",
+        OrderAnswer::NotSent => "not-sent",
+    }
+}
+
 fn names(answer: Answer) -> (&'static str, &'static str) {
     match answer {
         Answer::Completed => ("completed", ""),
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod entry_http;
 mod http;
 mod metrics;
+mod settings_watch;
 mod sidecar;
 mod sidecar_http;
 mod store;
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -18,7 +18,7 @@
 
 use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic, unix_ms};
 use super::http::{serve, serve_metrics};
-use super::metrics::Metrics;
+use super::metrics::{LEVELS_EVERY, Metrics};
 use super::sidecar_http::{carry_orders, register};
 use super::store::{ENTRIES_TOPIC, follow, read_address};
 
@@ -56,13 +56,7 @@
     let metrics = Metrics::new()?;
     let served = metrics.clone();
     start_traffic(move || traffic(settings, ordered, served, sender))?;
-    let defaults = SidecarSettings::default();
-    let settings = SidecarSettings {
-        lease: defaults.lease.min(process.settings.lease_max),
-        lease_max: process.settings.lease_max,
-        stop_time: process.settings.stop_time,
-        ..defaults
-    };
+    let settings = SidecarSettings::new(process.run_timing(), process.settings.lease_max);
     let control = Control {
         endpoint: SidecarEndpoint::new(Sidecar::new(settings, unix_ms()), process.sessions()),
         socket,
@@ -79,7 +73,7 @@
     metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) -> eyre::Result<()> {
-    tokio::spawn(serve_metrics(settings.ip, metrics));
+    tokio::spawn(serve_metrics(settings.ip, metrics.clone()));
     let store = Arc::new(StoreClient::new(settings.store_address));
     let sender = events.clone();
     let addresses = move |record: Record| match read_address(&record) {
@@ -87,12 +81,18 @@
         Some(address) => drop(sender.send(SidecarEvent::Address(address))),
         None => log::warn!(key = record.key.as_str(); "an entry's address can't be read"),
     };
-    tokio::spawn(follow(store, ENTRIES_TOPIC, ADDRESSES_WAIT, addresses));
+    tokio::spawn(follow(
+        store,
+        ENTRIES_TOPIC,
+        ADDRESSES_WAIT,
+        metrics.clone(),
+        addresses,
+    ));
     let minion_address = settings
         .minion_address
         .ok_or_else(|| eyre::eyre!("the settings name no minion"))?;
     let minion = MinionClient::new(minion_address);
-    tokio::spawn(carry_orders(minion, orders, events.clone()));
+    tokio::spawn(carry_orders(minion, orders, metrics, events.clone()));
     let address = settings
         .registration_address
         .ok_or_else(|| eyre::eyre!("the settings name no address at which minions register"))?;
@@ -111,6 +111,7 @@
     fn run(mut self, mut process: Process, events: &Receiver<SidecarEvent>) {
         let own_address = process.address();
         let mut next_tick = Instant::now();
+        let mut next_levels = next_tick;
         loop {
             match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
                 Ok(event) => {
@@ -129,10 +130,13 @@
             self.endpoint.sidecar_mut().tick(now);
             if now >= next_tick {
                 next_tick = now + TICK;
+                for address in process.reload(now) {
+                    self.endpoint.greet(address);
+                }
+            }
+            if now >= next_levels {
+                next_levels = now + LEVELS_EVERY;
                 self.publish_levels();
-                process
-                    .stop
-                    .reload(&process.settings_file, &process.settings);
             }
             self.flush(now);
             if process.stop.has_begun(now) {
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Semaphore, oneshot};
 
 use super::http::{WholeResponse, read_body, response};
+use super::metrics::{Metrics, order_answer_name};
 use super::sidecar::SidecarEvent;
 
 /// The largest heartbeat that is read, in bytes.
@@ -59,15 +60,16 @@
 pub(super) async fn carry_orders(
     minion: MinionClient,
     mut orders: UnboundedReceiver<SidecarAction>,
+    metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) {
     let minion = Arc::new(minion);
     let places = Arc::new(Semaphore::new(ORDER_COUNT_MAX));
     while let Some(order) = orders.recv().await {
         let (minion, places) = (Arc::clone(&minion), Arc::clone(&places));
-        let events = events.clone();
+        let (metrics, events) = (metrics.clone(), events.clone());
         tokio::spawn(async move {
-            if let Some(event) = carry(&minion, &places, order).await {
+            if let Some(event) = carry(&minion, &places, &metrics, order).await {
                 // After the end of the state nobody needs the answer.
                 let _ = events.send(event);
             }
@@ -78,21 +80,26 @@
 async fn carry(
     minion: &MinionClient,
     places: &Semaphore,
+    metrics: &Metrics,
     order: SidecarAction,
 ) -> Option<SidecarEvent> {
     match order {
         SidecarAction::Start(call) => {
             let _place = places.acquire().await.ok()?;
             let (answer, clock_ms) = minion.start(&call, ORDER_TIMEOUT).await;
+            metrics.count_minion_call("start", order_answer_name(&answer));
             Some(SidecarEvent::StartAnswered(call.call, answer, clock_ms))
         }
         SidecarAction::Stop(call) => {
             let _place = places.acquire().await.ok()?;
             let (answer, clock_ms) = minion.stop(&call, ORDER_TIMEOUT).await;
+            metrics.count_minion_call("stop", order_answer_name(&answer));
             Some(SidecarEvent::StopAnswered(call.call, answer, clock_ms))
         }
         SidecarAction::Hold(call) => {
             let answer = minion.hold(&call, HOLD_TIMEOUT).await;
+            let name = if answer.is_some() { "accepted" } else { "none" };
+            metrics.count_minion_call("hold", name);
             Some(SidecarEvent::HoldAnswered(call.call, answer))
         }
         SidecarAction::Send(..) => None,
--- a/knapweedrill_daemon/src/dispatch/store.rs
+++ b/knapweedrill_daemon/src/dispatch/store.rs
@@ -6,6 +6,8 @@
 
 use knapweedrill_platform::{Record, StoreClient, StoreFailure};
 
+use super::metrics::Metrics;
+
 /// The topic in which entries tell where they are, by the names of their machines.
 pub(super) const ENTRIES_TOPIC: &str = "keyed.knapweedrill-entries";
 
@@ -14,13 +16,16 @@
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
 /// Reads a topic for ever, and calls `on_record` for the newest record of each key and then for
-/// each new one. `wait` is how long the store may let a call wait for news.
+/// each new one. `wait` is how long the store may let a call wait for news; the metrics tell whether
+/// it answers.
 pub(super) async fn follow(
     store: Arc<StoreClient>,
     topic: &'static str,
     wait: Duration,
+    metrics: Metrics,
     on_record: impl Fn(Record),
 ) {
+    let level = format!("store_reachable:{topic}");
     let mut pause = Backoff::new();
     let mut next = None;
     loop {
@@ -28,6 +33,8 @@
             None => store.newest(topic).await,
             Some(from) => store.read(topic, from, wait).await,
         };
+        let is_reached = matches!(page, Ok(_) | Err(StoreFailure::Gone));
+        metrics.set_level(&level, u64::from(is_reached));
         match page {
             Ok(page) => {
                 pause.succeeded(topic);
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -667,8 +667,10 @@
                 SidecarAction::Send(..) => panic!("messages are sent by the endpoint"),
             }
         }
-        for EntryAction::Answer { caller, answer, .. } in answers {
-            self.take_answer(index, caller, answer);
+        for action in answers {
+            if let EntryAction::Answer { caller, answer, .. } = action {
+                self.take_answer(index, caller, answer);
+            }
         }
     }
 
@@ -786,6 +788,7 @@
         self.lives[index] += 1;
         let seed = self.next_id;
         let token = self.now_ms + 1;
+        let now = self.now();
         let node = &mut self.nodes[index];
         if is_entry {
             let settings = EntrySettings {
@@ -793,7 +796,7 @@
                 ..EntrySettings::default()
             };
             let mut entry = Entry::new(settings, sessions);
-            entry.configure(configuration(), "test");
+            entry.configure(configuration(), "test", now);
             node.entry = Some(entry);
         } else {
             let sidecar = Sidecar::new(SidecarSettings::default(), token);
