feat(lab): a fault soak of real processes, by seed

Real entries and sidecars behind proxies of their own (callers, datagrams, store, minion) and the stand-ins of the platform. A seed draws some thirty faults of 21 kinds that overlap and come in series: kill, planned stop, freeze, datagrams lost, cut or cut one way, connections reset, silent or silent one way, slow, a store that is busy or silent or compacted, minions that lose orders, fail or keep silent, configurations. Checked while it runs and after: no two runs of a task at the same time, a refused job has not begun, a completed job is whole, no process ends by itself; then, in a calm part, recovery, a configuration in force within 2 s, nothing begun on a minion that leaves, no request cut by a planned stop. The wall clock is not disturbed: the system uses it for the first fencing token only. Tests: soak (8 s, one seed), soak_checks (each check with a history that breaks it), the proxies' new faults.

--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod minion;
 mod slopes;
 mod slots_demo;
+mod soak;
 mod termination;
 
 use std::process::ExitCode;
@@ -22,6 +23,9 @@
       runs one failure case, or all of them, and checks what was observed
   demo [--seconds N] [--seed N] [--json]
       runs a site of the platform on this machine, with faults, and checks its promises
+  soak [--seed N] [--seeds N] [--seconds N] [--entries N] [--minions N] [--callers N]
+      runs sites of the platform under faults that the seed decides, one seed after the
+      other, and checks the promises meanwhile; logs of failed seeds are in target/soak
   slots-demo [--seconds N] [--seed N] [--json]
       runs a whole system with tokens and slots on this machine and checks its promises
   daemon --settings FILE [--check]
@@ -57,6 +61,7 @@
     };
     match name.to_str() {
         Some("demo") => demo::run(parser),
+        Some("soak") => soak::run(parser),
         Some("slots-demo") => slots_demo::run(parser),
         Some("daemon") => Ok(knapweedrill_daemon::command::main(parser.raw_args()?)),
         Some("cli") => Ok(knapweedrill_cli::command::main(parser.raw_args()?).into()),
--- a/knapweedrill_lab/src/harness/mod.rs
+++ b/knapweedrill_lab/src/harness/mod.rs
@@ -15,6 +15,7 @@
 mod minion_node;
 mod platform_site;
 mod scratch_directory;
+mod site_proxies;
 mod wait;
 
 pub use address_plan::{
@@ -34,4 +35,5 @@
 pub use minion_node::MinionNode;
 pub use platform_site::{HOST, PlatformSite, SiteAnswer};
 pub use scratch_directory::ScratchDirectory;
+pub use site_proxies::{EntryProxies, SidecarProxies};
 pub use wait::wait_until;
--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -11,7 +11,9 @@
 use knapweedrill_wire::{HttpCall, HttpClient};
 use serde_json::{Value, json};
 
-use super::{ChildProcess, ScratchDirectory, find_binary, wait_until};
+use super::{
+    ChildProcess, EntryProxies, ScratchDirectory, SidecarProxies, find_binary, wait_until,
+};
 use crate::stand_in::platform::{MinionServer, QueuePlan, Store, configuration_text};
 
 /// The ports of a process; each process has a loopback address of its own.
@@ -45,6 +47,9 @@
     pub minions: Vec<MinionServer>,
     entries: Vec<Option<ChildProcess>>,
     sidecars: Vec<Option<ChildProcess>>,
+    /// The proxies in front of the entries; none if the processes talk directly.
+    entry_proxies: Vec<EntryProxies>,
+    sidecar_proxies: Vec<SidecarProxies>,
     site: (u8, u8),
     directory: ScratchDirectory,
 }
@@ -67,6 +72,51 @@
     ///
     /// Returns an error if a process can't be started.
     pub fn start(entry_count: u8, minion_count: u8) -> Result<Self> {
+        let mut site = Self::create(entry_count, minion_count)?;
+        site.start_processes()?;
+        Ok(site)
+    }
+
+    /// Starts a site whose processes talk through proxies to callers, the store, their minions and
+    /// each other. `seed` decides what goes wrong with datagrams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process or proxy can't be started.
+    pub fn start_behind_proxies(entry_count: u8, minion_count: u8, seed: u64) -> Result<Self> {
+        let mut site = Self::create(entry_count, minion_count)?;
+        let store = site.store.address();
+        for index in 0..entry_count {
+            let machine = ip(site.site, entry_host(index));
+            let callers = SocketAddr::new(machine, CALLERS_PORT);
+            let datagrams = SocketAddr::new(machine, INTERNAL_PORTS.0);
+            let seed = seed << 8 | u64::from(index);
+            let proxies = EntryProxies::start(machine, callers, datagrams, store, seed)?;
+            let told = proxies.datagrams.address().to_string();
+            site.store.set_alias(&datagrams.to_string(), &told);
+            site.entry_proxies.push(proxies);
+        }
+        for (index, minion) in (0..).zip(&site.minions) {
+            let machine = ip(site.site, sidecar_host(index));
+            let proxies = SidecarProxies::start(machine, minion.address(), store)?;
+            site.sidecar_proxies.push(proxies);
+        }
+        site.start_processes()?;
+        Ok(site)
+    }
+
+    fn start_processes(&mut self) -> Result<()> {
+        for index in (0..).take(self.entries.len()) {
+            self.start_entry(index)?;
+        }
+        for index in (0..).take(self.sidecars.len()) {
+            self.start_sidecar(index)?;
+        }
+        Ok(())
+    }
+
+    /// Creates the stand-ins of a site.
+    fn create(entry_count: u8, minion_count: u8) -> Result<Self> {
         let number = SITE_COUNT.fetch_add(1, Ordering::Relaxed);
         let process = u8::try_from(std::process::id() % 200).unwrap_or(0) + 20;
         let site = (process, number);
@@ -83,21 +133,38 @@
             let sidecar = SocketAddr::new(machine, REGISTRATION_PORT);
             MinionServer::start(listen, sidecar, SERVICE, capacity, epoch)
         });
-        let mut site = Self {
+        Ok(Self {
             store,
             minions: minions.collect::<std::io::Result<_>>()?,
             entries: (0..entry_count).map(|_| None).collect(),
             sidecars: (0..minion_count).map(|_| None).collect(),
+            entry_proxies: Vec::new(),
+            sidecar_proxies: Vec::new(),
             site,
             directory: ScratchDirectory::create()?,
-        };
-        for index in 0..entry_count {
-            site.start_entry(index)?;
-        }
-        for index in 0..minion_count {
-            site.start_sidecar(index)?;
-        }
-        Ok(site)
+        })
+    }
+
+    /// Returns the proxies in front of an entry.
+    pub fn entry_proxies(&self, entry: usize) -> Option<&EntryProxies> {
+        self.entry_proxies.get(entry)
+    }
+
+    /// Returns the proxies of a sidecar.
+    pub fn sidecar_proxies(&self, sidecar: usize) -> Option<&SidecarProxies> {
+        self.sidecar_proxies.get(sidecar)
+    }
+
+    /// Returns where callers reach an entry.
+    pub fn callers_address(&self, entry: usize) -> SocketAddr {
+        let direct = SocketAddr::new(self.entry_ip(entry), CALLERS_PORT);
+        let proxies = self.entry_proxies.get(entry);
+        proxies.map_or(direct, |proxies| proxies.callers.address())
+    }
+
+    /// Returns the folder with what the processes have written.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
     }
 
     /// Writes a configuration with three queues of unlike urgency, and waits until it is in force
@@ -183,7 +250,9 @@
             "Control": SocketAddr::new(machine, REGISTRATION_PORT).to_string(),
         });
         let name = format!("entry-{index}");
-        let process = self.start_process(&name, "entry", machine, &listen, "")?;
+        let proxies = self.entry_proxies.get(usize::from(index));
+        let store = proxies.map(|proxies| proxies.store.address());
+        let process = self.start_process(&name, "entry", machine, &listen, "", store)?;
         self.entries[usize::from(index)] = Some(process);
         Ok(())
     }
@@ -196,10 +265,13 @@
     pub fn start_sidecar(&mut self, index: u8) -> Result<()> {
         let machine = ip(self.site, sidecar_host(index));
         let listen = json!({"Control": SocketAddr::new(machine, REGISTRATION_PORT).to_string()});
-        let minion = SocketAddr::new(machine, MINION_PORT);
+        let proxies = self.sidecar_proxies.get(usize::from(index));
+        let direct = SocketAddr::new(machine, MINION_PORT);
+        let minion = proxies.map_or(direct, |proxies| proxies.minion.address());
+        let store = proxies.map(|proxies| proxies.store.address());
         let own = format!("app = \"{minion}\"\nService = \"{SERVICE}\"\n");
         let name = format!("sidecar-{index}");
-        let process = self.start_process(&name, "sidecar", machine, &listen, &own)?;
+        let process = self.start_process(&name, "sidecar", machine, &listen, &own, store)?;
         self.sidecars[usize::from(index)] = Some(process);
         Ok(())
     }
@@ -242,7 +314,7 @@
         body: &Value,
         patience: Duration,
     ) -> Result<SiteAnswer> {
-        let address = SocketAddr::new(self.entry_ip(entry), CALLERS_PORT);
+        let address = self.callers_address(entry);
         let call = HttpCall {
             method: Method::POST,
             path: path.to_owned(),
@@ -296,6 +368,7 @@
         machine: IpAddr,
         listen: &Value,
         own: &str,
+        store: Option<SocketAddr>,
     ) -> Result<ChildProcess> {
         let (first, last) = INTERNAL_PORTS;
         let listen: String = listen
@@ -304,7 +377,7 @@
             .flatten()
             .map(|(key, value)| format!("{key} = {value}\n"))
             .collect();
-        let store = self.store.address();
+        let store = store.unwrap_or_else(|| self.store.address());
         let settings = format!(
             "NodeName = \"{name}\"\nIp = \"{machine}\"\nZone = \"zone-a\"\n\
              InternalPorts = [{first},{last}]\nSeeds = []\n{own}\
--- /dev/null
+++ b/knapweedrill_lab/src/harness/site_proxies.rs
@@ -0,0 +1,63 @@
+//! The proxies between the processes of a site of the platform.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+
+use crate::stand_in::cutting_proxy::{DatagramProxy, StreamProxy};
+
+/// The ports of the proxies of a process, on the address of the process.
+const CALLERS_PORT: u16 = 28_260;
+const STORE_PORT: u16 = 28_261;
+const MINION_PORT: u16 = 28_262;
+const DATAGRAMS_PORT: u16 = 28_263;
+
+/// The proxies in front of an entry.
+#[derive(Debug)]
+pub struct EntryProxies {
+    /// Between callers and the entry.
+    pub callers: StreamProxy,
+    /// Between the entry and all processes that greet it.
+    pub datagrams: DatagramProxy,
+    /// Between the entry and the store.
+    pub store: StreamProxy,
+}
+
+/// The proxies of a sidecar.
+#[derive(Debug)]
+pub struct SidecarProxies {
+    /// Between the sidecar and its minion.
+    pub minion: StreamProxy,
+    /// Between the sidecar and the store.
+    pub store: StreamProxy,
+}
+
+impl EntryProxies {
+    pub(super) fn start(
+        machine: IpAddr,
+        callers: SocketAddr,
+        datagrams: SocketAddr,
+        store: SocketAddr,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let listen = |port| SocketAddr::new(machine, port);
+        Ok(Self {
+            callers: StreamProxy::start(listen(CALLERS_PORT), callers)?,
+            datagrams: DatagramProxy::start(listen(DATAGRAMS_PORT), datagrams, seed)?,
+            store: StreamProxy::start(listen(STORE_PORT), store)?,
+        })
+    }
+}
+
+impl SidecarProxies {
+    pub(super) fn start(
+        machine: IpAddr,
+        minion: SocketAddr,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
+        let listen = |port| SocketAddr::new(machine, port);
+        Ok(Self {
+            minion: StreamProxy::start(listen(MINION_PORT), minion)?,
+            store: StreamProxy::start(listen(STORE_PORT), store)?,
+        })
+    }
+}
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod load;
 pub mod slopes;
 pub mod slots_demo;
+pub mod soak;
 pub mod stand_in;
 pub mod wall_clock;
--- /dev/null
+++ b/knapweedrill_lab/src/soak/apply.rs
@@ -0,0 +1,187 @@
+//! Brings faults in from outside, and takes them away.
+
+use std::sync::atomic::Ordering;
+
+use eyre::Result;
+
+use super::run::{STOP_TIMEOUT, Soak};
+use super::trouble::{SLOW, Target, Trouble};
+use crate::harness::ChildProcess;
+use crate::stand_in::cutting_proxy::{DatagramFaults, StreamProxy};
+use crate::stand_in::platform::{MinionFaults, StoreFault};
+
+impl Soak<'_> {
+    /// Brings in a fault; returns whether it could come.
+    pub(super) fn begin(&mut self, trouble: Trouble) -> Result<bool> {
+        match trouble {
+            Trouble::Kill(target) | Trouble::Stop(target) | Trouble::Freeze(target) => {
+                if !self.down.insert(target) {
+                    return Ok(false);
+                }
+                if let Target::Entry(index) = target {
+                    self.callers.are_ready[usize::from(index)].store(false, Ordering::Relaxed);
+                }
+                let Some(process) = self.process(target) else {
+                    return Ok(false);
+                };
+                match trouble {
+                    Trouble::Kill(_) => process.kill()?,
+                    Trouble::Stop(_) => process.terminate()?,
+                    _ => process.freeze()?,
+                }
+            }
+            Trouble::DisturbDatagrams(entry) => {
+                let faults = DatagramFaults::new()
+                    .drop_percent(15)
+                    .duplicate_percent(10)
+                    .reorder(20, SLOW);
+                self.set_datagrams(entry, faults);
+            }
+            Trouble::CutDatagrams(entry) => {
+                self.set_datagrams(entry, DatagramFaults::new().drop_percent(100));
+            }
+            Trouble::CutDatagramsOneWay(entry) => {
+                self.set_datagrams(entry, DatagramFaults::new().swallow_clients());
+            }
+            Trouble::SilenceStore(target) => self.with_store(target, StreamProxy::silence),
+            Trouble::CutStore(target) => self.with_store(target, StreamProxy::cut),
+            Trouble::StoreBusy => self.site.store.set_fault(StoreFault::Busy),
+            Trouble::StoreSilent => self.site.store.set_fault(StoreFault::Silent),
+            Trouble::CompactStore => self.site.store.compact("keyed.op"),
+            Trouble::LoseOrders(minion) => self.set_minion(
+                minion,
+                MinionFaults {
+                    late_permille: 100,
+                    unanswered_permille: 150,
+                    ..MinionFaults::default()
+                },
+            ),
+            Trouble::FailTasks(minion) => self.set_minion(
+                minion,
+                MinionFaults {
+                    failed_permille: 700,
+                    ..MinionFaults::default()
+                },
+            ),
+            Trouble::MuteMinion(minion) => self.set_minion(
+                minion,
+                MinionFaults {
+                    is_mute: true,
+                    ..MinionFaults::default()
+                },
+            ),
+            Trouble::SilenceMinion(minion) => self.with_minion(minion, StreamProxy::silence),
+            Trouble::SilenceMinionOneWay(minion) => {
+                self.with_minion(minion, StreamProxy::silence_one_way);
+            }
+            Trouble::CutMinion(minion) => self.with_minion(minion, StreamProxy::cut),
+            Trouble::SlowMinion(minion) => self.with_minion(minion, |proxy| proxy.delay(SLOW)),
+            Trouble::CutCallers(entry) => self.with_callers(entry, StreamProxy::cut),
+            Trouble::SilenceCallers(entry) => self.with_callers(entry, StreamProxy::silence),
+            Trouble::Configure => {
+                self.version += 3;
+                let route = format!("/route-{}/", self.version);
+                let prefixes = ["/urgent/", "/normal/", "/bulk/", &route];
+                self.site.write_configuration(self.version, &prefixes);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Takes a fault away.
+    pub(super) fn end(&mut self, trouble: Trouble) -> Result<()> {
+        match trouble {
+            Trouble::Kill(target) | Trouble::Stop(target) => {
+                if let Some(process) = self.process(target) {
+                    // The grace of a planned stop may not be over yet.
+                    process.wait_exit(STOP_TIMEOUT)?;
+                }
+                self.start(target)?;
+                self.down.remove(&target);
+            }
+            Trouble::Freeze(target) => {
+                if let Some(process) = self.process(target) {
+                    process.thaw()?;
+                }
+                self.down.remove(&target);
+            }
+            Trouble::DisturbDatagrams(entry)
+            | Trouble::CutDatagrams(entry)
+            | Trouble::CutDatagramsOneWay(entry) => {
+                self.set_datagrams(entry, DatagramFaults::new());
+            }
+            Trouble::SilenceStore(target) | Trouble::CutStore(target) => {
+                self.with_store(target, StreamProxy::pass);
+            }
+            Trouble::StoreBusy | Trouble::StoreSilent => {
+                self.site.store.set_fault(StoreFault::None);
+            }
+            Trouble::LoseOrders(minion)
+            | Trouble::FailTasks(minion)
+            | Trouble::MuteMinion(minion) => self.set_minion(minion, MinionFaults::default()),
+            Trouble::SilenceMinion(minion)
+            | Trouble::SilenceMinionOneWay(minion)
+            | Trouble::CutMinion(minion)
+            | Trouble::SlowMinion(minion) => self.with_minion(minion, StreamProxy::pass),
+            Trouble::CutCallers(entry) | Trouble::SilenceCallers(entry) => {
+                self.with_callers(entry, StreamProxy::pass);
+            }
+            Trouble::CompactStore | Trouble::Configure => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn start(&mut self, target: Target) -> Result<()> {
+        match target {
+            Target::Entry(index) => self.site.start_entry(index),
+            Target::Sidecar(index) => self.site.start_sidecar(index),
+        }
+    }
+
+    pub(super) fn process(&mut self, target: Target) -> Option<&mut ChildProcess> {
+        match target {
+            Target::Entry(index) => self.site.entry_mut(usize::from(index)),
+            Target::Sidecar(index) => self.site.sidecar_mut(usize::from(index)),
+        }
+    }
+
+    fn set_datagrams(&self, entry: u8, faults: DatagramFaults) {
+        if let Some(proxies) = self.site.entry_proxies(usize::from(entry)) {
+            proxies.datagrams.set_faults(faults);
+        }
+    }
+
+    fn set_minion(&self, minion: u8, faults: MinionFaults) {
+        self.site.minions[usize::from(minion)].set_faults(faults);
+    }
+
+    fn with_store(&self, target: Target, change: impl Fn(&StreamProxy)) {
+        let proxy = match target {
+            Target::Entry(index) => self
+                .site
+                .entry_proxies(usize::from(index))
+                .map(|proxies| &proxies.store),
+            Target::Sidecar(index) => self
+                .site
+                .sidecar_proxies(usize::from(index))
+                .map(|proxies| &proxies.store),
+        };
+        proxy.into_iter().for_each(change);
+    }
+
+    fn with_minion(&self, minion: u8, change: impl Fn(&StreamProxy)) {
+        let proxies = self.site.sidecar_proxies(usize::from(minion));
+        proxies
+            .map(|proxies| &proxies.minion)
+            .into_iter()
+            .for_each(change);
+    }
+
+    pub(super) fn with_callers(&self, entry: u8, change: impl Fn(&StreamProxy)) {
+        let proxies = self.site.entry_proxies(usize::from(entry));
+        proxies
+            .map(|proxies| &proxies.callers)
+            .into_iter()
+            .for_each(change);
+    }
+}
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/connection.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/connection.rs
@@ -17,6 +17,8 @@
     Passing(Duration),
     /// Bytes are swallowed, and neither end learns that the other closes.
     Silent,
+    /// Bytes of the client are swallowed, those of the server pass.
+    OneWay,
     /// Bytes wait until the connection passes again.
     Held,
     /// The connection is closed.
@@ -44,8 +46,8 @@
         });
         let there = Arc::clone(&connection);
         let back = Arc::clone(&connection);
-        thread::spawn(move || there.pump(&there.client, &there.server));
-        thread::spawn(move || back.pump(&back.server, &back.client));
+        thread::spawn(move || there.pump(&there.client, &there.server, true));
+        thread::spawn(move || back.pump(&back.server, &back.client, false));
         connection
     }
 
@@ -53,10 +55,14 @@
         *self.state.lock().expect("no holder of the lock panics")
     }
 
-    /// Changes the state; a silent or closed connection stays as it is.
+    /// Changes the state; a silent, half silent or closed connection stays as it is.
     pub(super) fn set_state(&self, next: ConnectionState) {
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        if !matches!(*state, ConnectionState::Silent | ConnectionState::Closed) {
+        let is_for_good = matches!(
+            *state,
+            ConnectionState::Silent | ConnectionState::OneWay | ConnectionState::Closed
+        );
+        if !is_for_good {
             *state = next;
         }
     }
@@ -69,11 +75,11 @@
         let _ = self.server.shutdown(Shutdown::Both);
     }
 
-    fn pump(&self, mut from: &TcpStream, mut to: &TcpStream) {
+    fn pump(&self, mut from: &TcpStream, mut to: &TcpStream, is_from_client: bool) {
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             let read = from.read(&mut chunk);
-            let may_pass = self.wait_until_decided();
+            let may_pass = self.wait_until_decided(is_from_client);
             match read {
                 Ok(0) | Err(_) if may_pass => break,
                 Ok(0) | Err(_) => return,
@@ -89,13 +95,14 @@
     }
 
     /// Waits out the delay or the hold, and returns whether what was read passes.
-    fn wait_until_decided(&self) -> bool {
+    fn wait_until_decided(&self, is_from_client: bool) -> bool {
         loop {
             match self.state() {
                 ConnectionState::Passing(delay) => {
                     thread::sleep(delay);
                     return true;
                 }
+                ConnectionState::OneWay => return !is_from_client,
                 ConnectionState::Held => thread::sleep(HOLD_POLL),
                 ConnectionState::Silent | ConnectionState::Closed => return false,
             }
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_faults.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_faults.rs
@@ -6,6 +6,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct DatagramFaults {
     pub(super) drop_percent: u8,
+    pub(super) swallows_clients: bool,
     pub(super) duplicate_percent: u8,
     pub(super) reorder_percent: u8,
     pub(super) delay: Duration,
@@ -24,6 +25,12 @@
         self
     }
 
+    /// Drops all that clients send, and none of the answers.
+    pub fn swallow_clients(mut self) -> Self {
+        self.swallows_clients = true;
+        self
+    }
+
     /// Sets how many datagrams in a hundred arrive twice.
     pub fn duplicate_percent(mut self, percent: u8) -> Self {
         self.duplicate_percent = percent;
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
@@ -118,7 +118,8 @@
         to: SocketAddr,
         bytes: &[u8],
     ) {
-        let delays = self.lock_fate().draw_delays();
+        let is_from_client = to == self.target;
+        let delays = self.lock_fate().draw_delays(is_from_client);
         if delays.is_empty() {
             self.dropped_count.fetch_add(1, Ordering::Relaxed);
         }
@@ -137,9 +138,9 @@
 
 impl Fate {
     /// Draws the delay of each copy of a datagram; there is none if it is dropped.
-    fn draw_delays(&mut self) -> Vec<Duration> {
+    fn draw_delays(&mut self, is_from_client: bool) -> Vec<Duration> {
         let faults = self.faults;
-        if self.draw(faults.drop_percent) {
+        if (is_from_client && faults.swallows_clients) || self.draw(faults.drop_percent) {
             return Vec::new();
         }
         let copies = 1 + usize::from(self.draw(faults.duplicate_percent));
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/stream_proxy.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/stream_proxy.rs
@@ -92,6 +92,12 @@
         self.shared.lock().set_states(ConnectionState::Silent);
     }
 
+    /// Swallows for good what clients send over the present connections; answers pass, and new
+    /// connections work.
+    pub fn silence_one_way(&self) {
+        self.shared.lock().set_states(ConnectionState::OneWay);
+    }
+
     /// Holds back what comes over the present connections until [`Self::pass`] or
     /// [`Self::delay`]; new ones work.
     pub fn hold(&self) {
--- a/knapweedrill_lab/src/stand_in/platform/store.rs
+++ b/knapweedrill_lab/src/stand_in/platform/store.rs
@@ -56,6 +56,8 @@
 struct State {
     topics: HashMap<String, Topic>,
     fault: StoreFault,
+    /// Values that are stored in place of others.
+    aliases: HashMap<Vec<u8>, Vec<u8>>,
     parked: Vec<Parked>,
     silent: Vec<Request>,
     call_count: u64,
@@ -102,6 +104,13 @@
         state.silent.clear();
     }
 
+    /// Stores another value whenever a process appends a certain one, such as the address of a proxy
+    /// in place of that of a process.
+    pub fn set_alias(&self, value: &str, stored: &str) {
+        let alias = (value.as_bytes().to_vec(), stored.as_bytes().to_vec());
+        lock(&self.state).aliases.extend([alias]);
+    }
+
     /// Adds a record as the operator does, whatever is wrong for the system.
     pub fn write(&self, topic: &str, key: &str, value: &[u8]) {
         let mut content = vec![u8::try_from(key.len()).expect("keys are short")];
@@ -175,6 +184,7 @@
     if topic == "keyed.op" || topic == "keyed.servers" {
         return respond_text(request, 403, "");
     }
+    let aliases = &state.aliases;
     let records = &mut state.topics.entry(topic).or_default().records;
     let offset = records.len();
     let mut rest = body;
@@ -184,13 +194,22 @@
             records.truncate(offset);
             return respond_text(request, 400, "a record is cut off");
         };
-        records.push(record.to_vec());
+        records.push(with_alias(record, aliases));
         rest = &content[length..];
     }
     let end = records.len();
     respond_json(request, 200, &json!({"Offset": offset, "End": end}));
 }
 
+fn with_alias(record: &[u8], aliases: &HashMap<Vec<u8>, Vec<u8>>) -> Vec<u8> {
+    let alias = split(record).and_then(|(_, value)| Some((value, aliases.get(value)?)));
+    let Some((value, stored)) = alias else {
+        return record.to_vec();
+    };
+    let head = &record[..record.len() - value.len()];
+    [head, stored].concat()
+}
+
 fn newest(state: &mut State, request: Request, topic: &str) {
     let topic = state.topics.entry(topic.into()).or_default();
     let mut newest: HashMap<&str, (usize, &[u8])> = HashMap::new();
--- a/knapweedrill_lab/tests/stand_in_cutting_proxy.rs
+++ b/knapweedrill_lab/tests/stand_in_cutting_proxy.rs
@@ -92,6 +92,18 @@
     assert_eq!(exchange(&mut connect(&proxy), 3).expect("it passes"), 3);
 }
 
+#[test]
+fn a_connection_that_is_silent_one_way_swallows_requests_only() {
+    let proxy = start_proxy();
+    let mut stream = connect(&proxy);
+    assert_eq!(exchange(&mut stream, 1).unwrap(), 1);
+    stream.write_all(&[2]).unwrap();
+    assert_eq!(receive(&mut stream).unwrap(), 2, "sent before the silence");
+    proxy.silence_one_way();
+    assert!(is_timeout(&exchange(&mut stream, 3).unwrap_err()));
+    assert_eq!(exchange(&mut connect(&proxy), 4).unwrap(), 4);
+}
+
 #[test]
 fn held_bytes_arrive_late() {
     let proxy = start_proxy();
@@ -177,6 +189,7 @@
 }
 
 #[test_case(DatagramFaults::new().drop_percent(100), &[]; "dropped")]
+#[test_case(DatagramFaults::new().swallow_clients(), &[]; "cut one way")]
 #[test_case(DatagramFaults::new().duplicate_percent(100), &[1, 1]; "duplicated")]
 fn a_datagram_arrives_as_often_as_its_fate_says(faults: DatagramFaults, expected: &[u8]) {
     let datagrams = Datagrams::start(faults);
