--- a/knapweedrill_lab/src/stand_in/platform/minion_model.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_model.rs
@@ -24,6 +24,25 @@
 }
 
 impl Running {
+    /// Returns when and how the run ends, if its lease ends at a moment.
+    fn first_end(&self, lapses_ms: u64) -> (u64, HowEnded) {
+        let done = if self.fails {
+            HowEnded::Failed
+        } else {
+            HowEnded::Done
+        };
+        let ends = [
+            (Some(lapses_ms), HowEnded::Lapsed),
+            (self.stopped_ms, HowEnded::Stopped),
+            (self.done_ms, done),
+        ];
+        let first = ends
+            .into_iter()
+            .filter_map(|(at, how)| Some((at?, how)))
+            .min_by_key(|(at, _)| *at);
+        first.unwrap_or((lapses_ms, HowEnded::Lapsed))
+    }
+
     fn percent(&self, now_ms: u64) -> u8 {
         let Some(done_ms) = self.done_ms else {
             return 0;
@@ -34,6 +53,19 @@
     }
 }
 
+/// A run that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PastRun {
+    /// The run.
+    pub run: RunKey,
+    /// When it began.
+    pub started_ms: u64,
+    /// When it ended.
+    pub ended_ms: u64,
+    /// How.
+    pub how: HowEnded,
+}
+
 /// How a minion treats a task.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
@@ -92,6 +124,11 @@
         age_ms - age_ms * self.drift_permille / 1_000
     }
 
+    /// Returns what runs, and since when.
+    pub fn running_since(&self) -> impl Iterator<Item = (RunKey, u64)> + '_ {
+        self.running.iter().map(|(key, run)| (*key, run.started_ms))
+    }
+
     /// Returns what runs.
     pub fn running(&self) -> impl Iterator<Item = RunKey> + '_ {
         self.running.keys().copied()
@@ -187,35 +224,41 @@
         }
     }
 
-    /// Lets time pass; returns the runs that ended with success.
-    pub fn advance(&mut self, now_ms: u64) -> Vec<RunKey> {
-        let has_lapsed = self.clock_ms(now_ms) >= self.lease_end_ms;
-        let mut done = Vec::new();
-        let mut over = Vec::new();
+    /// Lets time pass; returns the runs that have ended, each at the moment at which its end was due,
+    /// however late this is called.
+    pub fn advance(&mut self, now_ms: u64) -> Vec<PastRun> {
+        let lapse_ms = self.lapse_ms();
+        let mut past = Vec::new();
         for (key, run) in &self.running {
-            let is_due = |at: Option<u64>| at.is_some_and(|at| at <= now_ms);
-            if has_lapsed && run.started_ms < now_ms {
-                over.push((*key, HowEnded::Lapsed));
-            } else if is_due(run.stopped_ms) {
-                over.push((*key, HowEnded::Stopped));
-            } else if is_due(run.done_ms) && run.fails {
-                over.push((*key, HowEnded::Failed));
-            } else if is_due(run.done_ms) {
-                done.push(*key);
-                over.push((*key, HowEnded::Done));
+            let lapses_ms = lapse_ms.max(run.started_ms + 1);
+            let (ended_ms, how) = run.first_end(lapses_ms);
+            if ended_ms <= now_ms {
+                past.push(PastRun {
+                    run: *key,
+                    started_ms: run.started_ms,
+                    ended_ms,
+                    how,
+                });
             }
         }
-        for (key, how) in over {
-            self.running.remove(&key);
-            self.note_highest(key);
+        past.sort_by_key(|past| past.ended_ms);
+        for PastRun { run, how, .. } in &past {
+            self.running.remove(run);
+            self.note_highest(*run);
             self.end_count += 1;
             self.ended.push(EndedRun {
                 number: self.end_count,
-                run: key,
-                how,
+                run: *run,
+                how: *how,
             });
         }
-        done
+        past
+    }
+
+    /// Returns when the lease ends, which the minion measures on its own clock.
+    fn lapse_ms(&self) -> u64 {
+        let age_ms = (self.lease_end_ms * 1_000).div_ceil(1_000 - self.drift_permille.min(999));
+        self.born_ms - 1 + age_ms
     }
 
     fn note_highest(&mut self, key: RunKey) {
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -90,9 +90,8 @@
     parked: Vec<(Request, u64)>,
     unanswered: Vec<Request>,
     late: Vec<(u64, StartCall, Work)>,
-    /// Tasks that ran at the same time as another run of theirs, on any minion of the lab.
+    /// The runs that have ended: task, begin and end.
     run_log: Vec<(TaskName, u64, u64)>,
-    begun: Vec<(RunKey, u64)>,
 }
 
 /// A minion of the platform, until it is dropped.
@@ -124,7 +123,6 @@
             unanswered: Vec::new(),
             late: Vec::new(),
             run_log: Vec::new(),
-            begun: Vec::new(),
         }));
         let handled = Arc::clone(&state);
         let server = HttpServer::start(listen, THREAD_COUNT, move |request| {
@@ -161,14 +159,15 @@
 
     /// Returns each run so far: the task, its begin and its end in milliseconds.
     pub fn runs(&self) -> Vec<(TaskName, u64, u64)> {
-        let state = lock(&self.state);
+        let mut state = lock(&self.state);
+        state.advance();
         let now_ms = state.now_ms();
         let mut runs = state.run_log.clone();
         runs.extend(
             state
-                .begun
-                .iter()
-                .map(|(key, began)| (key.task, *began, now_ms)),
+                .model
+                .running_since()
+                .map(|(key, began)| (key.task, began, now_ms)),
         );
         runs
     }
@@ -183,7 +182,7 @@
         permille > 0 && rand::rng().random_range(0..1_000) < permille
     }
 
-    /// Lets time pass, and notes which runs have begun and ended.
+    /// Lets time pass, and notes which runs have ended.
     fn advance(&mut self) {
         let now_ms = self.now_ms();
         let (due, late) = std::mem::take(&mut self.late)
@@ -193,24 +192,11 @@
         for (_, call, work) in due {
             self.model.start(&call, work, now_ms);
         }
-        self.model.advance(now_ms);
-        self.note_runs(now_ms);
-    }
-
-    fn note_runs(&mut self, now_ms: u64) {
-        let running: Vec<_> = self.model.running().collect();
-        for (key, began) in std::mem::take(&mut self.begun) {
-            if running.contains(&key) {
-                self.begun.push((key, began));
-            } else {
-                self.run_log.push((key.task, began, now_ms));
-            }
-        }
-        for key in running {
-            if !self.begun.iter().any(|(known, _)| *known == key) {
-                self.begun.push((key, now_ms));
-            }
-        }
+        let past = self.model.advance(now_ms);
+        self.run_log.extend(
+            past.iter()
+                .map(|past| (past.run.task, past.started_ms, past.ended_ms)),
+        );
     }
 
     fn answer_parked(&mut self) {
@@ -313,7 +299,6 @@
         return;
     }
     let answer = state.model.start(&call, work, now_ms);
-    state.note_runs(now_ms);
     respond_order(state, request, &answer);
 }
 
--- a/knapweedrill_lab/src/stand_in/platform/mod.rs
+++ b/knapweedrill_lab/src/stand_in/platform/mod.rs
@@ -6,7 +6,7 @@
 mod operator;
 mod store;
 
-pub use minion_model::{MinionModel, Work};
+pub use minion_model::{MinionModel, PastRun, Work};
 pub use minion_server::{MinionFaults, MinionServer};
 pub use operator::{QueuePlan, configuration_text};
 pub use store::{Store, StoreFault};
