--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -36,6 +36,10 @@
 pub const HOST: &str = "orders.example";
 const SERVICE: &str = "desk";
 
+/// How long tasks take on the minions of a site behind proxies, in percent: one in four is more than
+/// twice as fast as the others, as on the users' sites.
+const RUN_TIMES_PERCENT: [u64; 4] = [55, 120, 120, 120];
+
 /// Numbers the sites of a process, so that their addresses differ.
 static SITE_COUNT: AtomicU8 = AtomicU8::new(1);
 
@@ -78,7 +82,7 @@
     }
 
     /// Starts a site whose processes talk through proxies to callers, the store, their minions and
-    /// each other. `seed` decides what goes wrong with datagrams.
+    /// each other. Minions differ in speed. `seed` decides what goes wrong with datagrams.
     ///
     /// # Errors
     ///
@@ -100,6 +104,7 @@
             let machine = ip(site.site, sidecar_host(index));
             let proxies = SidecarProxies::start(machine, minion.address(), store)?;
             site.sidecar_proxies.push(proxies);
+            minion.set_run_time(RUN_TIMES_PERCENT[usize::from(index) % RUN_TIMES_PERCENT.len()]);
         }
         site.start_processes()?;
         Ok(site)
--- a/knapweedrill_lab/src/soak/callers.rs
+++ b/knapweedrill_lab/src/soak/callers.rs
@@ -13,7 +13,7 @@
 use crate::harness::HOST;
 
 /// How long callers wait for an answer.
-const PATIENCE: Duration = Duration::from_millis(2_500);
+pub(super) const PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// The pause before a job without an answer is handed in again, as the platform promises.
 const RESUBMISSION: Duration = Duration::from_millis(1_300);
--- a/knapweedrill_lab/src/soak/checks.rs
+++ b/knapweedrill_lab/src/soak/checks.rs
@@ -5,7 +5,7 @@
 
 use knapweedrill::dispatch::TaskName;
 
-use super::callers::CalledJob;
+use super::callers::{Attempt, CalledJob, PATIENCE};
 
 /// The share of the jobs of the calm part that have to be completed, in percent: the load is far
 /// below what the minions can do.
@@ -52,22 +52,27 @@
         .collect();
     let mut violations: Vec<_> = calm
         .iter()
-        .filter(|job| job.attempts.iter().any(|attempt| attempt.status.is_none()))
+        .filter(|job| job.attempts.iter().any(is_cut))
         .map(|job| format!("no answer although only planned stops went on: {job:?}"))
         .collect();
-    let completed = calm
-        .iter()
-        .filter(|job| job.attempts.iter().any(|attempt| attempt.is_completed))
-        .count();
+    let is_completed_at_once =
+        |job: &&&CalledJob| job.attempts.first().is_some_and(|first| first.is_completed);
+    let completed = calm.iter().filter(is_completed_at_once).count();
     if completed * 100 < calm.len() * CALM_COMPLETED_PERCENT {
         violations.push(format!(
-            "only {completed} of {} jobs were completed after all faults",
+            "only {completed} of {} jobs were completed at the first try after all faults",
             calm.len()
         ));
     }
     violations
 }
 
+/// Returns whether a request was cut: it has no answer, and its caller would have waited longer. On a
+/// machine that is too busy a job may take longer than its caller waits.
+fn is_cut(attempt: &Attempt) -> bool {
+    attempt.status.is_none() && attempt.ended_at - attempt.sent_at < PATIENCE
+}
+
 /// Returns how long the slowest request took.
 pub(super) fn slowest(jobs: &[CalledJob]) -> Duration {
     let attempts = jobs.iter().flat_map(|job| &job.attempts);
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -85,6 +85,8 @@
 struct State {
     model: MinionModel,
     faults: MinionFaults,
+    /// How long tasks take, in percent of what they say.
+    run_time_percent: u64,
     is_draining: bool,
     began_at: Instant,
     parked: Vec<(Request, u64)>,
@@ -117,6 +119,7 @@
         let state = Arc::new(Mutex::new(State {
             model: MinionModel::new(instance, capacity, 0, millis(epoch.elapsed())),
             faults: MinionFaults::default(),
+            run_time_percent: 100,
             is_draining: false,
             began_at: epoch,
             parked: Vec::new(),
@@ -147,6 +150,11 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Sets how long tasks take from now on, in percent of what they say.
+    pub fn set_run_time(&self, percent: u64) {
+        lock(&self.state).run_time_percent = percent;
+    }
+
     /// Says in heartbeats that the minion is about to leave.
     pub fn drain(&self) {
         lock(&self.state).is_draining = true;
@@ -272,7 +280,7 @@
         return respond_text(request, 400, "");
     };
     let work = Work {
-        run_ms: spec.run_ms,
+        run_ms: spec.run_ms * state.run_time_percent / 100,
         room: Room {
             cpu_millicores: spec.cpu,
             memory_mib: spec.memory,
--- a/knapweedrill_lab/tests/soak_checks.rs
+++ b/knapweedrill_lab/tests/soak_checks.rs
@@ -82,6 +82,28 @@
     assert_eq!(check_calm(&jobs, calm_since + 2 * SECOND).len(), 0);
 }
 
+#[test]
+fn callers_that_wait_in_vain_are_found_unless_they_are_few() {
+    let calm_since = Instant::now();
+    let history = |waiting_count: u64| -> Vec<_> {
+        (0..40)
+            .map(|name| {
+                let mut first = attempt(calm_since + SECOND, Some(200));
+                if name < waiting_count {
+                    first = attempt(calm_since + SECOND, None);
+                    first.ended_at = first.sent_at + 3 * SECOND;
+                }
+                job(
+                    name,
+                    vec![first, attempt(calm_since + 5 * SECOND, Some(200))],
+                )
+            })
+            .collect()
+    };
+    assert_eq!(check_calm(&history(2), calm_since), Vec::<String>::new());
+    assert_eq!(check_calm(&history(3), calm_since).len(), 1);
+}
+
 #[test]
 fn a_system_that_does_not_recover_is_found() {
     let calm_since = Instant::now();
