--- a/knapweedrill_lab/src/soak/callers.rs
+++ b/knapweedrill_lab/src/soak/callers.rs
@@ -49,6 +49,13 @@
     pub attempts: Vec<Attempt>,
 }
 
+impl CalledJob {
+    /// Returns whether any answer says that all tasks have ended with success.
+    pub fn is_completed(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.is_completed)
+    }
+}
+
 /// What the callers of a soak share.
 #[derive(Debug)]
 pub(super) struct CallerPlan {
--- a/knapweedrill_lab/src/soak/checks.rs
+++ b/knapweedrill_lab/src/soak/checks.rs
@@ -28,11 +28,10 @@
                 .attempts
                 .iter()
                 .all(|attempt| is_refused(attempt.status));
-            let is_completed = job.attempts.iter().any(|attempt| attempt.is_completed);
             if all_refused && begun > 0 {
                 return Some(format!("refused, but {begun} tasks began: {job:?}"));
             }
-            if is_completed && begun < job.task_count as usize {
+            if job.is_completed() && begun < job.task_count as usize {
                 return Some(format!("completed, but only {begun} tasks began: {job:?}"));
             }
             None
--- a/knapweedrill_lab/src/soak/run.rs
+++ b/knapweedrill_lab/src/soak/run.rs
@@ -8,7 +8,7 @@
 
 use eyre::{Result, WrapErr};
 
-use super::callers::{CalledJob, CallerPlan, call_until_over};
+use super::callers::{CallerPlan, call_until_over};
 use super::checks::{check_answers, check_calm, slowest};
 use super::plan::{self, Step};
 use super::trouble::Target;
@@ -94,8 +94,7 @@
     report.violations.sort();
     report.violations.dedup();
     report.job_count = jobs.len();
-    let is_completed = |job: &&CalledJob| job.attempts.iter().any(|attempt| attempt.is_completed);
-    report.completed_count = jobs.iter().filter(is_completed).count();
+    report.completed_count = jobs.iter().filter(|job| job.is_completed()).count();
     report.run_count = runs.len();
     if !report.is_passed() {
         report
--- a/knapweedrill_lab/tests/stand_in_minion_model.rs
+++ b/knapweedrill_lab/tests/stand_in_minion_model.rs
@@ -29,22 +29,27 @@
         accelerator_count: 0,
     };
     let mut minion = MinionModel::new("minion".into(), capacity, drift_permille, 0);
+    start(&mut minion, 0, 300, 0);
+    minion
+}
+
+/// Starts a run under a lease that ends 500 ms after the minion's birth.
+fn start(minion: &mut MinionModel, index: u32, run_ms: u64, now_ms: u64) {
     let call = StartCall {
         call: 1,
-        run: run(0),
+        run: run(index),
         spec: String::new(),
         lease_end_ms: 500,
         fencing_token: 1,
         instance: "minion".into(),
     };
     let work = Work {
-        run_ms: 300,
+        run_ms,
         room: ROOM,
         fails: false,
         hangs: false,
     };
-    assert_eq!(minion.start(&call, work, 0), OrderAnswer::Accepted);
-    minion
+    assert_eq!(minion.start(&call, work, now_ms), OrderAnswer::Accepted);
 }
 
 /// A machine that stands still looks at its runs late; they ended when they were due all the same.
@@ -59,21 +64,7 @@
 #[test]
 fn a_run_without_a_lease_lapses_when_the_lease_was_over() {
     let mut minion = minion_with_a_run(0);
-    let call = StartCall {
-        call: 2,
-        run: run(1),
-        spec: String::new(),
-        lease_end_ms: 500,
-        fencing_token: 1,
-        instance: "minion".into(),
-    };
-    let work = Work {
-        run_ms: 900,
-        room: ROOM,
-        fails: false,
-        hangs: false,
-    };
-    assert_eq!(minion.start(&call, work, 10), OrderAnswer::Accepted);
+    start(&mut minion, 1, 900, 10);
     let past = minion.advance(2_600);
     let last = past.last().expect("both have ended");
     assert_eq!((last.ended_ms, last.how), (500, HowEnded::Lapsed));
