--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -7,10 +7,8 @@
 pub struct Admission {
     /// The work that comes before the job, in thousandths of a core times milliseconds.
     pub work_before: u64,
-    /// The processor of the fleet, in thousandths of a core.
-    pub cpu_millicores: u64,
-    /// How many entries share the fleet, this one included.
-    pub entry_count: u64,
+    /// The share of the minions' processor that this entry can count on, in thousandths of a core.
+    pub share_millicores: u64,
     /// How long the job can wait and still keep its objective.
     pub slack: Duration,
 }
@@ -18,8 +16,7 @@
 impl Admission {
     /// Returns how long the job is going to wait for room.
     pub fn wait(&self) -> Duration {
-        let share = (self.cpu_millicores / self.entry_count.max(1)).max(1);
-        Duration::from_millis(self.work_before / share)
+        Duration::from_millis(self.work_before / self.share_millicores.max(1))
     }
 
     /// Returns whether the job is taken.
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -1,27 +1,27 @@
 //! The state of an entry.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use super::admission::Admission;
 use super::answer::{Answer, CallerId, RefusedBecause};
 use super::answered::Answered;
-use super::configuration_exchange::ConfigurationExchange;
+use super::directory::{Directory, Source};
 use super::doubts::Doubts;
 use super::fleet::{Fleet, Wanted};
+use super::gossip::{Gossip, Knowledge};
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
-use super::peers::Peers;
 use super::placement::{Placement, stop_all};
+use super::reach::Reach;
 use super::{EntrySettings, Submission};
-use crate::common::Incarnation;
-use crate::dispatch::JobName;
+use crate::common::{Incarnation, ServiceName};
 use crate::dispatch::configuration::{Configuration, Version};
-use crate::dispatch::message::{
-    EntryStatus, Message, PlacementOutcome, Role, RunEnd, Status, TaskReport,
-};
+use crate::dispatch::message::{Message, PlacementOutcome, RunEnd, TaskReport};
 use crate::dispatch::session::{Envelope, SessionEvent, Sessions};
 use crate::dispatch::units::millis;
+use crate::dispatch::{JobName, Notice, Packet, Place};
 
 /// The pause that refused callers are asked for: long enough for a burst to drain, spread by
 /// the name of the job so that they do not all return at once.
@@ -58,10 +58,12 @@
     configuration: Option<Configuration>,
     /// When the configuration in force was taken over.
     configured_at: Option<Instant>,
-    exchange: ConfigurationExchange,
-    peers: Peers,
+    gossip: Gossip,
+    reach: Reach,
     fleet: Fleet,
     jobs: Jobs,
+    /// Whether something has happened that may let waiting tasks be placed.
+    may_place: bool,
     placement: Placement,
     answered: Answered,
     is_leaving: bool,
@@ -76,10 +78,11 @@
             sessions,
             configuration: None,
             configured_at: None,
-            exchange: ConfigurationExchange::default(),
-            peers: Peers::default(),
+            gossip: Gossip::new(settings.seed),
+            reach: Reach::new(settings.seed, settings.doubt),
             fleet: Fleet::new(settings.probe_every, settings.seed),
             jobs: Jobs::default(),
+            may_place: false,
             placement: Placement::default(),
             answered: Answered::default(),
             is_leaving: false,
@@ -141,10 +144,29 @@
         Some(Some(self.jobs.iter().filter(waits).count()))
     }
 
-    /// Begins to talk to the process at an address.
-    pub fn greet(&mut self, address: SocketAddr) {
-        if self.sessions.greet(address) {
-            log::info!(address:% = address; "process found");
+    /// Returns how many sidecars this entry has sessions with.
+    pub fn session_count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Returns the sidecars that this entry has heard of.
+    pub fn directory(&self) -> &Directory {
+        self.reach.directory()
+    }
+
+    /// Takes in where another entry is; `name` is that of its VM if the store has told.
+    pub fn meet_entry(&mut self, address: SocketAddr, name: Option<String>) {
+        self.gossip.meet(address, name);
+    }
+
+    /// Takes in where a sidecar is.
+    pub fn meet_sidecar(&mut self, place: Place, source: Source) {
+        if self.reach.learn(place.clone(), source) {
+            log::info!(
+                vm = place.vm.as_str(), address:% = place.address, source:? = source;
+                "sidecar found"
+            );
+            self.gossip.note_news(place);
         }
     }
 
@@ -220,7 +242,10 @@
             job:% = name, queue = job.queue.as_str(), tasks = job.tasks.len(),
             estimate_ms = millis(job.longest), version = self.version(); "admitted"
         );
+        let (service, minions) = (job.service.clone(), job.minions_needed());
+        self.reach.need_minions(&service, minions, now);
         self.jobs.insert(job);
+        self.may_place = true;
         self.settle(now);
     }
 
@@ -252,7 +277,14 @@
     }
 
     /// Takes in a datagram.
-    pub fn receive(&mut self, from: SocketAddr, envelope: Envelope, now: Instant) {
+    pub fn receive(&mut self, from: SocketAddr, packet: Packet, now: Instant) {
+        match packet {
+            Packet::Session(envelope) => self.receive_envelope(from, envelope, now),
+            Packet::Notice(notice) => self.take_notice(from, notice, now),
+        }
+    }
+
+    fn receive_envelope(&mut self, from: SocketAddr, envelope: Envelope, now: Instant) {
         for event in self.sessions.receive(from, envelope, now) {
             self.take_event(event, now);
         }
@@ -260,18 +292,39 @@
 
     /// Places tasks for which there is room now; called once all that is at hand was taken in.
     pub fn settle(&mut self, now: Instant) {
-        self.placement
-            .place_waiting(&mut self.jobs, &mut self.fleet, &mut self.sessions, now);
+        if !std::mem::take(&mut self.may_place) {
+            return;
+        }
+        self.placement.place_waiting(
+            &mut self.jobs,
+            &mut self.fleet,
+            &mut self.reach,
+            &mut self.sessions,
+            now,
+        );
     }
 
     /// Does what is due and returns the datagrams to send.
-    pub fn poll(&mut self, now: Instant) -> Vec<(SocketAddr, Envelope)> {
-        self.set_statuses(now);
-        let (datagrams, events) = self.sessions.poll(now);
+    pub fn poll(&mut self, now: Instant) -> Vec<(SocketAddr, Packet)> {
+        for (sidecar, is_busy) in self.fleet.take_changed() {
+            self.sessions.set_busy(sidecar, is_busy, now);
+        }
+        let (envelopes, events) = self.sessions.poll(now);
         for event in events {
             self.take_event(event, now);
         }
-        datagrams
+        let sessions = envelopes
+            .into_iter()
+            .map(|(to, envelope)| (to, Packet::Session(envelope)));
+        let notices = self.gossip.take_outgoing().into_iter();
+        sessions
+            .chain(notices.map(|(to, notice)| (to, Packet::Notice(notice))))
+            .collect()
+    }
+
+    /// Returns when a session has something due even if nothing arrives.
+    pub fn sessions_due(&self) -> Option<Instant> {
+        self.sessions.next_due()
     }
 
     /// Looks at time-outs.
@@ -280,6 +333,18 @@
         self.end_overdue(now);
         self.answered.forget_before(now, self.settings.answers_kept);
         self.fleet.forget_gone();
+        let mut waiting: HashMap<ServiceName, u64> = HashMap::new();
+        for job in self.jobs.iter().filter(|job| job.is_waiting()) {
+            *waiting.entry(job.service.clone()).or_default() += job.waiting_millicores();
+        }
+        self.reach
+            .tick(&waiting, &mut self.fleet, &mut self.sessions, now);
+        let own = Knowledge {
+            version: self.version(),
+            directory: self.reach.directory(),
+        };
+        self.gossip.tick(own, now);
+        self.may_place = true;
         self.settle(now);
     }
 
@@ -299,13 +364,21 @@
             return Err(refused(RefusedBecause::NotOffered));
         }
         let could_run = submission.steps.iter().all(|step| {
-            self.fleet.could_ever_run(&Wanted {
+            let wanted = Wanted {
                 service: &queue.service,
                 room: step.room,
                 estimate: step.estimate,
                 required_label: step.required_label.as_deref(),
                 preferred_label: None,
-            })
+            };
+            let has_run = |place: &Place| {
+                place.service == queue.service
+                    && step.room.fits_into(place.capacity)
+                    && wanted
+                        .required_label
+                        .is_none_or(|label| place.has_label(label))
+            };
+            self.fleet.could_ever_run(&wanted) || self.reach.directory().page(0).any(has_run)
         });
         if !could_run {
             return Err(refused(RefusedBecause::NoMinion));
@@ -323,26 +396,24 @@
         };
         Admission {
             work_before,
-            cpu_millicores: self.fleet.cpu_millicores(&job.service),
-            entry_count: self.peers.heard_count() as u64 + 1,
+            share_millicores: self.fleet.share_millicores(&job.service),
             slack: job.objective().saturating_sub(job.longest),
         }
     }
 
     fn take_event(&mut self, event: SessionEvent, now: Instant) {
+        self.may_place = true;
         match event {
-            SessionEvent::Up(process, Role::Entry) => {
-                log::info!(peer:% = process; "entry reached");
-                self.peers.met(process);
-            }
-            SessionEvent::Up(process, Role::Sidecar) => {
-                log::info!(sidecar:% = process; "sidecar reached");
+            SessionEvent::Up(process, _) => {
+                let Some(address) = self.sessions.address(process) else {
+                    return;
+                };
+                log::info!(sidecar:% = process, address:% = address; "sidecar reached");
                 self.fleet.meet(process);
+                self.reach.met(address, process);
             }
             SessionEvent::Gone(process) => {
-                log::warn!(process:% = process; "process replaced by another at its address");
-                self.peers.gone(process);
-                self.exchange.forget(process);
+                log::warn!(process:% = process; "session over, or process replaced by another");
                 if let Some(view) = self.fleet.view_mut(process) {
                     view.set_gone(now);
                 }
@@ -350,14 +421,11 @@
             SessionEvent::Silent(process) => self.note_silence(process, true),
             SessionEvent::Heard(process) => self.note_silence(process, false),
             SessionEvent::Message(process, message) => self.take_message(process, message, now),
-            SessionEvent::Status(process, Status::Sidecar(status), accounted) => {
+            SessionEvent::Status(process, status, accounted) => {
                 if let Some(view) = self.fleet.view_mut(process) {
                     view.set_status(status, accounted);
                 }
             }
-            SessionEvent::Status(process, Status::Entry(status), _) => {
-                self.take_peer_status(process, status, now);
-            }
         }
     }
 
@@ -366,13 +434,6 @@
         if let Some(view) = self.fleet.view_mut(process) {
             view.set_silent(is_silent);
         }
-        self.peers.set_heard(process, !is_silent);
-    }
-
-    fn take_peer_status(&mut self, peer: Incarnation, status: EntryStatus, now: Instant) {
-        if status.version > self.version() && self.exchange.is_to_ask(now) {
-            self.sessions.send(peer, Message::AskConfiguration);
-        }
     }
 
     fn take_message(&mut self, from: Incarnation, message: Message, now: Instant) {
@@ -383,28 +444,62 @@
                     view.set_profile(profile);
                 }
             }
-            Message::AskConfiguration => {
-                let parts = self
-                    .configuration
-                    .as_ref()
-                    .map_or_else(Vec::new, ConfigurationExchange::parts_of);
-                for part in parts {
-                    self.sessions.send(from, part);
+            Message::Start(_) | Message::Stop { .. } => {
+                log::warn!(process:% = from; "an entry was sent a sidecar's order");
+            }
+        }
+    }
+
+    fn take_notice(&mut self, from: SocketAddr, notice: Notice, now: Instant) {
+        match notice {
+            Notice::Here(place) => self.meet_sidecar(place, Source::First),
+            Notice::Gossip {
+                version,
+                sidecars,
+                is_answer,
+            } => {
+                let own = Knowledge {
+                    version: self.version(),
+                    directory: self.reach.directory(),
+                };
+                self.gossip.told(from, version, is_answer, own, now);
+                for place in sidecars {
+                    self.meet_sidecar(place, Source::Entry);
+                }
+            }
+            Notice::AskConfiguration { version, index } => {
+                if let Some(configuration) = &self.configuration {
+                    self.gossip.send_part(from, version, index, configuration);
                 }
             }
-            Message::ConfigurationPart {
+            Notice::ConfigurationPart {
                 version,
                 index,
                 count,
                 bytes,
             } => {
-                let whole = self.exchange.take_part(from, version, index, count, bytes);
+                let whole = self.gossip.take_part(version, index, count, bytes, now);
                 if let Some(configuration) = whole {
                     self.configure(configuration, "peer", now);
                 }
             }
-            Message::Start(_) | Message::Stop { .. } => {
-                log::warn!(process:% = from; "an entry was sent a sidecar's order");
+            Notice::AskSidecars { skipped } => {
+                self.gossip
+                    .list_sidecars(from, skipped, self.reach.directory());
+            }
+            Notice::Sidecars {
+                skipped,
+                count,
+                sidecars,
+            } => {
+                let told = u32::try_from(sidecars.len()).unwrap_or(u32::MAX);
+                if told > 0 {
+                    self.gossip
+                        .ask_for_rest(from, skipped.saturating_add(told), count);
+                }
+                for place in sidecars {
+                    self.meet_sidecar(place, Source::Entry);
+                }
             }
         }
     }
@@ -415,9 +510,8 @@
         let Some(position) = self.jobs.get(name).and_then(placement) else {
             return;
         };
-        if let Some(view) = self.fleet.view_mut(from) {
-            view.ended();
-        }
+        let room = self.jobs.get(name).map(|job| job.room(position));
+        self.fleet.ended(from, room.unwrap_or_default());
         self.actions.push(EntryAction::Count(report.outcome));
         match report.outcome {
             PlacementOutcome::Refused(cause) => {
@@ -478,9 +572,8 @@
             log::warn!(
                 job:% = task.job, sidecar:% = task.sidecar; "task lost with its sidecar"
             );
-            if let Some(view) = self.fleet.view_mut(task.sidecar) {
-                view.ended();
-            }
+            let room = self.jobs.get(task.job).map(|job| job.room(task.position));
+            self.fleet.ended(task.sidecar, room.unwrap_or_default());
             self.take_end(task.sidecar, task.job, task.position, RunEnd::Lost, now);
         }
         for name in hopeless {
@@ -559,22 +652,6 @@
             queue,
         });
     }
-
-    fn set_statuses(&mut self, now: Instant) {
-        let status = Status::Entry(EntryStatus {
-            version: self.version(),
-        });
-        let there = self.fleet.views().filter(|view| view.gone_at().is_none());
-        for view in there {
-            let sidecar = view.incarnation();
-            self.sessions
-                .set_busy(sidecar, view.placed_count() > 0, now);
-            self.sessions.set_status(sidecar, status);
-        }
-        for peer in self.peers.iter() {
-            self.sessions.set_status(peer, status);
-        }
-    }
 }
 
 fn retry_after(name: JobName) -> Duration {
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -9,6 +9,7 @@
 use super::SidecarView;
 use crate::common::Incarnation;
 use crate::dispatch::Room;
+use crate::dispatch::session::MessageNumber;
 
 /// Minions whose run times differ by less than this share count as equal: paces are known to about
 /// half as much, and the best of many guesses is seldom the best minion.
@@ -50,6 +51,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     views: HashMap<Incarnation, SidecarView>,
+    /// The sidecars whose number of placements has changed between none and some.
+    changed: Vec<Incarnation>,
     probe_every: Duration,
     random: SmallRng,
 }
@@ -59,6 +62,7 @@
     pub fn new(probe_every: Duration, seed: u64) -> Self {
         Self {
             views: HashMap::new(),
+            changed: Vec::new(),
             probe_every,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -92,15 +96,98 @@
             .retain(|_, view| view.gone_at().is_none() || view.placed_count() > 0);
     }
 
-    /// Returns the processor of all usable minions of a service, in thousandths of a core.
-    pub fn cpu_millicores(&self, service: &str) -> u64 {
+    /// Forgets a sidecar whose session is closed, once what was placed there is settled.
+    pub(super) fn forget(&mut self, sidecar: Incarnation, now: Instant) {
+        if let Some(view) = self.views.get_mut(&sidecar)
+            && view.gone_at().is_none()
+        {
+            view.set_gone(now);
+        }
+    }
+
+    /// Takes in that a task was sent to a sidecar.
+    pub(super) fn placed(
+        &mut self,
+        sidecar: Incarnation,
+        number: MessageNumber,
+        room: Room,
+        now: Instant,
+    ) {
+        if let Some(view) = self.views.get_mut(&sidecar) {
+            if view.placed_count() == 0 {
+                self.changed.push(sidecar);
+            }
+            view.placed(number, room, now);
+        }
+    }
+
+    /// Takes in that a placement at a sidecar has ended.
+    pub(super) fn ended(&mut self, sidecar: Incarnation, room: Room) {
+        if let Some(view) = self.views.get_mut(&sidecar) {
+            view.ended(room);
+            if view.placed_count() == 0 {
+                self.changed.push(sidecar);
+            }
+        }
+    }
+
+    /// Returns the sidecars that have got their first task or lost their last one since the last call, and
+    /// whether they have some now.
+    pub(super) fn take_changed(&mut self) -> Vec<(Incarnation, bool)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed
+            .into_iter()
+            .map(|sidecar| {
+                let view = self.views.get(&sidecar);
+                (sidecar, view.is_some_and(|view| view.placed_count() > 0))
+            })
+            .collect()
+    }
+
+    /// Says whether a sidecar gets no more tasks, since its session is to be closed.
+    pub(super) fn set_retired(&mut self, sidecar: Incarnation, is_retired: bool) {
+        if let Some(view) = self.views.get_mut(&sidecar) {
+            view.set_retired(is_retired);
+        }
+    }
+
+    /// Returns this entry's share of the processor of the usable minions of a service, in thousandths of
+    /// a core.
+    pub fn share_millicores(&self, service: &str) -> u64 {
         self.of_service(service)
             .filter(|view| view.is_usable())
-            .filter_map(SidecarView::profile)
-            .map(|profile| u64::from(profile.capacity.cpu_millicores))
+            .filter_map(|view| {
+                let capacity = u64::from(view.profile()?.capacity.cpu_millicores);
+                Some(capacity / view.sharer_count())
+            })
+            .sum()
+    }
+
+    /// Returns the processor that this entry's tasks of a service take up, in thousandths of a core.
+    pub(super) fn placed_millicores(&self, service: &str) -> u64 {
+        self.of_service(service)
+            .map(|view| u64::from(view.placed_room().cpu_millicores))
             .sum()
     }
 
+    /// Returns the processor of a minion of a service, on average, in thousandths of a core; 0 if none is
+    /// known.
+    pub(super) fn mean_millicores(&self, service: &str) -> u64 {
+        let profiles = self.of_service(service).filter_map(SidecarView::profile);
+        let (sum, count) = profiles.fold((0, 0), |(sum, count), profile| {
+            (sum + u64::from(profile.capacity.cpu_millicores), count + 1)
+        });
+        sum / u64::max(count, 1)
+    }
+
+    /// Returns whether a usable minion of a service has a label.
+    pub(super) fn has_label(&self, service: &str, label: &str) -> bool {
+        self.of_service(service)
+            .filter(|view| view.is_usable())
+            .filter_map(SidecarView::profile)
+            .any(|profile| has_label(&profile.labels, Some(label)))
+    }
+
     /// Returns whether some minion could run the task if nothing else ran there.
     pub fn could_ever_run(&self, wanted: &Wanted<'_>) -> bool {
         self.of_service(wanted.service)
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::configuration::{Queue, Terms};
 use crate::dispatch::message::{RefusalCause, RunEnd, TaskReport};
 use crate::dispatch::units::millis;
-use crate::dispatch::{Attempt, JobName, RunNumber, StepIndex, TaskName};
+use crate::dispatch::{Attempt, JobName, Room, RunNumber, StepIndex, TaskName};
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,6 +129,27 @@
         self.steps[usize::from(self.tasks[position].step)].estimate
     }
 
+    /// Returns what a task takes up.
+    pub(super) fn room(&self, position: usize) -> Room {
+        self.steps[usize::from(self.tasks[position].step)].room
+    }
+
+    /// Returns the processor that the tasks which wait take up, in thousandths of a core.
+    pub(super) fn waiting_millicores(&self) -> u64 {
+        self.waiting_positions()
+            .map(|position| u64::from(self.room(position).cpu_millicores))
+            .sum()
+    }
+
+    /// Returns how many minions the job needs at the least, since so many of its tasks may not share one.
+    pub(super) fn minions_needed(&self) -> usize {
+        let needed = self.steps.iter().filter_map(|step| {
+            let max = step.per_minion_max?.max(1);
+            usize::try_from(step.task_count.div_ceil(max)).ok()
+        });
+        needed.max().unwrap_or(0)
+    }
+
     /// Returns the positions of the tasks that wait for room.
     pub(super) fn waiting_positions(&self) -> impl Iterator<Item = usize> + '_ {
         let waits = |(_, task): &(usize, &Task)| task.state == TaskState::Waiting;
--- a/knapweedrill/src/dispatch/entry/placement.rs
+++ b/knapweedrill/src/dispatch/entry/placement.rs
@@ -2,9 +2,12 @@
 
 use std::time::Instant;
 
+use smallvec::SmallVec;
+
 use super::fleet::{Fleet, Wanted};
 use super::job::{Job, TaskState};
 use super::jobs::Jobs;
+use super::reach::Reach;
 use crate::dispatch::Attempt;
 use crate::dispatch::message::{Message, StartOrder};
 use crate::dispatch::session::Sessions;
@@ -33,20 +36,27 @@
         &mut self,
         jobs: &mut Jobs,
         fleet: &mut Fleet,
+        reach: &mut Reach,
         sessions: &mut Sessions,
         now: Instant,
     ) {
-        let names: Vec<_> = jobs.waiting().in_order().collect();
         let mut passed_over = 0;
-        for name in names {
-            let has_room = jobs.change(name, |job| self.place_job(job, fleet, sessions, now));
+        let mut next = jobs.waiting().first();
+        while let Some(place) = next {
+            next = jobs.waiting().after(&place);
+            let has_room = jobs.change(place.job(), |job| {
+                self.place_job(job, fleet, reach, sessions, now)
+            });
             if has_room == Some(false) {
                 passed_over += 1;
             }
             if passed_over >= PASSED_OVER_MAX {
-                return;
+                break;
             }
         }
+        if passed_over > 0 {
+            reach.hurry();
+        }
     }
 
     /// Places the tasks of a job that wait; returns whether all found room.
@@ -54,13 +64,14 @@
         &mut self,
         job: &mut Job,
         fleet: &mut Fleet,
+        reach: &mut Reach,
         sessions: &mut Sessions,
         now: Instant,
     ) -> bool {
-        let waiting: Vec<usize> = job.waiting_positions().collect();
+        let waiting: SmallVec<[usize; 16]> = job.waiting_positions().collect();
         waiting
             .into_iter()
-            .all(|position| self.place_task(job, position, fleet, sessions, now))
+            .all(|position| self.place_task(job, position, fleet, reach, sessions, now))
     }
 
     fn place_task(
@@ -68,11 +79,22 @@
         job: &mut Job,
         position: usize,
         fleet: &mut Fleet,
+        reach: &mut Reach,
         sessions: &mut Sessions,
         now: Instant,
     ) -> bool {
         let task = &job.tasks[position];
         let step = &job.steps[usize::from(task.step)];
+        let labels = [&step.required_label, &step.data_rack];
+        for label in labels.into_iter().flatten() {
+            if fleet.has_label(&job.service, label) {
+                continue;
+            }
+            reach.need_label(&job.service, label, fleet, sessions, now);
+            if reach.is_label_on_its_way(label, now) {
+                return false;
+            }
+        }
         let wanted = Wanted {
             service: &job.service,
             room: step.room,
@@ -117,9 +139,7 @@
             stamp_age_ms = millis(now.saturating_duration_since(heard_at)),
             estimate_ms = millis(estimate); "task placed"
         );
-        if let Some(view) = fleet.view_mut(sidecar) {
-            view.placed(number, room, now);
-        }
+        fleet.placed(sidecar, number, room, now);
         job.placed(position, sidecar, attempt);
         true
     }
@@ -137,8 +157,6 @@
         };
         // A sidecar that is not known any more has stopped the run by itself, or will.
         let _ = sessions.send(sidecar, stop);
-        if let Some(view) = fleet.view_mut(sidecar) {
-            view.ended();
-        }
+        fleet.ended(sidecar, job.room(position));
     }
 }
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -1,6 +1,7 @@
 //! The order in which jobs get room.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Instant;
 
 use super::job::Job;
@@ -8,19 +9,31 @@
 
 /// The place of a job in the order: the more urgent queue first, in it the job that has to start
 /// first to keep its objective.
-type Place = (u8, Instant, JobName);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct QueuePosition(u8, Instant, JobName);
+
+impl QueuePosition {
+    fn of(job: &Job) -> Self {
+        Self(job.terms.priority, job.latest_start(), job.name)
+    }
+
+    /// Returns the job.
+    pub(super) fn job(&self) -> JobName {
+        self.2
+    }
+}
 
 /// The jobs with tasks that wait for room.
 #[derive(Debug, Default)]
 pub(super) struct WaitingJobs {
     /// The work that waits, by place.
-    places: BTreeMap<Place, u64>,
+    places: BTreeMap<QueuePosition, u64>,
 }
 
 impl WaitingJobs {
     /// Puts a job into its place, or takes it out if none of its tasks wait.
     pub(super) fn update(&mut self, job: &Job) {
-        let place = place(job);
+        let place = QueuePosition::of(job);
         if job.is_waiting() {
             self.places.insert(place, job.waiting_work());
         } else {
@@ -29,12 +42,19 @@
     }
 
     pub(super) fn remove(&mut self, job: &Job) {
-        self.places.remove(&place(job));
+        self.places.remove(&QueuePosition::of(job));
     }
 
-    /// Returns the jobs in their order.
-    pub(super) fn in_order(&self) -> impl Iterator<Item = JobName> + '_ {
-        self.places.keys().map(|(_, _, job)| *job)
+    /// Returns the position of the first job.
+    pub(super) fn first(&self) -> Option<QueuePosition> {
+        self.places.keys().next().copied()
+    }
+
+    /// Returns the position of the job after another.
+    pub(super) fn after(&self, position: &QueuePosition) -> Option<QueuePosition> {
+        let later = (Bound::Excluded(position), Bound::Unbounded);
+        let next = self.places.range(later).next();
+        next.map(|(position, _)| *position)
     }
 
     pub(super) fn len(&self) -> usize {
@@ -48,10 +68,9 @@
 
     /// Returns the work that comes before a job.
     pub(super) fn work_before(&self, job: &Job) -> u64 {
-        self.places.range(..place(job)).map(|(_, work)| work).sum()
+        self.places
+            .range(..QueuePosition::of(job))
+            .map(|(_, work)| work)
+            .sum()
     }
 }
-
-fn place(job: &Job) -> Place {
-    (job.terms.priority, job.latest_start(), job.name)
-}
--- a/knapweedrill/src/dispatch/entry/sidecar_view.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_view.rs
@@ -19,6 +19,10 @@
     is_silent: bool,
     gone_at: Option<Instant>,
     placed_count: usize,
+    /// What the placements take up that have not ended.
+    placed: Room,
+    /// Whether it gets no more tasks, since its session is to be closed.
+    is_retired: bool,
     probed_at: Option<Instant>,
 }
 
@@ -33,6 +37,8 @@
             is_silent: false,
             gone_at: None,
             placed_count: 0,
+            placed: Room::default(),
+            is_retired: false,
             probed_at: None,
         }
     }
@@ -68,14 +74,26 @@
     pub fn placed(&mut self, number: MessageNumber, room: Room, now: Instant) {
         self.unconfirmed.push_back((number, room));
         self.placed_count += 1;
+        self.placed = self.placed.plus(room);
         if self.is_suspect() {
             self.probed_at = Some(now);
         }
     }
 
     /// Takes in that a placement there has ended.
-    pub fn ended(&mut self) {
+    pub fn ended(&mut self, room: Room) {
         self.placed_count = self.placed_count.saturating_sub(1);
+        self.placed = self.placed.minus(room);
+    }
+
+    /// Returns what the placements take up that have not ended.
+    pub fn placed_room(&self) -> Room {
+        self.placed
+    }
+
+    /// Says whether the sidecar gets no more tasks, since its session is to be closed.
+    pub fn set_retired(&mut self, is_retired: bool) {
+        self.is_retired = is_retired;
     }
 
     /// Returns how many placements have not ended.
@@ -105,6 +123,11 @@
 
     /// Returns whether tasks may be placed there.
     pub fn is_usable(&self) -> bool {
+        !self.is_retired && self.takes_tasks()
+    }
+
+    /// Returns whether the minion takes tasks.
+    pub fn takes_tasks(&self) -> bool {
         let is_reached = !self.is_silent && self.gone_at.is_none() && self.profile.is_some();
         let takes_tasks = |status: SidecarStatus| status.condition != Condition::Unavailable;
         is_reached && self.status.is_some_and(takes_tasks)
@@ -122,6 +145,12 @@
         self.placed_count == 0 && self.probed_at.is_none_or(is_due)
     }
 
+    /// Returns how many entries share the minion, this one included.
+    pub fn sharer_count(&self) -> u64 {
+        let sharers = self.status.map_or(1, |status| status.sharer_count.max(1));
+        sharers.into()
+    }
+
     /// Returns the room that is left, as far as it is known here.
     pub fn free(&self) -> Room {
         let free = self.status.map_or_else(Room::default, |status| status.free);
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -4,7 +4,6 @@
 
 use knapweedrill_derive::{key, message};
 
-use super::configuration::Version;
 use super::{Attempt, Room, RunNumber, TaskName};
 use crate::common::ServiceName;
 
@@ -20,6 +19,16 @@
     Sidecar,
 }
 
+impl Role {
+    /// Returns the role at the other end of a session.
+    pub fn other(self) -> Self {
+        match self {
+            Self::Entry => Self::Sidecar,
+            Self::Sidecar => Self::Entry,
+        }
+    }
+}
+
 /// A message that arrives once and in order, as long as both processes live.
 #[message]
 pub enum Message {
@@ -36,19 +45,6 @@
     Report(TaskReport),
     /// Sidecar to entry: the minion, or that there is none.
     Minion(Option<MinionProfile>),
-    /// Entry to entry: asks for the configuration in force.
-    AskConfiguration,
-    /// Entry to entry: a piece of the encoded configuration.
-    ConfigurationPart {
-        /// Its version.
-        version: Version,
-        /// The position of the piece.
-        index: u32,
-        /// How many pieces there are.
-        count: u32,
-        /// The piece.
-        bytes: Vec<u8>,
-    },
 }
 
 /// An order to run a task.
@@ -168,22 +164,6 @@
     /// How much longer a run takes of late, whatever its length, since orders to the minion and
     /// news of ends had to be repeated.
     pub delay_ms: u32,
-}
-
-/// The newest state of an entry.
-#[message]
-#[derive(Copy)]
-pub struct EntryStatus {
-    /// The version of the configuration in force; 0 if there is none.
-    pub version: Version,
-}
-
-/// The newest state of a process.
-#[message]
-#[derive(Copy)]
-pub enum Status {
-    /// Of an entry.
-    Entry(EntryStatus),
-    /// Of a sidecar.
-    Sidecar(SidecarStatus),
+    /// How many entries have had runs here of late.
+    pub sharer_count: u32,
 }
--- a/knapweedrill/src/dispatch/mod.rs
+++ b/knapweedrill/src/dispatch/mod.rs
@@ -8,6 +8,8 @@
 pub mod entry;
 pub mod message;
 mod names;
+mod notice;
+mod place;
 mod room;
 mod run_timing;
 pub mod session;
@@ -15,5 +17,7 @@
 mod units;
 
 pub use names::{Attempt, JobName, RunNumber, StepIndex, TaskName};
+pub use notice::{Notice, Packet};
+pub use place::Place;
 pub use room::Room;
 pub use run_timing::RunTiming;
--- a/knapweedrill/src/dispatch/session/envelope.rs
+++ b/knapweedrill/src/dispatch/session/envelope.rs
@@ -1,14 +1,18 @@
-//! What a datagram carries.
+//! What the datagrams of a session carry.
 
 use knapweedrill_derive::message;
 
 use crate::common::Incarnation;
-use crate::dispatch::message::{Message, Role, StampMs, Status};
+use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
 
 /// Numbers the messages of one direction of a session; the first is 1.
 pub type MessageNumber = u64;
 
-/// The content of a datagram.
+/// Numbers the sessions that a run of an entry has opened; a later one replaces an earlier one with
+/// the same sidecar.
+pub type SessionNumber = u64;
+
+/// The content of a datagram of a session.
 #[message]
 pub struct Envelope {
     /// The sender.
@@ -17,6 +21,10 @@
     pub role: Role,
     /// The receiver, or 0 while the sender does not know it.
     pub to: Incarnation,
+    /// The session, as numbered by the entry.
+    pub session: SessionNumber,
+    /// Whether the sender has no such session any more; nothing else is to be read then.
+    pub is_closing: bool,
     /// The sender's steady clock.
     pub stamp_ms: StampMs,
     /// The newest stamp that the sender has got from the receiver.
@@ -27,6 +35,6 @@
     pub first: MessageNumber,
     /// The messages.
     pub messages: Vec<Message>,
-    /// The sender's newest state.
-    pub status: Option<Status>,
+    /// The newest state of a sidecar.
+    pub status: Option<SidecarStatus>,
 }
--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -7,10 +7,11 @@
 
 mod envelope;
 mod peer;
+mod schedule;
 mod sessions;
 mod settings;
 
-pub use envelope::{Envelope, MessageNumber};
+pub use envelope::{Envelope, MessageNumber, SessionNumber};
 pub use peer::SessionEvent;
 pub use sessions::{Identity, Sessions};
 pub use settings::SessionSettings;
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -6,10 +6,10 @@
 use smallvec::SmallVec;
 
 use super::SessionSettings;
-use super::envelope::{Envelope, MessageNumber};
+use super::envelope::{Envelope, MessageNumber, SessionNumber};
 use super::sessions::Identity;
 use crate::common::Incarnation;
-use crate::dispatch::message::{Message, Role, StampMs, Status};
+use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
 
 /// How many messages a datagram carries at the most: twelve orders of 4 KB, the longest there
 /// are, stay below the 64 KiB of a datagram.
@@ -22,7 +22,7 @@
 /// told from those of a new one. More than the restarts that late datagrams can span.
 const FORMER_COUNT: usize = 8;
 
-/// How many idle beats a session without work may miss.
+/// How many beats a session without work may miss.
 const IDLE_BEATS_MISSED_MAX: u32 = 3;
 
 /// What happened on a session.
@@ -30,7 +30,8 @@
 pub enum SessionEvent {
     /// The other process can be talked to.
     Up(Incarnation, Role),
-    /// The other process is gone; another one has its address.
+    /// The session is over: another process has the address, or the other side has forgotten the
+    /// session or opened a new one.
     Gone(Incarnation),
     /// Nothing has been heard for a while.
     Silent(Incarnation),
@@ -39,7 +40,7 @@
     /// A message arrived.
     Message(Incarnation, Message),
     /// The newest state arrived, with the number of our messages that it takes account of.
-    Status(Incarnation, Status, MessageNumber),
+    Status(Incarnation, SidecarStatus, MessageNumber),
 }
 
 /// The events of one datagram.
@@ -49,6 +50,12 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     settings: SessionSettings,
+    session: SessionNumber,
+    /// The earliest time at which the table of sessions is going to look at this one.
+    pub(super) scheduled_at: Option<Instant>,
+    /// Whether something has happened since the table has looked at this session.
+    pub(super) is_touched: bool,
+    opened_at: Instant,
     remote: Option<Incarnation>,
     former: VecDeque<Incarnation>,
     /// Messages that were not acknowledged; the first has the number `acknowledged` + 1.
@@ -69,15 +76,19 @@
     /// Since when the session has had work.
     busy_since: Option<Instant>,
     is_silent: bool,
-    status: Option<Status>,
+    status: Option<SidecarStatus>,
     is_status_new: bool,
     sent_at: Option<Instant>,
 }
 
 impl Peer {
-    pub(super) fn new(settings: SessionSettings) -> Self {
+    pub(super) fn new(settings: SessionSettings, session: SessionNumber, now: Instant) -> Self {
         Self {
             settings,
+            session,
+            scheduled_at: None,
+            is_touched: false,
+            opened_at: now,
             remote: None,
             former: VecDeque::new(),
             outbox: VecDeque::new(),
@@ -117,20 +128,32 @@
         self.acknowledged + self.outbox.len() as MessageNumber
     }
 
-    pub(super) fn set_status(&mut self, status: Status) {
-        if self.status != Some(status) {
-            self.status = Some(status);
-            self.is_status_new = true;
-        }
+    /// Sets the state that the other side is told; returns whether it is new.
+    pub(super) fn set_status(&mut self, status: SidecarStatus) -> bool {
+        let is_new = self.status != Some(status);
+        self.status = Some(status);
+        self.is_status_new |= is_new;
+        is_new
     }
 
-    /// Says whether the other side has work of ours or we have work of it.
-    pub(super) fn set_busy(&mut self, is_busy: bool, now: Instant) {
-        if is_busy {
-            self.busy_since.get_or_insert(now);
-        } else {
-            self.busy_since = None;
+    /// Says whether the other side has work of ours or we have work of it; returns whether that
+    /// is new.
+    pub(super) fn set_busy(&mut self, is_busy: bool, now: Instant) -> bool {
+        let is_new = is_busy != self.busy_since.is_some();
+        if is_new {
+            self.busy_since = is_busy.then_some(now);
         }
+        is_new
+    }
+
+    /// Returns the number of the session.
+    pub(super) fn session(&self) -> SessionNumber {
+        self.session
+    }
+
+    /// Returns when something was last heard, or when the session was opened.
+    pub(super) fn heard_at(&self) -> Instant {
+        self.heard_at.unwrap_or(self.opened_at)
     }
 
     pub(super) fn receive(
@@ -143,7 +166,7 @@
         if self.former.contains(&envelope.from) {
             return events;
         }
-        self.meet(&envelope, &mut events);
+        self.meet(&envelope, now, &mut events);
         if envelope.to != own.incarnation {
             // A greeting, or meant for the process that was here before: answered at once.
             self.acknowledge_at = Some(now);
@@ -173,23 +196,27 @@
         events
     }
 
-    fn meet(&mut self, envelope: &Envelope, events: &mut SessionEvents) {
-        if self.remote == Some(envelope.from) {
+    fn meet(&mut self, envelope: &Envelope, now: Instant, events: &mut SessionEvents) {
+        if self.remote == Some(envelope.from) && self.session == envelope.session {
             return;
         }
         if let Some(old) = self.remote {
-            self.former.push_back(old);
-            if self.former.len() > FORMER_COUNT {
-                self.former.pop_front();
+            if old != envelope.from {
+                self.former.push_back(old);
+                if self.former.len() > FORMER_COUNT {
+                    self.former.pop_front();
+                }
             }
             events.push(SessionEvent::Gone(old));
         }
         *self = Self {
             remote: Some(envelope.from),
             former: std::mem::take(&mut self.former),
+            scheduled_at: self.scheduled_at,
+            is_touched: self.is_touched,
             status: self.status,
             is_status_new: true,
-            ..Self::new(self.settings)
+            ..Self::new(self.settings, envelope.session, now)
         };
         events.push(SessionEvent::Up(envelope.from, envelope.role));
     }
@@ -240,25 +267,71 @@
     }
 
     /// Notices silence.
-    pub(super) fn check_silence(&mut self, now: Instant) -> Option<SessionEvent> {
+    pub(super) fn check_silence(&mut self, own: &Identity, now: Instant) -> Option<SessionEvent> {
         let remote = self.remote?;
-        let heard_at = self.heard_at?;
-        let is_over = match self.busy_since.or(self.unacknowledged_since) {
-            Some(since) => {
-                now.saturating_duration_since(heard_at.max(since)) > self.settings.silent_after
-            }
-            None => {
-                now.saturating_duration_since(heard_at)
-                    > self.settings.idle_beat * IDLE_BEATS_MISSED_MAX
-            }
-        };
-        if self.is_silent || !is_over {
+        if self.is_silent || self.silence_at(own).is_none_or(|at| at >= now) {
             return None;
         }
         self.is_silent = true;
         Some(SessionEvent::Silent(remote))
     }
 
+    /// Returns after which moment the other side counts as out of reach.
+    fn silence_at(&self, own: &Identity) -> Option<Instant> {
+        let heard_at = self.heard_at?;
+        let at = match self.busy_since.or(self.unacknowledged_since) {
+            Some(since) => heard_at.max(since) + self.settings.silent_after,
+            None => heard_at + self.idle_beat_of(own.role.other()) * IDLE_BEATS_MISSED_MAX,
+        };
+        Some(at)
+    }
+
+    /// Returns the pause between datagrams that a role sends on a session without work.
+    fn idle_beat_of(&self, role: Role) -> Duration {
+        match role {
+            Role::Entry => self.settings.keep_beat,
+            Role::Sidecar => self.settings.idle_beat,
+        }
+    }
+
+    fn beat(&self, own: &Identity) -> Duration {
+        match self.busy_since {
+            Some(_) => self.settings.busy_beat,
+            None => self.idle_beat_of(own.role),
+        }
+    }
+
+    /// Returns the shortest pause before a datagram that tells nothing but a new state. Whoever has no
+    /// work here is told less often.
+    fn status_pause(&self, own: &Identity) -> Duration {
+        match self.busy_since {
+            Some(_) => self.settings.status_every,
+            None => self.beat(own) / 2,
+        }
+    }
+
+    /// Returns when the session has to be looked at again if nothing happens before.
+    pub(super) fn next_due(&self, own: &Identity, now: Instant) -> Instant {
+        let sent_before = |pause: Duration| self.sent_at.map_or(now, |at| at + pause);
+        if self.remote.is_none() || self.is_silent {
+            return sent_before(self.settings.greet_every);
+        }
+        if self.has_unsent() {
+            return now;
+        }
+        let status = self
+            .is_status_new
+            .then(|| sent_before(self.status_pause(own)));
+        let dues = [
+            self.resend_at,
+            self.acknowledge_at,
+            status,
+            self.silence_at(own),
+        ];
+        let beat = sent_before(self.beat(own));
+        dues.into_iter().flatten().fold(beat, Instant::min)
+    }
+
     /// Returns the datagrams that are due.
     pub(super) fn poll(&mut self, own: &Identity, now: Instant) -> SmallVec<[Envelope; 1]> {
         let mut envelopes = SmallVec::new();
@@ -281,13 +354,9 @@
             self.resend_at.get_or_insert(now + self.resend_after);
             self.unacknowledged_since.get_or_insert(now);
         }
-        let beat = match self.busy_since {
-            Some(_) => self.settings.busy_beat,
-            None => self.settings.idle_beat,
-        };
         let is_due = self.acknowledge_at.is_some_and(|at| at <= now)
-            || self.has_passed(beat, now)
-            || (self.is_status_new && self.has_passed(self.settings.status_every, now));
+            || self.has_passed(self.beat(own), now)
+            || (self.is_status_new && self.has_passed(self.status_pause(own), now));
         if envelopes.is_empty() && is_due {
             envelopes.push(self.envelope(own, now, 0, 0));
         }
@@ -312,6 +381,8 @@
             from: own.incarnation,
             role: own.role,
             to: self.remote.unwrap_or(0),
+            session: self.session,
+            is_closing: false,
             stamp_ms: own.stamp_ms(now),
             echo_ms: self.remote_stamp.map_or(0, |(stamp, _)| stamp),
             received: self.received,
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -13,10 +13,11 @@
 use super::orders::Orders;
 use super::run::{Phase, Run};
 use super::runs::Runs;
+use super::sharers::Sharers;
 use crate::common::Incarnation;
 use crate::dispatch::message::{
-    Condition, Message, PlacementOutcome, RefusalCause, RunEnd, SidecarStatus, StampMs, StartOrder,
-    TaskReport,
+    Condition, Message, MinionProfile, PlacementOutcome, RefusalCause, RunEnd, SidecarStatus,
+    StampMs, StartOrder, TaskReport,
 };
 use crate::dispatch::units::millis;
 use crate::dispatch::{Attempt, Room, TaskName};
@@ -41,6 +42,7 @@
     /// When each entry was last known to be alive.
     entries: HashMap<Incarnation, Instant>,
     judgement: Judgement,
+    sharers: Sharers,
     orders: Orders,
     holds: Holds,
     is_leaving: bool,
@@ -59,6 +61,7 @@
             runs: Runs::default(),
             entries: HashMap::new(),
             judgement: Judgement::default(),
+            sharers: Sharers::default(),
             orders: Orders::new(fencing_token),
             holds: Holds::default(),
             is_leaving: false,
@@ -78,9 +81,21 @@
             condition: self.condition(),
             pace_permille: self.judgement.pace_permille(),
             delay_ms: self.judgement.delay_ms(),
+            sharer_count: self.sharers.count(),
         }
     }
 
+    /// Returns the minion, if there is one.
+    pub fn minion(&self) -> Option<&MinionProfile> {
+        self.life.as_ref().map(|life| &life.profile)
+    }
+
+    /// Returns whether nothing is due until the next event: nothing runs, and a call that waits for an end
+    /// is under way.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && !self.runs.has_foreign() && self.holds.is_pending()
+    }
+
     /// Returns how many runs have not ended.
     pub fn run_count(&self) -> usize {
         self.runs.len()
@@ -197,6 +212,7 @@
             return;
         }
         self.entry_alive(entry, stamped_at);
+        self.sharers.note(entry, now);
         let key = RunKey {
             task: order.task,
             number: order.run_number,
@@ -360,6 +376,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Instant) {
+        self.sharers.forget_before(now);
         self.stop_runs_of_silent_entries(now);
         self.repeat_stops(now);
         self.end_lapsed_runs(now);
--- a/knapweedrill/src/dispatch/sidecar/holds.rs
+++ b/knapweedrill/src/dispatch/sidecar/holds.rs
@@ -49,6 +49,11 @@
         self.next_at = Some(at);
     }
 
+    /// Returns whether a call is under way.
+    pub(super) fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Returns whether the minion has answered of late.
     pub(super) fn is_reached(&self) -> bool {
         self.failure_count < FAILURES_MAX
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -13,6 +13,7 @@
 mod run;
 mod runs;
 mod settings;
+mod sharers;
 
 pub use action::{
     CallNumber, EndedRun, HoldAnswer, HoldCall, HowEnded, MinionReport, OrderAnswer, RunKey,
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -51,6 +51,7 @@
             condition: *condition,
             pace_permille: *pace_permille,
             delay_ms: 0,
+            sharer_count: 1,
         };
         view.set_status(status, 0);
     }
@@ -106,7 +107,7 @@
     let view = fleet.view_mut(1).expect("it was met");
     view.placed(1, room(6_200), now);
     assert_ne!(choose(&mut fleet, now), Some(1));
-    fleet.view_mut(1).expect("it was met").ended();
+    fleet.view_mut(1).expect("it was met").ended(room(6_200));
     assert_ne!(choose(&mut fleet, now + 100 * MS), Some(1));
     assert_eq!(choose(&mut fleet, now + 600 * MS), Some(1));
 }
@@ -165,6 +166,7 @@
         condition: Condition::Ready,
         pace_permille: 1_000,
         delay_ms: 0,
+        sharer_count: 1,
     };
     view.set_status(status, 5);
     assert_eq!(
@@ -196,8 +198,7 @@
 fn job_that_would_miss_its_objective_is_refused_at_once() {
     let admission = |work_before| Admission {
         work_before,
-        cpu_millicores: 600_000,
-        entry_count: 3,
+        share_millicores: 200_000,
         slack: 180 * MS,
     };
     assert!(admission(0).is_admitted());
@@ -210,8 +211,7 @@
 fn jobs_without_slack_are_taken_while_nothing_waits() {
     let admission = Admission {
         work_before: 0,
-        cpu_millicores: 0,
-        entry_count: 0,
+        share_millicores: 0,
         slack: Duration::ZERO,
     };
     assert!(admission.is_admitted());
@@ -351,6 +351,7 @@
             condition: Condition::Ready,
             pace_permille: 1_000,
             delay_ms: 40,
+            sharer_count: 1,
         };
         fleet.meet(lossy).set_status(status, 0);
     }
--- a/knapweedrill/tests/dispatch_sessions.rs
+++ b/knapweedrill/tests/dispatch_sessions.rs
@@ -47,7 +47,7 @@
             Sessions::new(identity, SessionSettings::default())
         };
         let mut sides = [side(11, Role::Entry), side(22, Role::Sidecar)];
-        sides[0].greet(address(1));
+        sides[0].open(address(1), now);
         Self {
             now,
             sides,
@@ -127,7 +127,7 @@
         started_at: pair.now,
     };
     pair.sides[0] = Sessions::new(restarted, SessionSettings::default());
-    pair.sides[0].greet(address(1));
+    pair.sides[0].open(address(1), pair.now);
     pair.settle();
     assert!(pair.events.contains(&(1, SessionEvent::Gone(11))));
     assert!(
--- a/knapweedrill_daemon/src/dispatch/common.rs
+++ b/knapweedrill_daemon/src/dispatch/common.rs
@@ -17,10 +17,14 @@
 use super::settings_watch::SettingsWatch;
 use crate::telemetry;
 
-/// The pause between two looks at time-outs: below the shortest of them, the delay of an
-/// acknowledgement.
+/// The pause between two looks at time-outs while there is work: below the shortest of them, the delay of
+/// an acknowledgement.
 pub(super) const TICK: Duration = Duration::from_millis(10);
 
+/// The same while there is no work: the shortest time-out is then the pause between two beats of a
+/// session, which sessions tell by themselves.
+pub(super) const IDLE_TICK: Duration = Duration::from_millis(50);
+
 /// How many events are dealt with before their effects are sent.
 pub(super) const BATCH_EVENT_COUNT: usize = 128;
 
@@ -73,17 +77,13 @@
         })
     }
 
-    /// Returns the sessions of the process, which greet the seeds.
+    /// Returns the sessions of the process: none yet.
     pub(super) fn sessions(&self) -> Sessions {
-        let mut sessions = Sessions::new(self.identity, SessionSettings::default());
-        for address in self.seeds() {
-            sessions.greet(address);
-        }
-        sessions
+        Sessions::new(self.identity, SessionSettings::default())
     }
 
     /// Looks whether the settings have changed. The grace of a planned stop and the seeds are taken
-    /// over; returns the addresses to greet if there are new ones.
+    /// over; returns the addresses of other entries if there are new ones.
     ///
     /// Addresses of this process need a restart, and so do the times of runs: processes that took them
     /// over at different moments would not agree on when a run is over.
@@ -107,8 +107,8 @@
         self.seeds().collect()
     }
 
-    /// Returns where other processes may be.
-    fn seeds(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+    /// Returns where other entries may be.
+    pub(super) fn seeds(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         let port = self.settings.internal_ports.0;
         let seeds = self.settings.seed_addresses.iter();
         seeds
@@ -132,6 +132,13 @@
     }
 }
 
+/// Returns how long a process may wait for an event, given when it is to look at time-outs and when its
+/// sessions have something due.
+pub(super) fn wait_for_events(next_tick: Instant, sessions_due: Option<Instant>) -> Duration {
+    let until = sessions_due.map_or(next_tick, |due| due.min(next_tick));
+    until.saturating_duration_since(Instant::now())
+}
+
 /// Returns the wall clock, in Unix milliseconds.
 pub(super) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -8,30 +8,37 @@
 
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use hyper::StatusCode;
-use knapweedrill::dispatch::JobName;
 use knapweedrill::dispatch::configuration::Configuration;
-use knapweedrill::dispatch::entry::{Answer, CallerId, Entry, EntryAction, EntrySettings};
-use knapweedrill::dispatch::session::Envelope;
+use knapweedrill::dispatch::entry::{Answer, CallerId, Entry, EntryAction, EntrySettings, Source};
+use knapweedrill::dispatch::{JobName, Packet, Place};
 use knapweedrill_platform::{
     CONFIGURATION_KEY, CallerReply, CallerRequest, OPERATOR_TOPIC, ProcessSettings, Record,
     StoreClient, read_configuration, reply,
 };
-use knapweedrill_wire::EnvelopeSocket;
+use knapweedrill_wire::PacketSocket;
 use tokio::sync::oneshot;
 
-use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic};
+use super::common::{BATCH_EVENT_COUNT, IDLE_TICK, Process, TICK, start_traffic, wait_for_events};
 use super::entry_http::{Call, Gate, Published};
 use super::http::{response, serve, serve_metrics};
 use super::metrics::{LEVELS_EVERY, Metrics};
-use super::store::{ENTRIES_TOPIC, follow, read_address, tell_address};
+use super::store::{
+    ENTRIES_TOPIC, ReadPace, SIDECARS_TOPIC, follow, read_address, read_place, tell_address,
+};
 
-/// How long the store may let a call wait for a new configuration. A channel that has fallen
-/// silent is noticed within this time and that of a call, well before a change has to be in
-/// force.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(800);
+/// How the configuration is read. A channel that has fallen silent is noticed within the wait and that of
+/// a call, well before a change has to be in force.
+const CONFIGURATION_PACE: ReadPace = ReadPace {
+    wait: Duration::from_millis(800),
+    pause: Duration::ZERO,
+};
 
-/// The same for addresses of entries, which change seldom and are greeted by others too.
-const ADDRESSES_WAIT: Duration = Duration::from_secs(4);
+/// How addresses of entries and sidecars are read, which change seldom and are told by others too. All
+/// processes that start together are found with two or three calls.
+const ADDRESSES_PACE: ReadPace = ReadPace {
+    wait: Duration::from_secs(8),
+    pause: Duration::from_millis(1_200),
+};
 
 /// What happens to an entry.
 pub(super) enum EntryEvent {
@@ -40,11 +47,13 @@
     /// A caller has left before its answer.
     CallerLeft(CallerId, JobName),
     /// A datagram came.
-    Datagram(SocketAddr, Envelope),
+    Datagram(SocketAddr, Packet),
     /// The store has a configuration.
     Configuration(Configuration),
-    /// The store names an entry.
-    Address(SocketAddr),
+    /// The store names an entry, by the name of its VM.
+    Address(String, SocketAddr),
+    /// The store names a sidecar.
+    Place(Place),
 }
 
 /// Runs an entry until it is told to stop.
@@ -53,22 +62,25 @@
     let published = Arc::new(Published::default());
     let gate = Gate::new(sender.clone(), Arc::clone(&published));
     let datagrams = sender.clone();
-    let socket = EnvelopeSocket::start(process.address(), move |from, envelope| {
+    let socket = PacketSocket::start(process.address(), move |from, packet| {
         // After the end of the state nobody needs the datagram.
-        let _ = datagrams.send(EntryEvent::Datagram(from, envelope));
+        let _ = datagrams.send(EntryEvent::Datagram(from, packet));
     })?;
     let settings = process.settings.clone();
     let address = process.address();
     let metrics = Metrics::new()?;
     let served = metrics.clone();
     start_traffic(move || traffic(settings, address, gate, served, sender))?;
-    let entry = Entry::new(
+    let mut entry = Entry::new(
         EntrySettings {
             seed: rand::random(),
             ..EntrySettings::new(process.run_timing(), process.settings.resubmission)
         },
         process.sessions(),
     );
+    for address in process.seeds() {
+        entry.meet_entry(address, None);
+    }
     let control = Control {
         own_address: address,
         entry,
@@ -97,16 +109,28 @@
     let sender = events.clone();
     let addresses = move |record: Record| match read_address(&record) {
         // After the end of the state nobody needs the news, here and below.
-        Some(address) => drop(sender.send(EntryEvent::Address(address))),
+        Some(address) => drop(sender.send(EntryEvent::Address(record.key, address))),
         None => log::warn!(key = record.key.as_str(); "an entry's address can't be read"),
     };
     tokio::spawn(follow(
         Arc::clone(&store),
         ENTRIES_TOPIC,
-        ADDRESSES_WAIT,
+        ADDRESSES_PACE,
         metrics.clone(),
         addresses,
     ));
+    let sender = events.clone();
+    let places = move |record: Record| match read_place(&record) {
+        Some(place) => drop(sender.send(EntryEvent::Place(place))),
+        None => log::warn!(key = record.key.as_str(); "a sidecar's place can't be read"),
+    };
+    tokio::spawn(follow(
+        Arc::clone(&store),
+        SIDECARS_TOPIC,
+        ADDRESSES_PACE,
+        metrics.clone(),
+        places,
+    ));
     let configurations = move |record: Record| {
         if record.key != CONFIGURATION_KEY {
             return;
@@ -119,7 +143,7 @@
     tokio::spawn(follow(
         store,
         OPERATOR_TOPIC,
-        CONFIGURATION_WAIT,
+        CONFIGURATION_PACE,
         metrics.clone(),
         configurations,
     ));
@@ -152,7 +176,7 @@
 struct Control {
     own_address: SocketAddr,
     entry: Entry,
-    socket: EnvelopeSocket,
+    socket: PacketSocket,
     published: Arc<Published>,
     metrics: Metrics,
     callers: HashMap<CallerId, WaitingCaller>,
@@ -163,9 +187,11 @@
         let mut next_tick = Instant::now();
         let mut next_levels = next_tick;
         loop {
-            match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
+            match events.recv_timeout(wait_for_events(next_tick, self.entry.sessions_due())) {
                 Ok(event) => {
                     let now = Instant::now();
+                    // The event may bring the first work.
+                    next_tick = next_tick.min(now + TICK);
                     self.handle(event, now);
                     for event in events.try_iter().take(BATCH_EVENT_COUNT) {
                         self.handle(event, now);
@@ -177,9 +203,10 @@
             let now = Instant::now();
             if now >= next_tick {
                 self.entry.tick(now);
-                next_tick = now + TICK;
+                let is_idle = self.entry.job_count() == 0;
+                next_tick = now + if is_idle { IDLE_TICK } else { TICK };
                 for address in process.reload(now) {
-                    self.entry.greet(address);
+                    self.entry.meet_entry(address, None);
                 }
             }
             if now >= next_levels {
@@ -214,15 +241,16 @@
                 self.callers.remove(&caller);
                 self.entry.caller_left(caller, job, now);
             }
-            EntryEvent::Datagram(from, envelope) => self.entry.receive(from, envelope, now),
+            EntryEvent::Datagram(from, packet) => self.entry.receive(from, packet, now),
             EntryEvent::Configuration(configuration) => {
                 self.entry.configure(configuration, "store", now)
             }
-            EntryEvent::Address(address) => {
+            EntryEvent::Address(name, address) => {
                 if address != self.own_address {
-                    self.entry.greet(address);
+                    self.entry.meet_entry(address, Some(name));
                 }
             }
+            EntryEvent::Place(place) => self.entry.meet_sidecar(place, Source::First),
         }
     }
 
@@ -271,8 +299,8 @@
                 EntryAction::Count(outcome) => self.metrics.count_placement(outcome),
             }
         }
-        for (to, envelope) in self.entry.poll(now) {
-            self.socket.send(to, &envelope);
+        for (to, packet) in self.entry.poll(now) {
+            self.socket.send(to, &packet);
         }
         let is_ready = self.entry.is_ready();
         if self.published.is_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
@@ -307,6 +335,8 @@
             ("jobs", self.entry.job_count() as u64),
             ("waiting_jobs", self.entry.waiting_count() as u64),
             ("usable_minions", self.entry.usable_minion_count() as u64),
+            ("known_sidecars", self.entry.directory().len() as u64),
+            ("sessions", self.entry.session_count() as u64),
             ("ready", u64::from(self.entry.is_ready())),
         ];
         for (name, value) in levels {
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -2,28 +2,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use knapweedrill::dispatch::message::{Condition, StampMs};
-use knapweedrill::dispatch::session::Envelope;
 use knapweedrill::dispatch::sidecar::{
     CallNumber, HoldAnswer, MinionReport, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
     SidecarSettings,
 };
-use knapweedrill_platform::{MinionClient, ProcessSettings, Record, StoreClient};
-use knapweedrill_wire::EnvelopeSocket;
+use knapweedrill::dispatch::{Packet, Place};
+use knapweedrill_platform::{MinionClient, ProcessSettings, StoreClient};
+use knapweedrill_wire::PacketSocket;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
-use super::common::{BATCH_EVENT_COUNT, Process, TICK, start_traffic, unix_ms};
+use super::common::{
+    BATCH_EVENT_COUNT, IDLE_TICK, Process, TICK, start_traffic, unix_ms, wait_for_events,
+};
 use super::http::{serve, serve_metrics};
 use super::metrics::{LEVELS_EVERY, Metrics};
 use super::sidecar_http::{carry_orders, register};
-use super::store::{ENTRIES_TOPIC, follow, read_address};
-
-/// How long the store may let a call wait for new entries, which greet sidecars too.
-const ADDRESSES_WAIT: Duration = Duration::from_secs(4);
+use super::store::tell_places;
 
 /// What happens to a sidecar.
 pub(super) enum SidecarEvent {
@@ -38,29 +37,35 @@
     /// A hold was answered, or was not.
     HoldAnswered(CallNumber, Option<HoldAnswer>),
     /// A datagram came.
-    Datagram(SocketAddr, Envelope),
-    /// The store names an entry.
-    Address(SocketAddr),
+    Datagram(SocketAddr, Packet),
+    /// The store has confirmed where this sidecar is.
+    Confirmed(Place),
 }
 
 /// Runs a sidecar until it is told to stop.
 pub(super) fn run(process: Process) -> eyre::Result<()> {
     let (sender, events) = channel::unbounded();
     let datagrams = sender.clone();
-    let socket = EnvelopeSocket::start(process.address(), move |from, envelope| {
+    let socket = PacketSocket::start(process.address(), move |from, packet| {
         // After the end of the state nobody needs the datagram.
-        let _ = datagrams.send(SidecarEvent::Datagram(from, envelope));
+        let _ = datagrams.send(SidecarEvent::Datagram(from, packet));
     })?;
     let (orders, ordered) = mpsc::unbounded_channel();
     let settings = process.settings.clone();
     let metrics = Metrics::new()?;
     let served = metrics.clone();
-    start_traffic(move || traffic(settings, ordered, served, sender))?;
+    let (place, places) = watch::channel(None);
+    start_traffic(move || traffic(settings, ordered, places, served, sender))?;
     let settings = SidecarSettings::new(process.run_timing(), process.settings.lease_max);
+    let sidecar = Sidecar::new(settings, unix_ms());
+    let vm = process.settings.name.clone();
+    let mut endpoint = SidecarEndpoint::new(sidecar, process.sessions(), vm, process.address());
+    endpoint.set_seeds(process.seeds().collect());
     let control = Control {
-        endpoint: SidecarEndpoint::new(Sidecar::new(settings, unix_ms()), process.sessions()),
+        endpoint,
         socket,
         orders,
+        place,
         metrics,
     };
     control.run(process, &events);
@@ -70,24 +75,18 @@
 async fn traffic(
     settings: ProcessSettings,
     orders: UnboundedReceiver<SidecarAction>,
+    places: watch::Receiver<Option<Place>>,
     metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) -> eyre::Result<()> {
     tokio::spawn(serve_metrics(settings.ip, metrics.clone()));
     let store = Arc::new(StoreClient::new(settings.store_address));
     let sender = events.clone();
-    let addresses = move |record: Record| match read_address(&record) {
+    let on_confirmed = move |place| {
         // After the end of the state nobody needs the news.
-        Some(address) => drop(sender.send(SidecarEvent::Address(address))),
-        None => log::warn!(key = record.key.as_str(); "an entry's address can't be read"),
+        let _ = sender.send(SidecarEvent::Confirmed(place));
     };
-    tokio::spawn(follow(
-        store,
-        ENTRIES_TOPIC,
-        ADDRESSES_WAIT,
-        metrics.clone(),
-        addresses,
-    ));
+    tokio::spawn(tell_places(store, places, on_confirmed));
     let minion_address = settings
         .minion_address
         .ok_or_else(|| eyre::eyre!("the settings name no minion"))?;
@@ -102,25 +101,28 @@
 /// The control state of the process.
 struct Control {
     endpoint: SidecarEndpoint,
-    socket: EnvelopeSocket,
+    socket: PacketSocket,
     orders: UnboundedSender<SidecarAction>,
+    /// Where this sidecar is, for the store.
+    place: watch::Sender<Option<Place>>,
     metrics: Metrics,
 }
 
 impl Control {
     fn run(mut self, mut process: Process, events: &Receiver<SidecarEvent>) {
-        let own_address = process.address();
         let mut next_tick = Instant::now();
         let mut next_levels = next_tick;
         loop {
-            match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
+            match events.recv_timeout(wait_for_events(next_tick, self.endpoint.sessions_due())) {
                 Ok(event) => {
                     let now = Instant::now();
+                    // The event may bring the first work.
+                    next_tick = next_tick.min(now + TICK);
                     // Time-outs come first: after a pause of the process they may be long due.
                     self.endpoint.sidecar_mut().tick(now);
-                    self.handle(event, own_address, now);
+                    self.handle(event, now);
                     for event in events.try_iter().take(BATCH_EVENT_COUNT) {
-                        self.handle(event, own_address, now);
+                        self.handle(event, now);
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
@@ -129,10 +131,13 @@
             let now = Instant::now();
             self.endpoint.sidecar_mut().tick(now);
             if now >= next_tick {
-                next_tick = now + TICK;
-                for address in process.reload(now) {
-                    self.endpoint.greet(address);
+                let is_idle = self.endpoint.sidecar().is_idle();
+                next_tick = now + if is_idle { IDLE_TICK } else { TICK };
+                let seeds = process.reload(now);
+                if !seeds.is_empty() {
+                    self.endpoint.set_seeds(seeds);
                 }
+                self.publish_place();
             }
             if now >= next_levels {
                 next_levels = now + LEVELS_EVERY;
@@ -152,7 +157,7 @@
         }
     }
 
-    fn handle(&mut self, event: SidecarEvent, own_address: SocketAddr, now: Instant) {
+    fn handle(&mut self, event: SidecarEvent, now: Instant) {
         match event {
             SidecarEvent::Reported(report, done) => {
                 self.endpoint.sidecar_mut().minion_reported(report, now);
@@ -176,12 +181,17 @@
             SidecarEvent::HoldAnswered(call, answer) => {
                 self.endpoint.sidecar_mut().hold_answered(call, answer, now);
             }
-            SidecarEvent::Datagram(from, envelope) => self.endpoint.receive(from, envelope, now),
-            SidecarEvent::Address(address) => {
-                if address != own_address {
-                    self.endpoint.greet(address);
-                }
-            }
+            SidecarEvent::Datagram(from, packet) => self.endpoint.receive(from, packet, now),
+            SidecarEvent::Confirmed(place) => self.endpoint.confirmed(place),
+        }
+    }
+
+    /// Has the store told where this sidecar is, if that has changed.
+    fn publish_place(&self) {
+        let place = self.endpoint.place();
+        let has_changed = place.is_some() && *self.place.borrow() != place;
+        if has_changed {
+            self.place.send_replace(place);
         }
     }
 
@@ -212,8 +222,8 @@
             // Without the traffic thread the process is about to end.
             drop(self.orders.send(order));
         }
-        for (to, envelope) in outgoing.datagrams {
-            self.socket.send(to, &envelope);
+        for (to, packet) in outgoing.datagrams {
+            self.socket.send(to, &packet);
         }
     }
 }
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -12,15 +12,15 @@
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, Terms};
 use knapweedrill::dispatch::entry::{
-    Answer, CallerId, Entry, EntryAction, EntrySettings, StepRequest, Submission,
+    Answer, CallerId, Entry, EntryAction, EntrySettings, Source, StepRequest, Submission,
 };
 use knapweedrill::dispatch::message::{MinionProfile, Role};
-use knapweedrill::dispatch::session::{Envelope, Identity, SessionSettings, Sessions};
+use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
 use knapweedrill::dispatch::sidecar::{
     HoldCall, MinionReport, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint, SidecarSettings,
     StartCall, StopCall,
 };
-use knapweedrill::dispatch::{JobName, Room, TaskName};
+use knapweedrill::dispatch::{JobName, Packet, Place, Room, TaskName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
@@ -71,7 +71,7 @@
     cut_until_ms: u64,
     frozen_until_ms: u64,
     down_until_ms: u64,
-    inbox: Vec<(SocketAddr, Envelope)>,
+    inbox: Vec<(SocketAddr, Packet)>,
     next_tick_ms: u64,
 }
 
@@ -126,7 +126,7 @@
     minions: Vec<Minion>,
     heartbeats: Vec<(u64, u64, bool)>,
     hanging: HashSet<usize>,
-    datagrams: BTreeMap<(u64, u64), (usize, SocketAddr, Envelope)>,
+    datagrams: BTreeMap<(u64, u64), (usize, SocketAddr, Packet)>,
     calls: Vec<PendingCall>,
     lives: Vec<u64>,
     next_id: u64,
@@ -593,16 +593,16 @@
             if entry.key().0 > self.now_ms {
                 return;
             }
-            let (to, from, envelope) = entry.remove();
+            let (to, from, packet) = entry.remove();
             let node = &mut self.nodes[to];
             let is_there = node.entry.is_some() || node.sidecar.is_some();
             if is_there && node.cut_until_ms <= self.now_ms {
-                node.inbox.push((from, envelope));
+                node.inbox.push((from, packet));
             }
         }
     }
 
-    fn send(&mut self, from: usize, to: SocketAddr, envelope: Envelope) {
+    fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         let lost = self.random.random_range(0..1_000) < self.faults.datagrams_lost_permille;
         if lost || self.nodes[from].cut_until_ms > self.now_ms {
             return;
@@ -615,7 +615,7 @@
             .random_range(0..=self.faults.datagram_delay_max_ms);
         self.next_id += 1;
         let key = (self.now_ms + delay_ms, self.next_id);
-        self.datagrams.insert(key, (to, address(from), envelope));
+        self.datagrams.insert(key, (to, address(from), packet));
     }
 
     fn run_process(&mut self, index: usize) {
@@ -637,8 +637,8 @@
         let mut orders = Vec::new();
         let mut answers = Vec::new();
         if let Some(entry) = &mut node.entry {
-            for (from, envelope) in inbox {
-                entry.receive(from, envelope, now);
+            for (from, packet) in inbox {
+                entry.receive(from, packet, now);
             }
             if is_tick {
                 entry.tick(now);
@@ -648,16 +648,16 @@
             datagrams = entry.poll(now);
         } else if let Some(endpoint) = &mut node.sidecar {
             endpoint.sidecar_mut().tick(now);
-            for (from, envelope) in inbox {
-                endpoint.receive(from, envelope, now);
+            for (from, packet) in inbox {
+                endpoint.receive(from, packet, now);
             }
             endpoint.sidecar_mut().tick(now);
             let outgoing = endpoint.poll(now);
             datagrams = outgoing.datagrams;
             orders = outgoing.orders;
         }
-        for (to, envelope) in datagrams {
-            self.send(index, to, envelope);
+        for (to, packet) in datagrams {
+            self.send(index, to, packet);
         }
         for order in orders {
             match order {
@@ -779,16 +779,13 @@
             role: if is_entry { Role::Entry } else { Role::Sidecar },
             started_at: self.now(),
         };
-        let mut sessions = Sessions::new(identity, SessionSettings::default());
-        for other in 0..self.entry_count {
-            if other != index {
-                sessions.greet(address(other));
-            }
-        }
+        let sessions = Sessions::new(identity, SessionSettings::default());
         self.lives[index] += 1;
         let seed = self.next_id;
         let token = self.now_ms + 1;
         let now = self.now();
+        let entry_count = self.entry_count;
+        let node_count = self.nodes.len().max(entry_count + self.minions.len());
         let node = &mut self.nodes[index];
         if is_entry {
             let settings = EntrySettings {
@@ -797,10 +794,18 @@
             };
             let mut entry = Entry::new(settings, sessions);
             entry.configure(configuration(), "test", now);
+            for other in (0..entry_count).filter(|other| *other != index) {
+                entry.meet_entry(address(other), None);
+            }
+            for sidecar in entry_count..node_count {
+                entry.meet_sidecar(place(sidecar), Source::First);
+            }
             node.entry = Some(entry);
         } else {
             let sidecar = Sidecar::new(SidecarSettings::default(), token);
-            node.sidecar = Some(SidecarEndpoint::new(sidecar, sessions));
+            let vm = format!("vm-{index}");
+            let endpoint = SidecarEndpoint::new(sidecar, sessions, vm, address(index));
+            node.sidecar = Some(endpoint);
         }
     }
 }
@@ -835,6 +840,20 @@
     }
 }
 
+fn place(index: usize) -> Place {
+    Place {
+        vm: format!("vm-{index}"),
+        address: address(index),
+        service: "service".into(),
+        capacity: Room {
+            cpu_millicores: 1_000 * TASKS_PER_MINION,
+            memory_mib: 100 * TASKS_PER_MINION,
+            accelerator_count: 0,
+        },
+        labels: vec!["kind".into()],
+    }
+}
+
 fn address(index: usize) -> SocketAddr {
     let port = 10_000 + u16::try_from(index).expect("few nodes");
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
--- a/knapweedrill_wire/src/envelopes.rs
+++ b/knapweedrill_wire/src/packets.rs
@@ -5,19 +5,19 @@
 use std::thread;
 
 use eyre::WrapErr;
-use knapweedrill::dispatch::session::Envelope;
+use knapweedrill::dispatch::Packet;
 
 /// The longest datagram there is over IPv4, in bytes.
 const DATAGRAM_BYTES_MAX: usize = 65_507;
 
 /// The socket that carries the sessions of dispatch.
 #[derive(Debug)]
-pub struct EnvelopeSocket {
+pub struct PacketSocket {
     socket: UdpSocket,
 }
 
-impl EnvelopeSocket {
-    /// Binds an address, and calls `on_envelope` for whatever arrives there, on a thread of its
+impl PacketSocket {
+    /// Binds an address, and calls `on_packet` for whatever arrives there, on a thread of its
     /// own.
     ///
     /// # Errors
@@ -25,21 +25,21 @@
     /// Fails if the address can't be bound or the thread can't be started.
     pub fn start(
         address: SocketAddr,
-        on_envelope: impl Fn(SocketAddr, Envelope) + Send + 'static,
+        on_packet: impl Fn(SocketAddr, Packet) + Send + 'static,
     ) -> eyre::Result<Self> {
         let socket = UdpSocket::bind(address)
             .wrap_err_with(|| format!("can't listen for datagrams at {address}"))?;
         let receiver = socket.try_clone().wrap_err("can't share the socket")?;
         thread::Builder::new()
             .name("datagrams".into())
-            .spawn(move || receive_all(&receiver, on_envelope))
+            .spawn(move || receive_all(&receiver, on_packet))
             .wrap_err("can't start the thread that receives datagrams")?;
         Ok(Self { socket })
     }
 
-    /// Sends an envelope; one that is lost is sent again by its session.
-    pub fn send(&self, to: SocketAddr, envelope: &Envelope) {
-        let bytes = match postcard::to_stdvec(envelope) {
+    /// Sends a packet; one that is lost is sent again by its session.
+    pub fn send(&self, to: SocketAddr, packet: &Packet) {
+        let bytes = match postcard::to_stdvec(packet) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(to:% = to, error:% = error; "datagram can't be encoded");
@@ -52,12 +52,12 @@
     }
 }
 
-fn receive_all(socket: &UdpSocket, on_envelope: impl Fn(SocketAddr, Envelope)) {
+fn receive_all(socket: &UdpSocket, on_packet: impl Fn(SocketAddr, Packet)) {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         match socket.recv_from(&mut buffer) {
             Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok(envelope) => on_envelope(from, envelope),
+                Ok(packet) => on_packet(from, packet),
                 Err(error) => {
                     log::warn!(from:% = from, bytes = length, error:% = error; "datagram can't be read");
                 }
