test(lab): proxies stand in front of sidecars, and faults of single clients

Entries open the sessions now, so the datagram proxy of an entry no longer sees them: without this the soak would have lost its faults of datagrams unnoticed. A fault of an entry now strikes what it sends and gets at every proxy.

--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -164,7 +164,10 @@
         now: Instant,
     ) -> SessionEvents {
         let mut events = SessionEvents::new();
-        if envelope.role == self.own.role {
+        let is_elsewhere = |known: &SocketAddr| *known != address;
+        let has_session = self.addresses.get(&envelope.from).is_some_and(is_elsewhere);
+        if envelope.role == self.own.role || has_session {
+            // A process has one session with another, whatever the ways between them.
             return events;
         }
         let known = self
--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -102,7 +102,11 @@
         }
         for (index, minion) in (0..).zip(&site.minions) {
             let machine = ip(site.site, sidecar_host(index));
-            let proxies = SidecarProxies::start(machine, minion.address(), store)?;
+            let datagrams = SocketAddr::new(machine, INTERNAL_PORTS.0);
+            let seed = seed << 8 | u64::from(index) << 16;
+            let proxies = SidecarProxies::start(machine, minion.address(), datagrams, store, seed)?;
+            let told = proxies.datagrams.address().to_string();
+            site.store.set_alias(&datagrams.to_string(), &told);
             site.sidecar_proxies.push(proxies);
             minion.set_run_time(RUN_TIMES_PERCENT[usize::from(index) % RUN_TIMES_PERCENT.len()]);
         }
@@ -150,6 +154,11 @@
         })
     }
 
+    /// Returns how many entries there are.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns the proxies in front of an entry.
     pub fn entry_proxies(&self, entry: usize) -> Option<&EntryProxies> {
         self.entry_proxies.get(entry)
--- a/knapweedrill_lab/src/harness/site_proxies.rs
+++ b/knapweedrill_lab/src/harness/site_proxies.rs
@@ -16,7 +16,7 @@
 pub struct EntryProxies {
     /// Between callers and the entry.
     pub callers: StreamProxy,
-    /// Between the entry and all processes that greet it.
+    /// Between the entry and other entries.
     pub datagrams: DatagramProxy,
     /// Between the entry and the store.
     pub store: StreamProxy,
@@ -27,6 +27,8 @@
 pub struct SidecarProxies {
     /// Between the sidecar and its minion.
     pub minion: StreamProxy,
+    /// Between the sidecar and the entries that have sessions with it.
+    pub datagrams: DatagramProxy,
     /// Between the sidecar and the store.
     pub store: StreamProxy,
 }
@@ -52,11 +54,14 @@
     pub(super) fn start(
         machine: IpAddr,
         minion: SocketAddr,
+        datagrams: SocketAddr,
         store: SocketAddr,
+        seed: u64,
     ) -> io::Result<Self> {
         let listen = |port| SocketAddr::new(machine, port);
         Ok(Self {
             minion: StreamProxy::start(listen(MINION_PORT), minion)?,
+            datagrams: DatagramProxy::start(listen(DATAGRAMS_PORT), datagrams, seed)?,
             store: StreamProxy::start(listen(STORE_PORT), store)?,
         })
     }
--- a/knapweedrill_lab/src/soak/apply.rs
+++ b/knapweedrill_lab/src/soak/apply.rs
@@ -35,13 +35,15 @@
                     .drop_percent(15)
                     .duplicate_percent(10)
                     .reorder(20, SLOW);
-                self.set_datagrams(entry, faults);
+                self.set_datagrams(entry, faults, faults);
             }
             Trouble::CutDatagrams(entry) => {
-                self.set_datagrams(entry, DatagramFaults::new().drop_percent(100));
+                let all = DatagramFaults::new().drop_percent(100);
+                self.set_datagrams(entry, all, all);
             }
             Trouble::CutDatagramsOneWay(entry) => {
-                self.set_datagrams(entry, DatagramFaults::new().swallow_clients());
+                let others = DatagramFaults::new().swallow_clients();
+                self.set_datagrams(entry, others, DatagramFaults::new().swallow_answers());
             }
             Trouble::SilenceStore(target) => self.with_store(target, StreamProxy::silence),
             Trouble::CutStore(target) => self.with_store(target, StreamProxy::cut),
@@ -108,7 +110,7 @@
             Trouble::DisturbDatagrams(entry)
             | Trouble::CutDatagrams(entry)
             | Trouble::CutDatagramsOneWay(entry) => {
-                self.set_datagrams(entry, DatagramFaults::new());
+                self.set_datagrams(entry, DatagramFaults::new(), DatagramFaults::new());
             }
             Trouble::SilenceStore(target) | Trouble::CutStore(target) => {
                 self.with_store(target, StreamProxy::pass);
@@ -145,9 +147,25 @@
         }
     }
 
-    fn set_datagrams(&self, entry: u8, faults: DatagramFaults) {
-        if let Some(proxies) = self.site.entry_proxies(usize::from(entry)) {
-            proxies.datagrams.set_faults(faults);
+    /// Sets what goes wrong with the datagrams of an entry: with those of others that begin to talk to it,
+    /// and with those of processes that it talks to.
+    fn set_datagrams(&self, entry: u8, called: DatagramFaults, calling: DatagramFaults) {
+        let own = usize::from(entry);
+        let address = self.site.entry_ip(own);
+        for other in 0..self.site.entry_count() {
+            let Some(proxies) = self.site.entry_proxies(other) else {
+                continue;
+            };
+            if other == own {
+                proxies.datagrams.set_faults(called);
+            } else {
+                proxies.datagrams.set_client_faults(address, calling);
+            }
+        }
+        for sidecar in 0..self.site.minions.len() {
+            if let Some(proxies) = self.site.sidecar_proxies(sidecar) {
+                proxies.datagrams.set_client_faults(address, calling);
+            }
         }
     }
 
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_faults.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_faults.rs
@@ -7,6 +7,7 @@
 pub struct DatagramFaults {
     pub(super) drop_percent: u8,
     pub(super) swallows_clients: bool,
+    pub(super) swallows_answers: bool,
     pub(super) duplicate_percent: u8,
     pub(super) reorder_percent: u8,
     pub(super) delay: Duration,
@@ -31,6 +32,12 @@
         self
     }
 
+    /// Drops all answers, and nothing that clients send.
+    pub fn swallow_answers(mut self) -> Self {
+        self.swallows_answers = true;
+        self
+    }
+
     /// Sets how many datagrams in a hundred arrive twice.
     pub fn duplicate_percent(mut self, percent: u8) -> Self {
         self.duplicate_percent = percent;
--- a/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
+++ b/knapweedrill_lab/src/stand_in/cutting_proxy/datagram_proxy.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -41,6 +41,8 @@
 #[derive(Debug)]
 struct Fate {
     faults: DatagramFaults,
+    /// What goes wrong with the datagrams of single clients instead.
+    faults_of_clients: HashMap<IpAddr, DatagramFaults>,
     rng: StdRng,
 }
 
@@ -59,6 +61,7 @@
             dropped_count: AtomicU64::new(0),
             fate: Mutex::new(Fate {
                 faults: DatagramFaults::new(),
+                faults_of_clients: HashMap::new(),
                 rng: StdRng::seed_from_u64(seed),
             }),
         });
@@ -85,6 +88,17 @@
         self.shared.lock_fate().faults = faults;
     }
 
+    /// Sets what goes wrong from now on with the datagrams of one client and the answers to it; without
+    /// faults of its own, those of all apply.
+    pub fn set_client_faults(&self, client: IpAddr, faults: DatagramFaults) {
+        let mut fate = self.shared.lock_fate();
+        if faults == DatagramFaults::new() {
+            fate.faults_of_clients.remove(&client);
+        } else {
+            fate.faults_of_clients.insert(client, faults);
+        }
+    }
+
     /// Returns how many datagrams were dropped.
     pub fn dropped_count(&self) -> u64 {
         self.shared.dropped_count.load(Ordering::Relaxed)
@@ -115,11 +129,12 @@
         &self,
         sender: &Sender<Delivery>,
         socket: &Arc<UdpSocket>,
+        client: IpAddr,
         to: SocketAddr,
         bytes: &[u8],
     ) {
         let is_from_client = to == self.target;
-        let delays = self.lock_fate().draw_delays(is_from_client);
+        let delays = self.lock_fate().draw_delays(client, is_from_client);
         if delays.is_empty() {
             self.dropped_count.fetch_add(1, Ordering::Relaxed);
         }
@@ -137,18 +152,22 @@
 }
 
 impl Fate {
-    /// Draws the delay of each copy of a datagram; there is none if it is dropped.
-    fn draw_delays(&mut self, is_from_client: bool) -> Vec<Duration> {
-        let faults = self.faults;
-        if (is_from_client && faults.swallows_clients) || self.draw(faults.drop_percent) {
+    /// Draws the delay of each copy of a datagram from or to a client; there is none if it is dropped.
+    fn draw_delays(&mut self, client: IpAddr, is_from_client: bool) -> Vec<Duration> {
+        let faults = self.faults_of_clients.get(&client).copied();
+        let faults = faults.unwrap_or(self.faults);
+        let is_swallowed = match is_from_client {
+            true => faults.swallows_clients,
+            false => faults.swallows_answers,
+        };
+        if is_swallowed || self.draw(faults.drop_percent) {
             return Vec::new();
         }
         let copies = 1 + usize::from(self.draw(faults.duplicate_percent));
-        (0..copies).map(|_| self.draw_delay()).collect()
+        (0..copies).map(|_| self.draw_delay(faults)).collect()
     }
 
-    fn draw_delay(&mut self) -> Duration {
-        let faults = self.faults;
+    fn draw_delay(&mut self, faults: DatagramFaults) -> Duration {
         match self.draw(faults.reorder_percent) {
             true => faults.delay + faults.reorder_delay,
             false => faults.delay,
@@ -184,7 +203,8 @@
                 Arc::clone(unknown.insert(outgoing))
             }
         };
-        shared.pass(sender, &outgoing, shared.target, &buffer[..count]);
+        let bytes = &buffer[..count];
+        shared.pass(sender, &outgoing, client.ip(), shared.target, bytes);
     }
 }
 
@@ -208,7 +228,8 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         while !shared.is_stopping() {
             if let Ok((count, _)) = outgoing.recv_from(&mut buffer) {
-                shared.pass(&sender, &listening, client, &buffer[..count]);
+                let bytes = &buffer[..count];
+                shared.pass(&sender, &listening, client.ip(), client, bytes);
             }
         }
     });
--- a/knapweedrill_lab/src/stand_in/platform/store.rs
+++ b/knapweedrill_lab/src/stand_in/platform/store.rs
@@ -56,8 +56,8 @@
 struct State {
     topics: HashMap<String, Topic>,
     fault: StoreFault,
-    /// Values that are stored in place of others.
-    aliases: HashMap<Vec<u8>, Vec<u8>>,
+    /// Texts that are stored in place of others, within the values of records.
+    aliases: HashMap<String, String>,
     parked: Vec<Parked>,
     silent: Vec<Request>,
     call_count: u64,
@@ -104,10 +104,10 @@
         state.silent.clear();
     }
 
-    /// Stores another value whenever a process appends a certain one, such as the address of a proxy
-    /// in place of that of a process.
-    pub fn set_alias(&self, value: &str, stored: &str) {
-        let alias = (value.as_bytes().to_vec(), stored.as_bytes().to_vec());
+    /// Stores another text whenever a process appends a value with a certain one, such as the address of
+    /// a proxy in place of that of a process.
+    pub fn set_alias(&self, text: &str, stored: &str) {
+        let alias = (text.to_owned(), stored.to_owned());
         lock(&self.state).aliases.extend([alias]);
     }
 
@@ -201,13 +201,21 @@
     respond_json(request, 200, &json!({"Offset": offset, "End": end}));
 }
 
-fn with_alias(record: &[u8], aliases: &HashMap<Vec<u8>, Vec<u8>>) -> Vec<u8> {
-    let alias = split(record).and_then(|(_, value)| Some((value, aliases.get(value)?)));
-    let Some((value, stored)) = alias else {
+fn with_alias(record: &[u8], aliases: &HashMap<String, String>) -> Vec<u8> {
+    let Some((_, value)) = split(record) else {
+        return record.to_vec();
+    };
+    let Ok(text) = std::str::from_utf8(value) else {
+        return record.to_vec();
+    };
+    let alias = aliases
+        .iter()
+        .find(|(told, _)| text.contains(told.as_str()));
+    let Some((told, stored)) = alias else {
         return record.to_vec();
     };
     let head = &record[..record.len() - value.len()];
-    [head, stored].concat()
+    [head, text.replace(told, stored).as_bytes()].concat()
 }
 
 fn newest(state: &mut State, request: Request, topic: &str) {
