test(dispatch): the life of a session, and what a start costs at fleets of unlike size

Sessions that are opened, idle, closed, opened again and crossed with the death of either side; datagrams lost, doubled and late: no order arrives twice or late, and a session that is wanted carries each order once all is calm.

Work is counted, not timed, at 24, 240, 800 and 1,600 sidecars with one entry for four.

--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -111,6 +111,10 @@
     pub(crate) started_count: u64,
     pub(crate) resubmitted_count: u64,
     pub(crate) unanswered: Vec<JobName>,
+    /// How many datagrams each node has sent and got, and how many bytes it has sent.
+    pub(crate) sent_counts: Vec<u64>,
+    pub(crate) received_counts: Vec<u64>,
+    pub(crate) sent_bytes: Vec<u64>,
 }
 
 /// The simulated system.
@@ -163,7 +167,12 @@
             .collect();
         let mut world = Self {
             faults,
-            seen: Seen::default(),
+            seen: Seen {
+                sent_counts: vec![0; entry_count + sidecar_count],
+                received_counts: vec![0; entry_count + sidecar_count],
+                sent_bytes: vec![0; entry_count + sidecar_count],
+                ..Seen::default()
+            },
             epoch,
             now_ms: 0,
             random,
@@ -279,6 +288,20 @@
         name
     }
 
+    /// Returns how many sidecars each entry has sessions with.
+    pub(crate) fn session_counts(&self) -> Vec<usize> {
+        let entries = self.nodes.iter().filter_map(|node| node.entry.as_ref());
+        entries.map(Entry::session_count).collect()
+    }
+
+    /// Returns how many entries each sidecar has sessions with.
+    pub(crate) fn sharer_counts(&self) -> Vec<usize> {
+        let sidecars = self.nodes.iter().filter_map(|node| node.sidecar.as_ref());
+        sidecars
+            .map(|endpoint| endpoint.sidecar().entries().count())
+            .collect()
+    }
+
     /// Lets time pass.
     pub(crate) fn advance(&mut self, for_ms: u64) {
         for _ in 0..for_ms {
@@ -596,6 +619,7 @@
             let (to, from, packet) = entry.remove();
             let node = &mut self.nodes[to];
             let is_there = node.entry.is_some() || node.sidecar.is_some();
+            self.seen.received_counts[to] += 1;
             if is_there && node.cut_until_ms <= self.now_ms {
                 node.inbox.push((from, packet));
             }
@@ -603,11 +627,14 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
+        self.seen.sent_counts[from] += 1;
+        let bytes = postcard::to_stdvec(&packet).expect("packets can be encoded");
+        self.seen.sent_bytes[from] += bytes.len() as u64;
         let lost = self.random.random_range(0..1_000) < self.faults.datagrams_lost_permille;
         if lost || self.nodes[from].cut_until_ms > self.now_ms {
             return;
         }
-        let Some(to) = self.nodes.iter().position(|node| node.address == to) else {
+        let Some(to) = node_at(to).filter(|to| *to < self.nodes.len()) else {
             return;
         };
         let delay_ms = 1 + self
@@ -854,6 +881,10 @@
     }
 }
 
+fn node_at(address: SocketAddr) -> Option<usize> {
+    usize::from(address.port()).checked_sub(10_000)
+}
+
 fn address(index: usize) -> SocketAddr {
     let port = 10_000 + u16::try_from(index).expect("few nodes");
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
