fix(sidecar): a new life of a minion is met with a higher fencing token

That life has seen no fencing token, and the sidecar went on with the same one, so nothing told the late order from its own. The sidecar now raises its token once it hears of the new life, and the first call brings it.

Ruled out: telling the lives apart by the lease's end (a new clock starts at 0, so the old end is still ahead); by the name (it is the same). What stays open: an order that is carried out before the first call to the new life, while the sidecar stands still; see docs/DESIGN.md.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -149,6 +149,7 @@
                 if life.profile.instance == report.profile.instance {
                     // Orders may have reached the new life already; its lists tell which.
                     life.begin_again(report.born_ms, self.settings.lease_max);
+                    self.orders.outrank_former_life();
                     life.update(report);
                     self.begin_judging_anew(now);
                 } else {
@@ -361,6 +362,7 @@
         if answer.born_ms > life.born_ms && life.born_ms > 0 {
             log::warn!(born_ms = answer.born_ms; "minion began a new life, seen in its lists");
             life.begin_again(answer.born_ms, self.settings.lease_max);
+            self.orders.outrank_former_life();
             self.judgement = Judgement::default();
         }
         self.judgement.learn_end(self.holds.unheard_for(now));
--- a/knapweedrill/src/dispatch/sidecar/orders.rs
+++ b/knapweedrill/src/dispatch/sidecar/orders.rs
@@ -118,6 +118,13 @@
         log::warn!(fencing_token = self.fencing_token; "fencing token raised");
     }
 
+    /// Raises the fencing token, since a new life of the minion knows none: once a call has brought it this
+    /// one, it refuses orders to the life before that it would carry out late.
+    pub(super) fn outrank_former_life(&mut self) {
+        self.fencing_token += 1;
+        log::info!(fencing_token = self.fencing_token; "fencing token raised for a new life");
+    }
+
     /// Forgets all orders to a life of the minion that is over.
     pub(super) fn forget(&mut self) {
         self.unanswered.clear();
--- a/knapweedrill/tests/dispatch_session_life.rs
+++ b/knapweedrill/tests/dispatch_session_life.rs
@@ -166,7 +166,9 @@
     }
 
     fn is_up(&self) -> bool {
-        self.sides[ENTRY].address(self.incarnations[SIDECAR]).is_some()
+        self.sides[ENTRY]
+            .address(self.incarnations[SIDECAR])
+            .is_some()
     }
 }
 
@@ -281,7 +283,10 @@
     for _ in 0..2_000 {
         pair.step(Vec::new);
     }
-    assert!(pair.sides[SIDECAR].is_empty(), "silent entries are forgotten");
+    assert!(
+        pair.sides[SIDECAR].is_empty(),
+        "silent entries are forgotten"
+    );
     pair.run(200);
     assert!(pair.events.contains(&(ENTRY, SessionEvent::Gone(2))));
     assert!(pair.sides[ENTRY].is_empty());
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -411,3 +411,37 @@
         usual_ms
     );
 }
+
+/// An order that got no answer may be carried out seconds later, by the life of the minion that follows
+/// under the same name. That life knows no fencing token: the first call to it has to bring a higher one
+/// than the late order carries.
+#[test]
+fn new_life_of_a_minion_is_met_with_a_higher_fencing_token() {
+    let mut bench = Bench::new();
+    bench.order(1, 1);
+    bench.answer_start(OrderAnswer::NoAnswer);
+    let before = bench.starts.iter().map(|call| call.fencing_token).max();
+    bench.born_ms = 90_000;
+    bench.report();
+    bench.advance(MS);
+    let hold = bench.holds.last().expect("the new life is asked at once");
+    assert!(Some(hold.fencing_token) > before, "{hold:?}, {before:?}");
+}
+
+#[test]
+fn new_life_that_is_seen_in_the_lists_first_is_met_with_a_higher_fencing_token() {
+    let mut bench = Bench::new();
+    bench.order(1, 1);
+    bench.answer_start(OrderAnswer::NoAnswer);
+    let before = bench.starts.iter().map(|call| call.fencing_token).max();
+    bench.born_ms = 90_000;
+    bench.clock_ms = 10;
+    bench.advance(MS);
+    bench.answer_hold(Vec::new(), Vec::new());
+    bench.advance(MS);
+    let hold = bench
+        .holds
+        .last()
+        .expect("the new life is asked again at once");
+    assert!(Some(hold.fencing_token) > before, "{hold:?}, {before:?}");
+}
