fix(entry): the rest of a list of sidecars is asked for until it has come

Cause: an entry that started while the store was down asked for the next part of the list only when a part came, and for the first only while it knew no sidecar: one lost datagram left it with a part of the fleet (137 of 240 in the test, with 30 % of the datagrams lost).

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -493,10 +493,7 @@
                 sidecars,
             } => {
                 let told = u32::try_from(sidecars.len()).unwrap_or(u32::MAX);
-                if told > 0 {
-                    self.gossip
-                        .ask_for_rest(from, skipped.saturating_add(told), count);
-                }
+                self.gossip.list_told(from, skipped, told, count, now);
                 for place in sidecars {
                     self.meet_sidecar(place, Source::Entry);
                 }
--- a/knapweedrill/src/dispatch/entry/gossip.rs
+++ b/knapweedrill/src/dispatch/entry/gossip.rs
@@ -29,9 +29,25 @@
 /// configuration.
 const LISTED_COUNT: usize = 80;
 
+/// The pause before a part of a list that did not come is asked for again: several round trips.
+const ASK_LIST_EVERY: Duration = Duration::from_millis(200);
+
+/// How often a part of a list is asked for before another entry is asked for the whole.
+const LIST_ASKS_MAX: u32 = 10;
+
 /// The most other entries that are remembered.
 const ENTRY_COUNT_MAX: usize = 1_024;
 
+/// A list of sidecars on its way from another entry, part by part.
+#[derive(Debug)]
+struct Listing {
+    of: SocketAddr,
+    /// How many sidecars have been told.
+    told: u32,
+    asked_at: Instant,
+    ask_count: u32,
+}
+
 /// What this entry knows, for others.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Knowledge<'a> {
@@ -52,6 +68,9 @@
     next_at: Option<Instant>,
     recent: VecDeque<Place>,
     download: Option<Download>,
+    listing: Option<Listing>,
+    /// Whether a list has ended before its end.
+    is_list_missing: bool,
     /// The configuration in force, encoded for others.
     encoded: Option<(Version, Vec<u8>)>,
     outgoing: Vec<(SocketAddr, Notice)>,
@@ -67,6 +86,8 @@
             next_at: None,
             recent: VecDeque::new(),
             download: None,
+            listing: None,
+            is_list_missing: false,
             encoded: None,
             outgoing: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -108,6 +129,7 @@
                 self.download = None;
             }
         }
+        self.repeat_list_ask(now);
         if self.entries.is_empty() || self.next_at.is_some_and(|at| at > now) {
             return;
         }
@@ -136,9 +158,9 @@
             let notice = self.tell(own, true);
             self.outgoing.push((from, notice));
         }
-        if own.directory.is_empty() {
-            let ask = Notice::AskSidecars { skipped: 0 };
-            self.outgoing.push((from, ask));
+        let needs_list = own.directory.is_empty() || self.is_list_missing;
+        if needs_list && self.listing.is_none() {
+            self.ask_list(from, 0, now);
         }
         let is_on_its_way = |download: &Download| download.version() >= told_version;
         if told_version > own.version && !self.download.as_ref().is_some_and(is_on_its_way) {
@@ -213,12 +235,57 @@
         self.outgoing.push((to, notice));
     }
 
-    /// Asks for the rest of a list of which a part was told.
-    pub(super) fn ask_for_rest(&mut self, of: SocketAddr, told: u32, count: u32) {
-        if told < count {
-            self.outgoing
-                .push((of, Notice::AskSidecars { skipped: told }));
+    /// Takes in that a part of a list has come, and asks for the next one.
+    pub(super) fn list_told(
+        &mut self,
+        from: SocketAddr,
+        skipped: u32,
+        told: u32,
+        count: u32,
+        now: Instant,
+    ) {
+        let is_next = |listing: &Listing| listing.of == from && listing.told == skipped;
+        if !self.listing.as_ref().is_some_and(is_next) {
+            return;
+        }
+        let next = skipped.saturating_add(told);
+        if told == 0 || next >= count {
+            self.listing = None;
+            self.is_list_missing = false;
+        } else {
+            self.ask_list(from, next, now);
+        }
+    }
+
+    fn ask_list(&mut self, of: SocketAddr, told: u32, now: Instant) {
+        self.listing = Some(Listing {
+            of,
+            told,
+            asked_at: now,
+            ask_count: 1,
+        });
+        self.outgoing
+            .push((of, Notice::AskSidecars { skipped: told }));
+    }
+
+    /// Asks again for a part of a list that did not come.
+    fn repeat_list_ask(&mut self, now: Instant) {
+        let is_late =
+            |listing: &Listing| now.saturating_duration_since(listing.asked_at) >= ASK_LIST_EVERY;
+        let Some(listing) = self.listing.as_mut().filter(|listing| is_late(listing)) else {
+            return;
+        };
+        if listing.ask_count >= LIST_ASKS_MAX {
+            self.listing = None;
+            self.is_list_missing = true;
+            return;
         }
+        listing.ask_count += 1;
+        listing.asked_at = now;
+        let ask = Notice::AskSidecars {
+            skipped: listing.told,
+        };
+        self.outgoing.push((listing.of, ask));
     }
 
     fn tell(&mut self, own: Knowledge<'_>, is_answer: bool) -> Notice {
