fix(entry): admission counts the sidecars that the reach can still take in

The share now counts what the reach can still take in, as free as the minions within reach would be without this entry's own tasks: nothing when others fill the fleet. One sharer of a free fleet counts all of it, one of four a quarter.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -396,7 +396,9 @@
         };
         Admission {
             work_before,
-            share_millicores: self.fleet.share_millicores(&job.service),
+            share_millicores: self
+                .fleet
+                .share_millicores(&job.service, self.reach.spare_count(&job.service)),
             slack: job.objective().saturating_sub(job.longest),
         }
     }
--- a/knapweedrill/src/dispatch/entry/directory.rs
+++ b/knapweedrill/src/dispatch/entry/directory.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use crate::common::ServiceName;
 use crate::dispatch::Place;
 
 /// How far down its order of preference an entry looks for a sidecar, so that the cost does not grow with
@@ -42,6 +43,7 @@
     known: Vec<Known>,
     positions: HashMap<String, usize>,
     vms: HashMap<SocketAddr, usize>,
+    counts: HashMap<ServiceName, usize>,
 }
 
 impl Directory {
@@ -53,6 +55,7 @@
             known: Vec::new(),
             positions: HashMap::new(),
             vms: HashMap::new(),
+            counts: HashMap::new(),
         }
     }
 
@@ -61,6 +64,11 @@
         self.known.len()
     }
 
+    /// Returns how many sidecars of a service are known.
+    pub(super) fn count_of(&self, service: &str) -> usize {
+        self.counts.get(service).copied().unwrap_or(0)
+    }
+
     /// Returns whether no sidecar is known.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
@@ -69,6 +77,7 @@
     /// Takes in where a sidecar is; returns whether that is new.
     pub fn learn(&mut self, place: Place, source: Source) -> bool {
         let Some(position) = self.positions.get(&place.vm).copied() else {
+            *self.counts.entry(place.service.clone()).or_default() += 1;
             self.positions.insert(place.vm.clone(), self.known.len());
             self.vms.insert(place.address, self.known.len());
             self.ranked
@@ -90,6 +99,12 @@
             self.vms.insert(place.address, position);
             known.paused_until = None;
         }
+        if known.place.service != place.service {
+            if let Some(count) = self.counts.get_mut(&known.place.service) {
+                *count -= 1;
+            }
+            *self.counts.entry(place.service.clone()).or_default() += 1;
+        }
         known.place = place;
         true
     }
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -151,16 +151,27 @@
         }
     }
 
-    /// Returns this entry's share of the processor of the usable minions of a service, in thousandths of
-    /// a core.
-    pub fn share_millicores(&self, service: &str) -> u64 {
-        self.of_service(service)
-            .filter(|view| view.is_usable())
-            .filter_map(|view| {
-                let capacity = u64::from(view.profile()?.capacity.cpu_millicores);
-                Some(capacity / view.sharer_count())
-            })
-            .sum()
+    /// Returns this entry's share of the processor of a service, in thousandths of a core: of the usable
+    /// minions within reach, and of `spare_count` others that would be taken into it when room is short.
+    ///
+    /// The others are taken to be as free as those within reach would be without this entry's tasks.
+    pub fn share_millicores(&self, service: &str, spare_count: u64) -> u64 {
+        let (mut count, mut share, mut free, mut foreign) = (0, 0, 0, 0);
+        for view in self.of_service(service).filter(|view| view.is_usable()) {
+            let Some(profile) = view.profile() else {
+                continue;
+            };
+            let own = view.placed_room();
+            let others = profile.capacity.minus(own).minus(view.free());
+            count += 1;
+            share += u64::from(profile.capacity.cpu_millicores) / view.sharer_count();
+            free += u64::from(view.free().cpu_millicores);
+            foreign += u64::from(others.cpu_millicores);
+        }
+        let spare_share = spare_count * share / u64::max(count, 1);
+        let not_own = free + foreign;
+        let spare_free_permille = (free * 1_000).checked_div(not_own).unwrap_or(1_000);
+        share + spare_share * spare_free_permille / 1_000
     }
 
     /// Returns the processor that this entry's tasks of a service take up, in thousandths of a core.
--- a/knapweedrill/src/dispatch/entry/reach.rs
+++ b/knapweedrill/src/dispatch/entry/reach.rs
@@ -142,6 +142,14 @@
         is_new
     }
 
+    /// Returns how many more sidecars of a service can be taken into the reach.
+    pub(super) fn spare_count(&self, service: &str) -> u64 {
+        let in_use = |kept: &&Kept| kept.service == service && kept.retired_at.is_none();
+        let kept_count = self.kept.values().filter(in_use).count();
+        let possible_count = self.directory.count_of(service).min(REACH_MAX);
+        possible_count.saturating_sub(kept_count) as u64
+    }
+
     /// Takes in that the process at an address has answered.
     pub(super) fn met(&mut self, address: SocketAddr, sidecar: Incarnation) {
         self.directory.answered(address);
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -265,9 +265,19 @@
 
     /// Hands a job of one step in, at a random entry that is up.
     pub(crate) fn submit(&mut self, tasks: u32, patience_ms: u64) -> JobName {
+        self.submit_with(tasks, patience_ms, |_| {})
+    }
+
+    /// Hands a job of one step in that was changed, at a random entry that is up.
+    pub(crate) fn submit_with(
+        &mut self,
+        tasks: u32,
+        patience_ms: u64,
+        change: impl FnOnce(&mut StepRequest),
+    ) -> JobName {
         self.next_id += 1;
         let name = JobName(self.next_id);
-        let submission = Submission {
+        let mut submission = Submission {
             name,
             host: "host".into(),
             path: format!("/jobs/{name}"),
@@ -284,10 +294,20 @@
             patience: Duration::from_millis(patience_ms),
             is_offered: true,
         };
+        change(&mut submission.steps[0]);
         self.hand_in(submission);
         name
     }
 
+    /// Returns the minions at which runs of a job are.
+    pub(crate) fn minions_of(&self, job: JobName) -> Vec<usize> {
+        let minions = self.minions.iter().enumerate();
+        minions
+            .filter(|(_, minion)| minion.running().any(|run| run.task.job == job))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// Returns how many sidecars each entry has sessions with.
     pub(crate) fn session_counts(&self) -> Vec<usize> {
         let entries = self.nodes.iter().filter_map(|node| node.entry.as_ref());
@@ -431,7 +451,7 @@
                     instance: minion.instance.clone(),
                     service: "service".into(),
                     capacity: minion.capacity,
-                    labels: vec!["kind".into()],
+                    labels: labels(index),
                 },
                 born_ms: minion.born_ms,
                 sequence,
@@ -825,7 +845,7 @@
                 entry.meet_entry(address(other), None);
             }
             for sidecar in entry_count..node_count {
-                entry.meet_sidecar(place(sidecar), Source::First);
+                entry.meet_sidecar(place(sidecar, entry_count), Source::First);
             }
             node.entry = Some(entry);
         } else {
@@ -867,7 +887,7 @@
     }
 }
 
-fn place(index: usize) -> Place {
+fn place(index: usize, entry_count: usize) -> Place {
     Place {
         vm: format!("vm-{index}"),
         address: address(index),
@@ -877,10 +897,15 @@
             memory_mib: 100 * TASKS_PER_MINION,
             accelerator_count: 0,
         },
-        labels: vec!["kind".into()],
+        labels: labels(index - entry_count),
     }
 }
 
+/// Returns the labels of a minion: its kind, and a rack that no other has.
+pub(crate) fn labels(minion: usize) -> Vec<String> {
+    vec!["kind".into(), format!("rack-{minion}")]
+}
+
 fn node_at(address: SocketAddr) -> Option<usize> {
     usize::from(address.port()).checked_sub(10_000)
 }
