fix(dispatch): figures from outside can't end a process

Cause, found by dispatch_malformed (property test over packets, requests and answers with figures at the ends of their range, new): an estimate or a patience of 2^64 ms in a caller's request, a stamp that was never sent, a minion's clock of 2^64 ms and a run number of 2^32 overflowed a time or a number and ended the process: one request took an entry down. Worse, a stamp ahead of our own clock counted as a sign of life in the future, so that runs of a lost entry would never have been stopped.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -198,6 +198,7 @@
 
     /// Takes in a job.
     pub fn submit(&mut self, caller: CallerId, submission: Submission, now: Instant) {
+        let submission = submission.bounded();
         let name = submission.name;
         let answer = match self.judge(&submission) {
             Err(answer) => Some(answer),
--- a/knapweedrill/src/dispatch/entry/submission.rs
+++ b/knapweedrill/src/dispatch/entry/submission.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::common::TaskIndex;
+use crate::dispatch::units::bounded;
 use crate::dispatch::{JobName, Room, StepIndex};
 
 /// A job that is answered when it has ended.
@@ -27,6 +28,17 @@
     pub is_offered: bool,
 }
 
+impl Submission {
+    /// Cuts the times that the caller has told to what can be worked with.
+    pub(super) fn bounded(mut self) -> Self {
+        self.patience = bounded(self.patience);
+        for step in &mut self.steps {
+            step.estimate = bounded(step.estimate);
+        }
+        self
+    }
+}
+
 /// A number of tasks of the same kind.
 #[value]
 pub struct StepRequest {
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -183,7 +183,10 @@
         {
             self.remote_stamp = Some((envelope.stamp_ms, now));
         }
-        self.echo_ms = self.echo_ms.max(envelope.echo_ms);
+        // A stamp that was never sent can't have come back.
+        if envelope.echo_ms <= own.stamp_ms(now) {
+            self.echo_ms = self.echo_ms.max(envelope.echo_ms);
+        }
         self.take_acknowledgement(envelope.received, now);
         self.take_messages(envelope.first, envelope.messages, now, &mut events);
         if let Some(status) = envelope.status.filter(|_| is_newest) {
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -30,9 +30,12 @@
         StampMs::try_from(since).map_or(StampMs::MAX, |ms| ms + 1)
     }
 
-    /// Returns the moment of a stamp.
-    pub fn moment(&self, stamp_ms: StampMs) -> Instant {
-        self.started_at + Duration::from_millis(stamp_ms.saturating_sub(1))
+    /// Returns the moment of a stamp; that of the start for one that this process can't have sent yet, so that it
+    /// proves nothing.
+    pub fn moment(&self, stamp_ms: StampMs, now: Instant) -> Instant {
+        let since = Duration::from_millis(stamp_ms.saturating_sub(1));
+        let moment = self.started_at.checked_add(since);
+        moment.filter(|at| *at <= now).unwrap_or(self.started_at)
     }
 }
 
@@ -131,9 +134,9 @@
     }
 
     /// Returns the newest of our stamps that a process has named: it was alive after that moment.
-    pub fn echoed_at(&self, from: Incarnation) -> Option<Instant> {
+    pub fn echoed_at(&self, from: Incarnation, now: Instant) -> Option<Instant> {
         let peer = self.peer(from)?;
-        (peer.echo_ms() > 0).then(|| self.own.moment(peer.echo_ms()))
+        (peer.echo_ms() > 0).then(|| self.own.moment(peer.echo_ms(), now))
     }
 
     /// Returns the newest stamp of a process, and when it arrived.
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -19,7 +19,7 @@
     Condition, Message, MinionProfile, PlacementOutcome, RefusalCause, RunEnd, SidecarStatus,
     StampMs, StartOrder, TaskReport,
 };
-use crate::dispatch::units::millis;
+use crate::dispatch::units::{bounded, millis};
 use crate::dispatch::{Attempt, Room, TaskName};
 
 /// How often a start is ordered before it is given up. Orders without an answer are rare, so
@@ -224,7 +224,7 @@
             attempt: order.attempt,
             room: order.room,
             spec: order.spec,
-            estimate: order.estimate,
+            estimate: bounded(order.estimate),
             is_movable: order.is_movable,
             ordered_at: now,
             phase: Phase::Starting,
@@ -637,7 +637,7 @@
         let Some(mut run) = self.runs.remove(key) else {
             return;
         };
-        run.key.number += RUN_NUMBER_STEP;
+        run.key.number = run.key.number.saturating_add(RUN_NUMBER_STEP);
         let key = run.key;
         self.runs.insert(run);
         self.order_start(key, now);
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -95,7 +95,7 @@
         for event in self.sessions.receive(from, envelope, now) {
             self.take_event(event, now);
         }
-        if let Some(at) = self.sessions.echoed_at(process) {
+        if let Some(at) = self.sessions.echoed_at(process, now) {
             self.sidecar.entry_alive(process, at);
         }
     }
@@ -166,7 +166,8 @@
             }
             SessionEvent::Heard(process) => log::info!(process:% = process; "process heard again"),
             SessionEvent::Message(process, Message::Start(order)) => {
-                let stamped_at = self.sessions.identity().moment(order.sidecar_stamp_ms);
+                let identity = self.sessions.identity();
+                let stamped_at = identity.moment(order.sidecar_stamp_ms, now);
                 self.sidecar.start(process, order, stamped_at, now);
             }
             SessionEvent::Message(process, Message::Stop { task, attempt }) => {
--- a/knapweedrill/src/dispatch/sidecar/life.rs
+++ b/knapweedrill/src/dispatch/sidecar/life.rs
@@ -7,6 +7,9 @@
 use crate::dispatch::run_timing::CLOCK_DRIFT_PERMILLE;
 use crate::dispatch::units::millis;
 
+/// The furthest that a minion's steady clock can be, in milliseconds: a hundred years.
+const CLOCK_MAX_MS: StampMs = 100 * 365 * 24 * 60 * 60 * 1_000;
+
 /// One life of a minion.
 #[derive(Debug)]
 pub(super) struct Life {
@@ -74,6 +77,10 @@
     }
 
     pub(super) fn set_clock(&mut self, clock_ms: StampMs, now: Instant) {
+        if clock_ms > CLOCK_MAX_MS {
+            log::warn!(clock_ms; "clock of the minion is out of range and not believed");
+            return;
+        }
         // Answers may overtake each other; the clock never goes back.
         if self.clock_ms(now).is_none_or(|known| clock_ms > known) {
             self.clock = Some((clock_ms, now));
--- /dev/null
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -0,0 +1,364 @@
+//! Whatever arrives from outside, a process goes on: datagrams of any bytes, packets of any content,
+//! requests with any figures.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use knapweedrill::dispatch::configuration::{Configuration, Queue, Terms};
+use knapweedrill::dispatch::entry::{Entry, EntrySettings, Source, StepRequest, Submission};
+use knapweedrill::dispatch::message::{
+    Condition, Message, MinionProfile, PlacementOutcome, Role, RunEnd, SidecarStatus, StartOrder,
+    TaskReport,
+};
+use knapweedrill::dispatch::session::{Envelope, Identity, SessionSettings, Sessions};
+use knapweedrill::dispatch::sidecar::{
+    EndedRun, HoldAnswer, HowEnded, MinionReport, OrderAnswer, RunKey, Sidecar, SidecarAction,
+    SidecarEndpoint, SidecarSettings,
+};
+use knapweedrill::dispatch::{JobName, Notice, Packet, Place, Room, TaskName};
+use proptest::prelude::*;
+use smallvec::SmallVec;
+
+const ENTRY: u64 = 11;
+const SIDECAR: u64 = 22;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Figures at the ends of their range more often than not.
+fn figure() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        Just(0),
+        Just(1),
+        Just(u64::MAX),
+        Just(u64::MAX - 1),
+        Just(u64::from(u32::MAX)),
+        0_u64..2_000,
+        any::<u64>(),
+    ]
+}
+
+fn small_figure() -> impl Strategy<Value = u32> {
+    prop_oneof![Just(0), Just(1), Just(u32::MAX), 0_u32..50, any::<u32>()]
+}
+
+fn duration() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        Just(Duration::MAX),
+        figure().prop_map(Duration::from_millis),
+        figure().prop_map(Duration::from_secs),
+    ]
+}
+
+fn room() -> impl Strategy<Value = Room> {
+    (small_figure(), small_figure(), small_figure()).prop_map(
+        |(cpu_millicores, memory_mib, accelerator_count)| Room {
+            cpu_millicores,
+            memory_mib,
+            accelerator_count,
+        },
+    )
+}
+
+fn task() -> impl Strategy<Value = TaskName> {
+    (0_u64..3, any::<u16>(), small_figure()).prop_map(|(job, step, index)| TaskName {
+        job: JobName(job),
+        step,
+        index,
+    })
+}
+
+fn start() -> impl Strategy<Value = Message> {
+    let names = (task(), figure(), any::<bool>(), ".{0,8}");
+    (names, room(), duration(), figure(), small_figure()).prop_map(
+        |((task, attempt, is_movable, spec), room, estimate, sidecar_stamp_ms, run_number)| {
+            Message::Start(StartOrder {
+                task,
+                attempt,
+                room,
+                estimate,
+                is_movable,
+                service: "service".into(),
+                spec,
+                sidecar_stamp_ms,
+                run_number,
+            })
+        },
+    )
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let report = (task(), figure(), duration()).prop_map(|(task, attempt, run_time)| {
+        let outcome = PlacementOutcome::Ended {
+            end: RunEnd::Done,
+            run_time,
+        };
+        Message::Report(TaskReport {
+            task,
+            attempt,
+            outcome,
+        })
+    });
+    let minion = room().prop_map(|capacity| {
+        Message::Minion(Some(MinionProfile {
+            instance: "i".into(),
+            service: "service".into(),
+            capacity,
+            labels: Vec::new(),
+        }))
+    });
+    let stop = (task(), figure()).prop_map(|(task, attempt)| Message::Stop { task, attempt });
+    prop_oneof![start(), report, minion, stop]
+}
+
+fn status() -> impl Strategy<Value = Option<SidecarStatus>> {
+    let status = (room(), small_figure(), small_figure(), small_figure());
+    prop::option::of(
+        status.prop_map(
+            |(free, pace_permille, delay_ms, sharer_count)| SidecarStatus {
+                free,
+                condition: Condition::Ready,
+                pace_permille,
+                delay_ms,
+                sharer_count,
+            },
+        ),
+    )
+}
+
+prop_compose! {
+    fn envelope(role: Role, from: u64, to: u64)(
+        to in prop_oneof![Just(0), Just(to), any::<u64>()],
+        session in prop_oneof![Just(1), figure()],
+        is_closing in prop::bool::weighted(0.1),
+        stamp_ms in figure(),
+        echo_ms in figure(),
+        received in figure(),
+        first in prop_oneof![Just(1), figure()],
+        messages in prop::collection::vec(message(), 0..4),
+        status in status(),
+    ) -> Packet {
+        Packet::Session(Envelope {
+            from, role, to, session, is_closing, stamp_ms, echo_ms, received, first, messages, status,
+        })
+    }
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    (".{0,8}", any::<u16>(), room()).prop_map(|(vm, port, capacity)| Place {
+        vm,
+        address: address(port),
+        service: "service".into(),
+        capacity,
+        labels: Vec::new(),
+    })
+}
+
+fn notice() -> impl Strategy<Value = Packet> {
+    let bytes = prop::collection::vec(any::<u8>(), 0..40);
+    let places = || prop::collection::vec(place(), 0..4);
+    let part = (figure(), small_figure(), small_figure(), bytes);
+    prop_oneof![
+        place().prop_map(Notice::Here),
+        (figure(), places(), any::<bool>()).prop_map(|(version, sidecars, is_answer)| {
+            Notice::Gossip {
+                version,
+                sidecars,
+                is_answer,
+            }
+        }),
+        (figure(), small_figure())
+            .prop_map(|(version, index)| Notice::AskConfiguration { version, index }),
+        part.prop_map(|(version, index, count, bytes)| Notice::ConfigurationPart {
+            version,
+            index,
+            count,
+            bytes,
+        }),
+        small_figure().prop_map(|skipped| Notice::AskSidecars { skipped }),
+        (small_figure(), small_figure(), places()).prop_map(|(skipped, count, sidecars)| {
+            Notice::Sidecars {
+                skipped,
+                count,
+                sidecars,
+            }
+        }),
+    ]
+    .prop_map(Packet::Notice)
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 5,
+        queues: vec![Queue {
+            name: "queue".into(),
+            host: "host".into(),
+            path_prefix: "/".into(),
+            service: "service".into(),
+            terms: Terms {
+                priority: 1,
+                attempt_count_max: 3,
+                stretch_permille: 1_600,
+                target_latency: Duration::from_millis(60),
+            },
+            has_advice: false,
+        }],
+        body_bytes_max: 1_000,
+    }
+}
+
+fn entry(now: Instant) -> Entry {
+    let identity = Identity {
+        incarnation: ENTRY,
+        role: Role::Entry,
+        started_at: now,
+    };
+    let sessions = Sessions::new(identity, SessionSettings::default());
+    let mut entry = Entry::new(EntrySettings::default(), sessions);
+    entry.configure(configuration(), "test", now);
+    let place = Place {
+        vm: "vm".into(),
+        address: address(1),
+        service: "service".into(),
+        capacity: Room {
+            cpu_millicores: u32::MAX,
+            memory_mib: u32::MAX,
+            accelerator_count: u32::MAX,
+        },
+        labels: Vec::new(),
+    };
+    entry.meet_sidecar(place, Source::First);
+    entry.tick(now);
+    entry
+}
+
+fn sidecar(now: Instant) -> SidecarEndpoint {
+    let identity = Identity {
+        incarnation: SIDECAR,
+        role: Role::Sidecar,
+        started_at: now,
+    };
+    let sessions = Sessions::new(identity, SessionSettings::default());
+    let sidecar = Sidecar::new(SidecarSettings::default(), 1);
+    SidecarEndpoint::new(sidecar, sessions, "vm".into(), address(1))
+}
+
+fn submission(
+    name: u64,
+    steps: Vec<(u32, Room, Duration, Option<u32>)>,
+    patience: Duration,
+) -> Submission {
+    let steps = steps
+        .into_iter()
+        .map(|(tasks, room, estimate, per_minion_max)| StepRequest {
+            task_count: tasks,
+            room,
+            estimate,
+            after: SmallVec::new(),
+            required_label: None,
+            per_minion_max,
+            data_rack: None,
+        });
+    Submission {
+        name: JobName(name),
+        host: "host".into(),
+        path: "/x".into(),
+        spec: String::new(),
+        steps: steps.collect(),
+        patience,
+        is_offered: true,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn any_bytes_are_a_packet_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = postcard::from_bytes::<Packet>(&bytes);
+    }
+
+    #[test]
+    fn entry_outlives_any_packets_and_requests(
+        packets in prop::collection::vec(
+            prop_oneof![3 => envelope(Role::Sidecar, SIDECAR, ENTRY), 2 => notice()], 1..40),
+        jobs in prop::collection::vec(
+            (0_u64..3, prop::collection::vec((0_u32..4, room(), duration(), prop::option::of(small_figure())), 1..3),
+             duration()), 0..6),
+    ) {
+        let mut now = Instant::now();
+        let mut entry = entry(now);
+        let mut jobs = jobs.into_iter();
+        for packet in packets {
+            now += Duration::from_millis(30);
+            entry.receive(address(1), packet, now);
+            if let Some((name, steps, patience)) = jobs.next() {
+                entry.submit(1, submission(name, steps, patience), now);
+            }
+            entry.tick(now);
+            entry.settle(now);
+            entry.take_actions();
+            entry.poll(now);
+        }
+    }
+
+    #[test]
+    fn sidecar_outlives_any_packets_and_answers(
+        packets in prop::collection::vec(
+            prop_oneof![4 => envelope(Role::Entry, ENTRY, SIDECAR), 1 => notice()], 1..40),
+        capacity in room(),
+        born_ms in figure(),
+        clock_ms in prop::collection::vec(figure(), 1..8),
+        numbers in prop::collection::vec((task(), small_figure(), figure(), any::<u8>()), 1..8),
+    ) {
+        let mut now = Instant::now();
+        let mut endpoint = sidecar(now);
+        let report = |sequence| MinionReport {
+            profile: MinionProfile {
+                instance: "i".into(),
+                service: "service".into(),
+                capacity,
+                labels: Vec::new(),
+            },
+            born_ms,
+            sequence,
+            is_draining: false,
+        };
+        let mut clocks = clock_ms.into_iter().cycle();
+        let mut numbers = numbers.into_iter().cycle();
+        for (sequence, packet) in (0..).zip(packets) {
+            now += Duration::from_millis(30);
+            endpoint.sidecar_mut().minion_reported(report(sequence), now);
+            endpoint.receive(address(2), packet, now);
+            endpoint.sidecar_mut().tick(now);
+            let outgoing = endpoint.poll(now);
+            for order in outgoing.orders {
+                let clock_ms = clocks.next().unwrap_or(0);
+                let (task, number, ended, percent) = numbers.next().expect("a cycle has no end");
+                let run = RunKey { task, number };
+                let sidecar = endpoint.sidecar_mut();
+                match order {
+                    SidecarAction::Start(call) => {
+                        let answer = [OrderAnswer::Accepted, OrderAnswer::Old][usize::from(percent % 2)].clone();
+                        sidecar.start_answered(call.call, answer, Some(clock_ms), now);
+                    }
+                    SidecarAction::Stop(call) => {
+                        sidecar.stop_answered(call.call, OrderAnswer::NoAnswer, Some(clock_ms), now);
+                    }
+                    SidecarAction::Hold(call) => {
+                        let answer = HoldAnswer {
+                            born_ms: ended,
+                            clock_ms,
+                            running: vec![(run, percent)],
+                            ended: vec![EndedRun { number: ended, run, how: HowEnded::Done }],
+                            has_more: percent % 3 == 0,
+                        };
+                        sidecar.hold_answered(call.call, Some(answer), now);
+                    }
+                    SidecarAction::Send(..) => {}
+                }
+            }
+        }
+    }
+}
--- a/knapweedrill/tests/dispatch_sessions.rs
+++ b/knapweedrill/tests/dispatch_sessions.rs
@@ -185,6 +185,8 @@
     for _ in 0..100 {
         pair.step(|| 0);
     }
-    let echoed_at = pair.sides[1].echoed_at(11).expect("stamps were echoed");
+    let echoed_at = pair.sides[1]
+        .echoed_at(11, pair.now)
+        .expect("stamps were echoed");
     assert!(echoed_at <= before_silence);
 }
--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -7,7 +7,7 @@
 
 use eyre::WrapErr;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -84,6 +84,10 @@
 ///
 /// Fails with the status to answer if it is too large, too slow or cut off.
 pub(super) async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > bytes_max as u64 {
+        // The head says so already; the body may never come.
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let whole = Limited::new(body, bytes_max).collect();
     match tokio::time::timeout(BODY_TIMEOUT, whole).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -1,6 +1,7 @@
 //! The whole path on the stand-ins of the platform, with real processes.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -352,3 +353,21 @@
     let id = rustix::process::Pid::from_raw(id).expect("process ids are not 0");
     rustix::process::kill_process(id, signal).expect("the process is a child of the test");
 }
+
+/// The head of the request says that the body is far too large; the body itself never comes.
+#[test]
+fn a_body_that_is_declared_too_large_is_refused_at_once() {
+    let site = site(1, 1);
+    let mut stream = TcpStream::connect(site.callers_address(0)).expect("the entry listens");
+    stream
+        .set_read_timeout(Some(SECONDS))
+        .expect("the time-out can be set");
+    let path = path("normal", 1);
+    let head = format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 90000000\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    let mut answer = [0; 12];
+    stream
+        .read_exact(&mut answer)
+        .expect("an answer within a second");
+    assert_eq!(&answer, b"HTTP/1.1 413");
+}
