refactor(lab): the tool that measured slopes of the older path goes

The tool measured daemons of the older path, which runs nowhere. What a start costs at fleets of unlike size is bounded by dispatch_scale.

--- a/knapweedrill_lab/src/command/mod.rs
+++ b/knapweedrill_lab/src/command/mod.rs
@@ -5,7 +5,6 @@
 mod load;
 mod log;
 mod minion;
-mod slopes;
 mod slots_demo;
 mod soak;
 mod termination;
@@ -37,10 +36,7 @@
   minion --listen ADDRESS --sidecar ADDRESS --service NAME [--slots N] [--speed-percent N]
       serves as a minion beside a sidecar
   load --scenario NAME --seed N [--policy P|all] [--seconds S] [--hint-sigma F] [--json]
-      measures the system under load; prints a report of each run
-  slopes [--json] [--quick] [--from FILE] [--page FILE --note TEXT]
-      measures how the cost of a daemon grows with what surrounds it, or reads the slopes
-      that --json gave before; writes the worked figures of a page anew";
+      measures the system under load; prints a report of each run";
 
 /// Runs the subcommand that the arguments name.
 ///
@@ -69,7 +65,6 @@
         Some("minion") => minion::run(parser).map(|()| ExitCode::SUCCESS),
         Some("faults") => faults::run(parser).map(|()| ExitCode::SUCCESS),
         Some("load") => load::run(parser).map(|()| ExitCode::SUCCESS),
-        Some("slopes") => slopes::run(parser).map(|()| ExitCode::SUCCESS),
         _ => bail!("there is no command {name:?}\n{USAGE}"),
     }
 }
--- a/knapweedrill_lab/src/lib.rs
+++ b/knapweedrill_lab/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod harness;
 pub mod ideal;
 pub mod load;
-pub mod slopes;
 pub mod slots_demo;
 pub mod soak;
 pub mod stand_in;
