--- a/knapweedrill_lab/tests/dispatch_promises.rs
+++ b/knapweedrill_lab/tests/dispatch_promises.rs
@@ -134,12 +134,7 @@
     world.advance(100);
     world.cut(1, 6_000);
     world.advance(5_000);
-    let story = world.story(job);
-    assert_eq!(
-        world.seen.answers.get(&job).map(Vec::as_slice),
-        Some(&[Answer::Completed][..]),
-        "{story}"
-    );
+    world.assert_completed(job);
 }
 
 #[test]
@@ -163,12 +158,6 @@
     let jobs: Vec<_> = (0..8).map(|_| world.submit(3, 3_000)).collect();
     world.advance(2_000);
     for job in jobs {
-        let answers = world.seen.answers.get(&job).map(Vec::as_slice);
-        assert_eq!(
-            answers,
-            Some(&[Answer::Completed][..]),
-            "{}",
-            world.story(job)
-        );
+        world.assert_completed(job);
     }
 }
--- a/knapweedrill_lab/tests/dispatch_reach.rs
+++ b/knapweedrill_lab/tests/dispatch_reach.rs
@@ -33,13 +33,7 @@
     assert!(reach > 40, "only {reach} sessions 100 ms later");
     world.advance(2_400);
     for job in &jobs {
-        let answers = world.seen.answers.get(job).map(Vec::as_slice);
-        assert_eq!(
-            answers,
-            Some(&[Answer::Completed][..]),
-            "{}",
-            world.story(*job)
-        );
+        world.assert_completed(*job);
     }
     world.advance(15_000);
     let reach = session_count(&world);
@@ -78,13 +72,7 @@
         .collect();
     world.advance(2_000);
     for job in jobs {
-        let answers = world.seen.answers.get(&job).map(Vec::as_slice);
-        assert_eq!(
-            answers,
-            Some(&[Answer::Completed][..]),
-            "{}",
-            world.story(job)
-        );
+        world.assert_completed(job);
     }
 }
 
@@ -113,13 +101,7 @@
     let jobs: Vec<_> = (0..10).map(|_| world.submit(4, 2_500)).collect();
     world.advance(1_000);
     for job in jobs {
-        let answers = world.seen.answers.get(&job).map(Vec::as_slice);
-        assert_eq!(
-            answers,
-            Some(&[Answer::Completed][..]),
-            "{}",
-            world.story(job)
-        );
+        world.assert_completed(job);
     }
 }
 
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -299,6 +299,17 @@
         name
     }
 
+    /// Checks that a job was answered once, as completed.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the story of the job if it was not.
+    pub(crate) fn assert_completed(&self, job: JobName) {
+        let answers = self.seen.answers.get(&job).map(Vec::as_slice);
+        let story = self.story(job);
+        assert_eq!(answers, Some(&[Answer::Completed][..]), "{story}");
+    }
+
     /// Returns the minions at which runs of a job are.
     pub(crate) fn minions_of(&self, job: JobName) -> Vec<usize> {
         let minions = self.minions.iter().enumerate();
