--- a/knapweedrill_lab/tests/dispatch_reach.rs
+++ b/knapweedrill_lab/tests/dispatch_reach.rs
@@ -4,6 +4,8 @@
 
 use dispatch_world::{Faults, World};
 use knapweedrill::dispatch::entry::Answer;
+use rand::RngExt;
+use test_case::test_case;
 
 /// The most sessions that an entry without load keeps: the smallest reach and a quarter.
 const IDLE_SESSIONS_MAX: usize = 15;
@@ -126,3 +128,46 @@
         .count();
     assert!(completed >= 57, "{completed} of 60");
 }
+
+/// Plays bursts and calms, so that sessions are opened, retired, closed and opened anew all the time.
+fn play_bursts(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(4, 40, seed, faults);
+    world.settle();
+    for _ in 0..4 {
+        let busy_until_ms = world.now_ms() + 1_200;
+        while world.now_ms() < busy_until_ms {
+            let run_ms = [40, 200, 700][world.random().random_range(0..3)];
+            world.set_run_ms(run_ms);
+            let tasks = world.random().random_range(1..12);
+            world.submit(tasks, 2_500);
+            let pause_ms = world.random().random_range(1..12);
+            world.advance(pause_ms);
+        }
+        let calm_ms = world.random().random_range(1_000..6_000);
+        world.advance(calm_ms);
+    }
+    world.faults = Faults::default();
+    world.advance(9_000);
+    world
+}
+
+/// The world checks at each millisecond that no task runs twice at the same time and no minion is over its
+/// capacity, and at each refusal that nothing of the job has begun.
+#[test_case(Faults { datagrams_lost_permille: 50, datagram_delay_max_ms: 30, ..Faults::default() }; "lossy network")]
+#[test_case(Faults { orders_late_permille: 60, ..Faults::default() }; "late orders")]
+#[test_case(Faults { answers_lost_permille: 60, ..Faults::default() }; "lost answers")]
+#[test_case(Faults { disturbances_permille: 6_000, ..Faults::default() }; "disturbed machines")]
+#[test_case(Faults { datagrams_lost_permille: 30, datagram_delay_max_ms: 300, disturbances_permille: 4_000, ..Faults::default() }; "late datagrams and disturbed machines")]
+fn promises_hold_while_sessions_come_and_go(faults: Faults) {
+    for seed in 0..6 {
+        let world = play_bursts(seed, faults);
+        assert!(
+            world.seen.started_count > 400,
+            "seed {seed}: too little ran"
+        );
+        for entry in 0..4 {
+            let left = world.entry(entry).map_or(0, |entry| entry.job_count());
+            assert_eq!(left, 0, "seed {seed}: jobs without an answer");
+        }
+    }
+}
