--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -371,3 +371,39 @@
         .expect("an answer within a second");
     assert_eq!(&answer, b"HTTP/1.1 413");
 }
+
+/// Whoever starts anew reads of the drained minion in the store, and must not use it.
+#[test]
+fn a_drained_minion_stays_unused_over_restarts_of_all_processes() {
+    let mut site = site(2, 2);
+    site.minions[0].drain();
+    wait_until("a minion that gets no more runs", 5 * SECONDS, || {
+        let before = site.minions[0].runs().len();
+        (0..4).for_each(|number| {
+            // Refusals are fine here.
+            let _ = site.submit(0, &path("normal", 100 + number), 2, 5);
+        });
+        site.minions[0].runs().len() == before && site.minions[0].running().is_empty()
+    })
+    .expect("the minion is known to leave");
+    let before = site.minions[0].runs().len();
+    site.store.compact("keyed.knapweedrill-sidecars");
+    site.store.compact("keyed.op");
+    for index in 0..2 {
+        let entry = site.entry_mut(usize::from(index)).expect("it was started");
+        entry.kill().expect("it dies");
+        let sidecar = site
+            .sidecar_mut(usize::from(index))
+            .expect("it was started");
+        sidecar.kill().expect("it dies");
+        site.start_sidecar(index).expect("it starts");
+        site.start_entry(index).expect("it starts");
+    }
+    for entry in 0..2 {
+        site.wait_ready(entry).expect("the entry gets ready");
+    }
+    let completed_count = submit_for(&site, 4 * SECONDS);
+    assert!(completed_count > 20, "only {completed_count} jobs");
+    assert_eq!(site.minions[0].runs().len(), before);
+    assert!(!site.minions[1].runs().is_empty());
+}
