fix(entry): the reach does not grow over the fleet while its minions register

Sidecars without a minion did not count, so that each entry walked down its whole order of preference: 200 sessions of 200 in the test, a cost of entries times sidecars just when all start. And without any minion known the load was divided by one thousandth of a core: 96 sessions.

Change: ones that take tasks are looked for among twice as many as wanted; without a minion known the load asks for none.

--- a/knapweedrill/src/dispatch/entry/reach.rs
+++ b/knapweedrill/src/dispatch/entry/reach.rs
@@ -39,6 +39,10 @@
 /// sessions are not opened and closed by turns.
 const SURPLUS_PERCENT: usize = 25;
 
+/// Among how many times the wanted sidecars ones that take tasks are looked for: while the minions of a whole
+/// fleet register, each entry would keep all sidecars otherwise.
+const LOOKED_AT_PER_WANTED: usize = 2;
+
 /// How long a sidecar that is given up gets no order before its session is closed. Far longer than
 /// it takes orders for.
 const CLOSE_AFTER: Duration = Duration::from_secs(3);
@@ -267,8 +271,11 @@
             need.minions = 0;
             need.minions_until = None;
         }
-        let per_minion = fleet.mean_millicores(service).max(1);
-        let by_load = (need.millicores * REACH_PER_LOAD).div_ceil(per_minion);
+        let by_load = match fleet.mean_millicores(service) {
+            // Without a minion more sidecars would bring none sooner.
+            0 => 0,
+            per_minion => (need.millicores * REACH_PER_LOAD).div_ceil(per_minion),
+        };
         usize::try_from(by_load)
             .unwrap_or(usize::MAX)
             .max(need.minions * 2)
@@ -321,13 +328,14 @@
     ) {
         let mut useful_count = 0;
         let mut missing = Vec::new();
-        for place in self.directory.preferred(now) {
+        let of_service = self
+            .directory
+            .preferred(now)
+            .filter(|place| place.service == service);
+        for place in of_service.take(wanted * LOOKED_AT_PER_WANTED) {
             if useful_count == wanted {
                 break;
             }
-            if place.service != service {
-                continue;
-            }
             match self.kept.get_mut(&place.address) {
                 // One that has not answered yet counts, one that takes no tasks does not.
                 Some(kept) if kept.may_be_useful(fleet) => {
--- a/knapweedrill_lab/tests/dispatch_reach.rs
+++ b/knapweedrill_lab/tests/dispatch_reach.rs
@@ -171,3 +171,29 @@
         }
     }
 }
+
+/// Pattern: all processes start at once, and callers come before any minion has registered.
+#[test_case(true; "sidecars are not there yet")]
+#[test_case(false; "sidecars are there without a minion")]
+fn jobs_that_wait_for_the_first_minion_widen_the_reach_little(are_sidecars_down: bool) {
+    let mut world = World::new(10, 200, 5, Faults::default());
+    for minion in 0..200 {
+        if are_sidecars_down {
+            world.kill(10 + minion, 1_000);
+        } else {
+            world.register_after(minion, 1_500);
+        }
+    }
+    world.set_run_ms(100);
+    let mut sessions_max = 0;
+    for _ in 0..200 {
+        world.submit(2, 2_500);
+        world.advance(5);
+        let most = world.session_counts().into_iter().max();
+        sessions_max = most.unwrap_or(0).max(sessions_max);
+    }
+    assert!(
+        sessions_max <= 2 * IDLE_SESSIONS_MAX,
+        "{sessions_max} sessions"
+    );
+}
--- a/knapweedrill_lab/tests/dispatch_world/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_world/mod.rs
@@ -259,6 +259,11 @@
         self.heartbeats[minion].0 = self.now_ms;
     }
 
+    /// Lets a minion tell its sidecar of itself only after a while.
+    pub(crate) fn register_after(&mut self, minion: usize, pause_ms: u64) {
+        self.heartbeats[minion].0 = self.now_ms + pause_ms;
+    }
+
     pub(crate) fn has_runs_at(&self, minion: usize) -> bool {
         self.minions[minion].running().next().is_some()
     }
