perf(sidecar): no copies of the place at each event

Found on reading the change once more: each poll of a sidecar, so each event, copied its place twice (name, service, labels) only to see that the store has confirmed it. The fields are compared in place now. Behaviour is as before: tests of knapweedrill, platform_path 15 of 15 and dispatch_promises 12 of 12 pass; formatter and linter on the crates touched.

--- a/knapweedrill/src/dispatch/place.rs
+++ b/knapweedrill/src/dispatch/place.rs
@@ -5,6 +5,7 @@
 use knapweedrill_derive::message;
 
 use super::Room;
+use super::message::MinionProfile;
 use crate::common::ServiceName;
 
 /// Where a sidecar is, and what its minion offers.
@@ -23,6 +24,13 @@
 }
 
 impl Place {
+    /// Returns whether this is what a minion offers.
+    pub fn is_of(&self, minion: &MinionProfile) -> bool {
+        self.service == minion.service
+            && self.capacity == minion.capacity
+            && self.labels == minion.labels
+    }
+
     /// Returns whether the minion has a label.
     pub fn has_label(&self, wanted: &str) -> bool {
         self.labels.iter().any(|label| label == wanted)
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -135,13 +135,25 @@
         outgoing
     }
 
+    /// Returns whether the store has confirmed the minion as it is now; the VM and the address never change.
+    fn is_confirmed(&self) -> bool {
+        let minion = self.sidecar.minion();
+        let place = self.confirmed.as_ref();
+        place
+            .zip(minion)
+            .is_some_and(|(place, minion)| place.is_of(minion))
+    }
+
     /// Tells the entries where this sidecar is, as long as the store has not confirmed it.
     fn tell_seeds(&mut self, outgoing: &mut Outgoing, now: Instant) {
         let is_early = |at| now.saturating_duration_since(at) < TELL_EVERY;
         if self.told_at.is_some_and(is_early) {
             return;
         }
-        let Some(place) = self.place().filter(|_| self.confirmed != self.place()) else {
+        if self.is_confirmed() {
+            return;
+        }
+        let Some(place) = self.place() else {
             return;
         };
         self.told_at = Some(now);
