--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -510,8 +510,7 @@
         let Some(position) = self.jobs.get(name).and_then(placement) else {
             return;
         };
-        let room = self.jobs.get(name).map(|job| job.room(position));
-        self.fleet.ended(from, room.unwrap_or_default());
+        self.note_ended(from, name, position);
         self.actions.push(EntryAction::Count(report.outcome));
         match report.outcome {
             PlacementOutcome::Refused(cause) => {
@@ -538,6 +537,13 @@
         }
     }
 
+    /// Takes a placement that has ended off the account of its sidecar.
+    fn note_ended(&mut self, at: Incarnation, name: JobName, position: usize) {
+        if let Some(job) = self.jobs.get(name) {
+            self.fleet.ended(at, job.room(position));
+        }
+    }
+
     fn take_end(
         &mut self,
         at: Incarnation,
@@ -572,8 +578,7 @@
             log::warn!(
                 job:% = task.job, sidecar:% = task.sidecar; "task lost with its sidecar"
             );
-            let room = self.jobs.get(task.job).map(|job| job.room(task.position));
-            self.fleet.ended(task.sidecar, room.unwrap_or_default());
+            self.note_ended(task.sidecar, task.job, task.position);
             self.take_end(task.sidecar, task.job, task.position, RunEnd::Lost, now);
         }
         for name in hopeless {
