feat(sidecar): time-outs of calls follow the minion's response times and losses

Change: ResponseTimes gives the time-out: smoothed response time and deviation, a lower bound that sinks from 40 to 10 ms with the share of lost calls, and growth only with the time without any answer. A minion is unreachable after 200 ms without an answer to any call, not after three holds. A hold that timed out is sent again at once. A start is repeated for 160 ms, not four times.

--- a/knapweedrill/src/dispatch/run_timing.rs
+++ b/knapweedrill/src/dispatch/run_timing.rs
@@ -14,7 +14,7 @@
 
 /// How much slower a minion's clock may run than the sidecar's, in thousandths. The platform
 /// guarantees this bound.
-pub(crate) const CLOCK_DRIFT_PERMILLE: u32 = 20;
+const CLOCK_DRIFT_PERMILLE: u32 = 20;
 
 /// The margin for timers that fire late and for orders in transit.
 const MARGIN: Duration = Duration::from_millis(89);
@@ -96,5 +96,10 @@
 }
 
 fn with_drift(lease: Duration) -> Duration {
-    lease + lease * CLOCK_DRIFT_PERMILLE / 1_000
+    lease + clock_drift(lease)
+}
+
+/// Returns how much longer than `duration` it may take until it has passed on a minion's clock.
+pub(crate) fn clock_drift(duration: Duration) -> Duration {
+    duration * CLOCK_DRIFT_PERMILLE / 1_000
 }
--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -1,5 +1,7 @@
 //! Actions that a sidecar requests from its process, and the calls to and answers of its minion.
 
+use std::time::Duration;
+
 use knapweedrill_derive::{key, value};
 
 use crate::common::Incarnation;
@@ -33,6 +35,8 @@
     pub fencing_token: u64,
     /// The instance name of the minion that the call addresses.
     pub instance: String,
+    /// How long to wait for the answer.
+    pub timeout: Duration,
 }
 
 /// An order to stop a run.
@@ -46,6 +50,8 @@
     pub fencing_token: u64,
     /// The instance name of the minion that the call addresses.
     pub instance: String,
+    /// How long to wait for the answer.
+    pub timeout: Duration,
 }
 
 /// A long poll that renews the lease and asks which runs exist and which have ended.
@@ -63,6 +69,8 @@
     pub wait_ms: u64,
     /// The instance name of the minion that the call addresses.
     pub instance: String,
+    /// How long to wait for the answer, in addition to the delay that the call allows.
+    pub timeout: Duration,
 }
 
 /// The answer of a minion to an order.
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -1,7 +1,7 @@
 //! The state machine of a sidecar.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::SidecarSettings;
 use super::action::{
@@ -22,9 +22,12 @@
 use crate::dispatch::units::{clamp_duration, millis};
 use crate::dispatch::{Attempt, Resources, TaskName};
 
-/// Number of start orders for a run before the sidecar gives up. Orders without an answer are
-/// rare, so more in a row indicate a minion that is stuck.
-const START_ORDER_COUNT_MAX: u32 = 4;
+/// Number of start orders for a run before the sidecar gives up.
+const START_ORDER_COUNT_MAX: u32 = 16;
+
+/// Time from the first start order of a run after which an order without an answer is not
+/// repeated, so that the task is placed elsewhere.
+const START_ANSWER_TIME_MAX: Duration = Duration::from_millis(160);
 
 /// Increment of a run number when the minion has seen a higher one. Larger than the number of
 /// placements of a task within one job.
@@ -132,9 +135,9 @@
     }
 
     /// Handles the end of the session with an entry and stops its runs.
-    pub fn entry_disconnected(&mut self, entry: Incarnation) {
+    pub fn entry_disconnected(&mut self, entry: Incarnation, now: Instant) {
         self.entries.remove(&entry);
-        self.stop_runs_of(entry);
+        self.stop_runs_of(entry, now);
     }
 
     /// Handles a heartbeat of the minion.
@@ -243,9 +246,9 @@
     }
 
     /// Handles an order of an entry to stop a task.
-    pub fn stop(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt) {
+    pub fn stop(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt, now: Instant) {
         if let Some(key) = self.runs.find_placement(entry, task, attempt) {
-            self.begin_stop(key);
+            self.begin_stop(key, now);
         }
     }
 
@@ -257,7 +260,7 @@
         clock_ms: Option<StampMs>,
         now: Instant,
     ) {
-        let Some(key) = self.orders.complete(call) else {
+        let Some(key) = self.orders.complete(call, &answer, now) else {
             return;
         };
         self.update_clock(clock_ms, now);
@@ -294,14 +297,15 @@
                     job:% = key.task.job, task = key.task.index, run = key.number,
                     orders = run.order_count; "start without an answer"
                 );
-                if can_repeat {
+                let age = now.saturating_duration_since(run.ordered_at);
+                if can_repeat && age < START_ANSWER_TIME_MAX {
                     self.order_start(key, now);
                 } else {
-                    self.begin_stop(key);
+                    self.begin_stop(key, now);
                 }
             }
             OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
-            _ if !all_answered => self.begin_stop(key),
+            _ if !all_answered => self.begin_stop(key, now),
             OrderAnswer::NoRoom => self.refuse_run(key, RefusalCause::NoRoom),
             OrderAnswer::Malformed => {
                 let outcome = run.outcome(RunEnd::Failed, now);
@@ -328,18 +332,18 @@
         clock_ms: Option<StampMs>,
         now: Instant,
     ) {
-        let Some(key) = self.orders.complete(call) else {
+        let Some(key) = self.orders.complete(call, &answer, now) else {
             return;
         };
         self.update_clock(clock_ms, now);
         match answer {
             OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
                 self.orders
-                    .retry_stop_at(key, now + self.settings.retry_pause);
+                    .retry_stop_at(key, now + self.settings.stop_retry_pause);
             }
             OrderAnswer::Fenced => {
                 self.orders.raise_fencing_token();
-                self.order_stop(key);
+                self.order_stop(key, now);
             }
             OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
             _ => {
@@ -355,18 +359,30 @@
         let Some(hold) = self.holds.take_pending(call) else {
             return;
         };
+        let response_times = self.orders.response_times_mut();
         let Some(answer) = answer else {
-            if self.holds.record_failure(&hold, &self.settings, now) {
+            response_times.record_loss(now.min(hold.sent_at + hold.wait));
+            let unanswered_for = response_times.unanswered_for(now);
+            if self
+                .holds
+                .record_failure(&hold, unanswered_for, &self.settings, now)
+            {
                 log::warn!(runs = self.runs.len(); "minion unreachable");
             }
             return;
         };
+        if hold.wait.is_zero() {
+            response_times.record_response(now.saturating_duration_since(hold.sent_at));
+        } else {
+            response_times.record_sign_of_life();
+        }
         let Some(minion) = &mut self.minion else {
             return;
         };
         if answer.started_unix_ms > 0 && answer.started_unix_ms < minion.started_unix_ms {
             // The answer of an earlier incarnation.
-            self.holds.reschedule(now + self.settings.retry_pause);
+            self.holds
+                .reschedule(now + self.settings.hold_retry_interval);
             return;
         }
         if answer.started_unix_ms > minion.started_unix_ms && minion.started_unix_ms > 0 {
@@ -463,11 +479,11 @@
         self.actions.extend(call.map(SidecarAction::Start));
     }
 
-    fn order_stop(&mut self, key: RunKey) {
+    fn order_stop(&mut self, key: RunKey, now: Instant) {
         let Some(minion) = self.minion.as_ref().filter(|_| self.runs.contains(key)) else {
             return;
         };
-        let call = self.orders.stop(key, minion);
+        let call = self.orders.stop(key, minion, now);
         self.actions.push(SidecarAction::Stop(call));
     }
 
@@ -481,7 +497,7 @@
         // outcome becomes certain.
         let renews = self.holds.is_reachable();
         let call = self.orders.hold(minion, renews, wait, &self.settings, now);
-        self.holds.record_sent(call.call, !has_runs, now);
+        self.holds.record_sent(&call, !has_runs, now);
         self.actions.push(SidecarAction::Hold(call));
     }
 
@@ -563,7 +579,7 @@
                 job:% = key.task.job, task = key.task.index, run = key.number;
                 "stopping orphaned run of an earlier sidecar process"
             );
-            self.order_stop(key);
+            self.order_stop(key, now);
         }
         self.stop_stalled_runs(&answer.running, now);
         if answer.has_more {
@@ -590,7 +606,7 @@
                 estimate_ms = millis(run.estimate); "run stands still, it is stopped"
             );
             self.stats.record_outcome(key.task.job, true);
-            self.begin_stop(*key);
+            self.begin_stop(*key, now);
         }
     }
 
@@ -603,11 +619,11 @@
             .map(|(entry, _)| *entry)
             .collect();
         for entry in silent {
-            self.stop_runs_of(entry);
+            self.stop_runs_of(entry, now);
         }
     }
 
-    fn stop_runs_of(&mut self, entry: Incarnation) {
+    fn stop_runs_of(&mut self, entry: Incarnation, now: Instant) {
         let keys = self.runs.active_runs_of(entry);
         if !keys.is_empty() {
             log::warn!(
@@ -616,7 +632,7 @@
             );
         }
         for key in keys {
-            self.begin_stop(key);
+            self.begin_stop(key, now);
         }
     }
 
@@ -627,7 +643,7 @@
             return;
         }
         for key in self.orders.take_due_stop_retries(now) {
-            self.order_stop(key);
+            self.order_stop(key, now);
         }
     }
 
@@ -646,13 +662,13 @@
         }
     }
 
-    fn begin_stop(&mut self, key: RunKey) {
+    fn begin_stop(&mut self, key: RunKey, now: Instant) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if matches!(run.phase, Phase::Starting | Phase::Running(_)) {
             run.phase = Phase::Stopping;
-            self.order_stop(key);
+            self.order_stop(key, now);
         }
     }
 
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -173,7 +173,7 @@
             }
             SessionEvent::Disconnected(process) => {
                 log::warn!(process:% = process; "session ended or process replaced");
-                self.sidecar.entry_disconnected(process);
+                self.sidecar.entry_disconnected(process, now);
             }
             SessionEvent::Silent(process) => {
                 log::warn!(process:% = process; "process unreachable")
@@ -187,7 +187,7 @@
                 self.sidecar.start(process, order, stamped_at, now);
             }
             SessionEvent::Message(process, Message::Stop { task, attempt }) => {
-                self.sidecar.stop(process, task, attempt);
+                self.sidecar.stop(process, task, attempt, now);
             }
             SessionEvent::Message(process, message) => {
                 log::warn!(process:% = process, message:? = message; "unexpected message ignored");
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -3,23 +3,31 @@
 use std::time::{Duration, Instant};
 
 use super::SidecarSettings;
-use super::action::CallNumber;
+use super::action::{CallNumber, HoldCall};
 
-/// Number of consecutive calls without an answer after which the minion counts as unreachable and
-/// its lease is no longer renewed. If a quarter of the answers is lost, three in a row are lost in
-/// less than 2 % of the cases.
-const FAILURE_COUNT_MAX: u32 = 3;
+/// Number of consecutive hold calls without an answer before the minion can count as unreachable.
+/// A single idle call may stay unanswered for longer than `UNREACHABLE_AFTER`.
+const FAILURE_COUNT_MIN: u32 = 3;
 
-/// How often the pause after a call without an answer doubles, up to a third of a lease. A minion
-/// that restarted registers by itself, but one that was only silent is detected by the next call,
-/// so the pause stays short.
-const PAUSE_DOUBLING_COUNT_MAX: u32 = 3;
+/// Time without an answer to any call after which the minion counts as unreachable and its lease is
+/// no longer renewed. Less than half of a lease, and time for about ten calls of which half are
+/// lost.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(200);
+
+/// The longest interval between calls that fail at once, a third of a lease. A minion that restarted
+/// registers by itself, but one that was only silent is detected by the next call, so the interval
+/// stays short.
+const RETRY_INTERVAL_MAX: Duration = Duration::from_millis(160);
 
 /// A hold call without an answer yet.
 #[derive(Debug)]
 pub(super) struct PendingHold {
     call: CallNumber,
     pub(super) sent_at: Instant,
+    /// How long the minion may delay its answer.
+    pub(super) wait: Duration,
+    /// How long to wait for the answer in addition.
+    timeout: Duration,
     /// Whether nothing ran when it was sent; the call may then take longer than a lease.
     is_idle: bool,
 }
@@ -34,6 +42,7 @@
     failed_at: Option<Instant>,
     /// When the first of the consecutive calls without an answer was sent.
     unanswered_since: Option<Instant>,
+    is_unreachable: bool,
     next_at: Option<Instant>,
 }
 
@@ -54,9 +63,9 @@
         self.pending.is_some()
     }
 
-    /// Returns whether fewer than the allowed number of consecutive calls had no answer.
+    /// Returns whether the minion answers calls.
     pub(super) fn is_reachable(&self) -> bool {
-        self.failure_count < FAILURE_COUNT_MAX
+        !self.is_unreachable
     }
 
     /// Returns whether the last call had no answer.
@@ -102,10 +111,12 @@
     }
 
     /// Records that a call was sent.
-    pub(super) fn record_sent(&mut self, call: CallNumber, is_idle: bool, now: Instant) {
+    pub(super) fn record_sent(&mut self, call: &HoldCall, is_idle: bool, now: Instant) {
         self.pending = Some(PendingHold {
-            call,
+            call: call.call,
             sent_at: now,
+            wait: Duration::from_millis(call.wait_ms),
+            timeout: call.timeout,
             is_idle,
         });
     }
@@ -124,25 +135,35 @@
 
     /// Records an answer and returns whether the minion was unreachable before.
     pub(super) fn record_answer(&mut self, now: Instant) -> bool {
-        let was_reachable = self.is_reachable();
         self.failure_count = 0;
         self.unanswered_since = None;
         self.next_at = Some(now);
-        !was_reachable
+        std::mem::take(&mut self.is_unreachable)
     }
 
     /// Records a call without an answer and returns whether it made the minion unreachable.
+    /// `unanswered_for` is the time for which the minion has left calls of any kind unanswered.
     pub(super) fn record_failure(
         &mut self,
         hold: &PendingHold,
+        unanswered_for: Duration,
         settings: &SidecarSettings,
         now: Instant,
     ) -> bool {
         self.unanswered_since.get_or_insert(hold.sent_at);
         self.failure_count += 1;
         self.failed_at = Some(now);
-        let doublings = (self.failure_count - 1).min(PAUSE_DOUBLING_COUNT_MAX);
-        self.next_at = Some(now + settings.retry_pause * 2_u32.pow(doublings));
-        self.failure_count == FAILURE_COUNT_MAX
+        // A call that timed out has already waited; one that was refused has not.
+        let has_timed_out = now >= hold.sent_at + hold.wait + hold.timeout;
+        let interval = unanswered_for.clamp(settings.hold_retry_interval, RETRY_INTERVAL_MAX);
+        self.next_at = Some(if has_timed_out {
+            now
+        } else {
+            hold.sent_at + interval
+        });
+        let was_reachable = self.is_reachable();
+        self.is_unreachable |=
+            self.failure_count >= FAILURE_COUNT_MIN && unanswered_for >= UNREACHABLE_AFTER;
+        was_reachable && self.is_unreachable
     }
 }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -4,7 +4,7 @@
 
 use super::{MinionHeartbeat, SidecarSettings};
 use crate::dispatch::message::{MinionProfile, StampMs};
-use crate::dispatch::run_timing::CLOCK_DRIFT_PERMILLE;
+use crate::dispatch::run_timing::clock_drift;
 use crate::dispatch::units::millis;
 
 /// Upper limit of a plausible reading of a minion's monotonic clock, in milliseconds: 100 years.
@@ -118,6 +118,6 @@
     pub(super) fn all_runs_ended_at(&self, settings: &SidecarSettings) -> Option<Instant> {
         let (clock_ms, at) = self.clock?;
         let left = Duration::from_millis(self.lease_end_ms.saturating_sub(clock_ms));
-        Some(at + left + left * CLOCK_DRIFT_PERMILLE / 1_000 + settings.run_stop_time_max)
+        Some(at + left + clock_drift(left) + settings.run_stop_time_max)
     }
 }
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::SidecarSettings;
-use super::action::{CallNumber, HoldCall, RunKey, StartCall, StopCall};
+use super::action::{CallNumber, HoldCall, OrderAnswer, RunKey, StartCall, StopCall};
 use super::minion_state::MinionState;
+use super::response_times::ResponseTimes;
 use super::run::Run;
+use crate::dispatch::run_timing::clock_drift;
 use crate::dispatch::units::millis;
 
 /// Increment of the fencing token when the minion has seen a higher one, in milliseconds. Larger
@@ -18,10 +20,11 @@
 pub(super) struct OrderTracker {
     fencing_token: u64,
     last_call: CallNumber,
-    /// The run of each order in flight.
-    in_flight: HashMap<CallNumber, RunKey>,
+    /// The run of each order in flight, and when the order was sent.
+    in_flight: HashMap<CallNumber, (RunKey, Instant)>,
     /// The runs whose stop order had no answer, and when it is repeated.
     stop_retries: HashMap<RunKey, Instant>,
+    response_times: ResponseTimes,
 }
 
 impl OrderTracker {
@@ -31,6 +34,7 @@
             last_call: 0,
             in_flight: HashMap::new(),
             stop_retries: HashMap::new(),
+            response_times: ResponseTimes::default(),
         }
     }
 
@@ -45,7 +49,7 @@
         let lease_end_ms = minion.extend_lease(settings, now)?;
         run.order_count += 1;
         let call = self.next_call();
-        self.in_flight.insert(call, run.key);
+        self.in_flight.insert(call, (run.key, now));
         Some(StartCall {
             call,
             run: run.key,
@@ -53,18 +57,20 @@
             lease_end_ms,
             fencing_token: self.fencing_token,
             instance: minion.profile.instance.clone(),
+            timeout: self.response_times.timeout(now),
         })
     }
 
     /// Creates an order to stop a run.
-    pub(super) fn stop(&mut self, run: RunKey, minion: &MinionState) -> StopCall {
+    pub(super) fn stop(&mut self, run: RunKey, minion: &MinionState, now: Instant) -> StopCall {
         let call = self.next_call();
-        self.in_flight.insert(call, run);
+        self.in_flight.insert(call, (run, now));
         StopCall {
             call,
             run,
             fencing_token: self.fencing_token,
             instance: minion.profile.instance.clone(),
+            timeout: self.response_times.timeout(now),
         }
     }
 
@@ -92,13 +98,34 @@
             acknowledged_end: minion.acknowledged_end,
             wait_ms: millis(wait),
             instance: minion.profile.instance.clone(),
+            timeout: self.response_times.timeout(now) + clock_drift(wait),
         }
     }
 
     /// Removes an order that was answered or timed out and returns its run, or `None` if the order
     /// is not tracked.
-    pub(super) fn complete(&mut self, call: CallNumber) -> Option<RunKey> {
-        self.in_flight.remove(&call)
+    pub(super) fn complete(
+        &mut self,
+        call: CallNumber,
+        answer: &OrderAnswer,
+        now: Instant,
+    ) -> Option<RunKey> {
+        let (run, sent_at) = self.in_flight.remove(&call)?;
+        match answer {
+            OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
+                self.response_times.record_loss(sent_at);
+            }
+            _ => {
+                let response_time = now.saturating_duration_since(sent_at);
+                self.response_times.record_response(response_time);
+            }
+        }
+        Some(run)
+    }
+
+    /// Returns the response times of the minion, for the results of hold calls.
+    pub(super) fn response_times_mut(&mut self) -> &mut ResponseTimes {
+        &mut self.response_times
     }
 
     /// Schedules another stop order for a run.
@@ -131,6 +158,7 @@
     pub(super) fn clear(&mut self) {
         self.in_flight.clear();
         self.stop_retries.clear();
+        self.response_times = ResponseTimes::default();
     }
 
     fn next_call(&mut self) -> CallNumber {
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -28,9 +28,10 @@
     /// How long after a lost answer `lossy_hold_wait` applies. About ten calls, so that it stays
     /// in force at a loss of one answer in ten.
     pub lossy_window: Duration,
-    /// The pause before a hold call or a stop order without an answer is repeated. Half of the
-    /// time that the minion has to answer an order.
-    pub retry_pause: Duration,
+    /// The minimum interval between a hold call without an answer and the next one.
+    pub hold_retry_interval: Duration,
+    /// The pause before a stop order without an answer is repeated.
+    pub stop_retry_pause: Duration,
     /// The longest time that the minion takes to end a run.
     pub run_stop_time_max: Duration,
 }
@@ -46,7 +47,8 @@
             idle_hold_wait: Duration::from_millis(1_000),
             lossy_hold_wait: Duration::from_millis(20),
             lossy_window: Duration::from_millis(1_500),
-            retry_pause: Duration::from_millis(20),
+            hold_retry_interval: Duration::from_millis(10),
+            stop_retry_pause: Duration::from_millis(20),
             run_stop_time_max: timing.run_stop_time_max(),
         }
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -105,6 +105,16 @@
         self.collect_actions();
     }
 
+    /// Answers starts after 2 ms each, so that the response time of the minion is known.
+    fn answer_several_starts(&mut self) {
+        for index in 0..20 {
+            self.order_start(50, index + 1);
+            self.advance(2 * MS);
+            self.answer_start(OrderAnswer::NoRoom);
+        }
+        self.outcomes.clear();
+    }
+
     fn answer_stop(&mut self, answer: OrderAnswer) {
         let call = self.stops.last().expect("a stop was ordered").call;
         self.sidecar.stop_answered(call, answer, None, self.now);
@@ -348,7 +358,7 @@
     let mut fixture = Fixture::new();
     fixture.order_start(0, 1);
     fixture.answer_start(OrderAnswer::Accepted);
-    fixture.sidecar.stop(ENTRY, task(0), 1);
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
     fixture.collect_actions();
     fixture.fail_hold();
     for _ in 0..30 {
@@ -364,7 +374,7 @@
     let mut fixture = Fixture::new();
     fixture.order_start(0, 1);
     fixture.answer_start(OrderAnswer::Accepted);
-    fixture.sidecar.stop(ENTRY, task(0), 1);
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
     fixture.collect_actions();
     fixture.answer_stop(OrderAnswer::NoAnswer);
     fixture.advance(10 * MS);
@@ -460,3 +470,65 @@
         .expect("the new incarnation gets another hold call at once");
     assert!(Some(hold.fencing_token) > before, "{hold:?}, {before:?}");
 }
+
+/// Half of the calls are lost, which makes several in a row common. The minion works all the while.
+#[test]
+fn minion_that_loses_several_hold_answers_in_a_row_stays_available() {
+    let mut fixture = Fixture::new();
+    fixture.answer_several_starts();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    for lost_count in [1, 1, 2, 1, 3, 1, 2, 1, 5, 1, 1, 2, 5] {
+        for _ in 0..lost_count {
+            let hold = fixture.holds.last().expect("a hold was sent");
+            fixture.advance(hold.timeout + Duration::from_millis(hold.wait_ms));
+            fixture.fail_hold();
+            fixture.advance(MS);
+        }
+        assert_eq!(
+            fixture.sidecar.status().availability,
+            MinionAvailability::Ready
+        );
+        fixture.answer_hold(vec![(run(0), 50)], Vec::new());
+        fixture.advance(MS);
+    }
+}
+
+/// The minion leaves orders unanswered but works; an order that gets through in time saves the
+/// placement.
+#[test]
+fn start_is_repeated_for_160_ms_and_then_stopped() {
+    let mut fixture = Fixture::new();
+    let ordered_at = fixture.now;
+    fixture.order_start(0, 1);
+    while fixture.stops.is_empty() {
+        let timeout = fixture.starts.last().expect("a start was ordered").timeout;
+        fixture.advance(timeout);
+        fixture.answer_start(OrderAnswer::NoAnswer);
+    }
+    let repeated_for = fixture.now - ordered_at;
+    assert!(
+        (160 * MS..240 * MS).contains(&repeated_for),
+        "{repeated_for:?}"
+    );
+    assert!(fixture.starts.len() >= 4, "{} orders", fixture.starts.len());
+}
+
+/// A quarter of the orders is lost; waiting for 40 ms each time makes urgent tasks late.
+#[test]
+fn lost_start_is_repeated_soon_while_many_are_lost() {
+    let mut fixture = Fixture::new();
+    fixture.answer_several_starts();
+    for index in 0..10 {
+        fixture.order_start(index, u64::from(index) + 100);
+        fixture.advance(40 * MS);
+        fixture.answer_start(OrderAnswer::NoAnswer);
+        for _ in 0..3 {
+            fixture.order_start(50, 100);
+            fixture.answer_start(OrderAnswer::NoRoom);
+        }
+    }
+    let order = fixture.starts.last().expect("a start was ordered");
+    assert!(order.timeout <= 16 * MS, "{:?}", order.timeout);
+}
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -1,7 +1,6 @@
 //! HTTP between a sidecar and its minion: registration calls in one direction, orders in the other.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
@@ -18,15 +17,6 @@
 /// The maximum size of a heartbeat, in bytes.
 const HEARTBEAT_BYTES_MAX: usize = 65_536;
 
-/// The timeout of an order. The minion is on the same VM and responds within milliseconds.
-/// Orders are idempotent, so a repeated one does no harm, while an urgent task can wait for less
-/// than 100 ms.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
-
-/// The timeout of a hold, in addition to the time that the minion may wait. It is longer than that
-/// of an order by half, since the response may list hundreds of ended runs.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// The maximum number of orders in flight. Each needs a connection, and the minion responds within
 /// a millisecond, so more would only open connections that are seldom reused.
 const ORDERS_IN_FLIGHT_MAX: usize = 6;
@@ -87,18 +77,18 @@
     match order {
         SidecarAction::Start(call) => {
             let _permit = permits.acquire().await.ok()?;
-            let (answer, clock_ms) = minion.start(&call, ORDER_TIMEOUT).await;
+            let (answer, clock_ms) = minion.start(&call).await;
             metrics.count_minion_call("start", order_answer_label(&answer));
             Some(SidecarEvent::StartAnswered(call.call, answer, clock_ms))
         }
         SidecarAction::Stop(call) => {
             let _permit = permits.acquire().await.ok()?;
-            let (answer, clock_ms) = minion.stop(&call, ORDER_TIMEOUT).await;
+            let (answer, clock_ms) = minion.stop(&call).await;
             metrics.count_minion_call("stop", order_answer_label(&answer));
             Some(SidecarEvent::StopAnswered(call.call, answer, clock_ms))
         }
         SidecarAction::Hold(call) => {
-            let answer = minion.hold(&call, HOLD_TIMEOUT).await;
+            let answer = minion.hold(&call).await;
             let label = if answer.is_some() { "accepted" } else { "none" };
             metrics.count_minion_call("hold", label);
             Some(SidecarEvent::HoldAnswered(call.call, answer))
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -311,6 +311,7 @@
         lease_end_ms: order.deadline_ms,
         fencing_token: order.fencing_token,
         instance,
+        timeout: Duration::ZERO,
     };
     let now_ms = state.now_ms();
     if state.random_chance(state.faults.delayed_start_permille) {
@@ -336,6 +337,7 @@
         },
         fencing_token: order.fencing_token,
         instance,
+        timeout: Duration::ZERO,
     };
     let now_ms = state.now_ms();
     let answer = state.model.stop(&call, now_ms);
@@ -371,6 +373,7 @@
         acknowledged_end: body.last_seen,
         wait_ms: body.wait_ms,
         instance,
+        timeout: Duration::ZERO,
     };
     let now_ms = state.now_ms();
     if state.faults.ignores_holds {
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -42,9 +42,6 @@
 use observations::Observations;
 use pending_call::PendingCall;
 
-/// The timeout of a call to a minion, in milliseconds; a hold has its wait on top.
-const CALL_TIMEOUT_MS: u64 = 40;
-
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
 
@@ -449,10 +446,12 @@
     }
 
     fn add_call(&mut self, node: usize, content: CallContent) {
-        let timeout_ms = match &content {
-            CallContent::Hold(call) => call.wait_ms + CALL_TIMEOUT_MS,
-            _ => CALL_TIMEOUT_MS,
+        let timeout = match &content {
+            CallContent::Start(call) => call.timeout,
+            CallContent::Stop(call) => call.timeout,
+            CallContent::Hold(call) => call.timeout + Duration::from_millis(call.wait_ms),
         };
+        let timeout_ms = timeout.as_millis() as u64;
         let is_delayed = self.draw_is_delayed();
         let delay_ms = if is_delayed {
             self.random.random_range(2_000..6_000)
--- a/knapweedrill_lab/tests/stand_in_minion_model.rs
+++ b/knapweedrill_lab/tests/stand_in_minion_model.rs
@@ -1,5 +1,7 @@
 //! The model of a platform minion.
 
+use std::time::Duration;
+
 use knapweedrill::dispatch::sidecar::{EndKind, HoldCall, OrderAnswer, RunKey, StartCall};
 use knapweedrill::dispatch::{JobName, Resources, TaskName};
 use knapweedrill_lab::stand_in::platform::{MinionModel, TaskProfile};
@@ -42,6 +44,7 @@
         lease_end_ms: 500,
         fencing_token: 1,
         instance: "minion".into(),
+        timeout: Duration::ZERO,
     };
     let profile = TaskProfile {
         run_ms,
@@ -84,6 +87,7 @@
         acknowledged_end: 0,
         wait_ms: 0,
         instance: "minion".into(),
+        timeout: Duration::ZERO,
     };
     assert!(minion.hold(&hold, 10), "the hold is accepted");
     assert!(minion.advance(299).is_empty());
