--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -162,8 +162,8 @@
             hold.sent_at + interval
         });
         let was_reachable = self.is_reachable();
-        self.is_unreachable |=
-            self.failure_count >= FAILURE_COUNT_MIN && unanswered_for >= UNREACHABLE_AFTER;
+        let is_silent = !has_timed_out || unanswered_for >= UNREACHABLE_AFTER;
+        self.is_unreachable |= self.failure_count >= FAILURE_COUNT_MIN && is_silent;
         was_reachable && self.is_unreachable
     }
 }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -532,3 +532,17 @@
     let order = fixture.starts.last().expect("a start was ordered");
     assert!(order.timeout <= 16 * MS, "{:?}", order.timeout);
 }
+
+/// A minion that crashed refuses connections at once, which leaves no doubt that it is away.
+#[test]
+fn minion_that_refuses_connections_is_unavailable_after_three_calls() {
+    let mut fixture = Fixture::new();
+    for _ in 0..3 {
+        fixture.fail_hold();
+        fixture.advance(20 * MS);
+    }
+    assert_eq!(
+        fixture.sidecar.status().availability,
+        MinionAvailability::Unavailable
+    );
+}
