feat(entry): jobs that can no longer meet their objective go behind the others of their priority

Cause: waiting jobs were placed in the order of their latest start, so under overload the one that was already late came first and made the next one late as well. Change: Jobs::demote_overdue moves a waiting job behind the others of its priority once it would miss its objective even if it started now. Work ahead of a new job then leaves such jobs out.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -341,6 +341,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.recover_lost_tasks(now);
         self.give_up_overdue(now);
+        self.jobs.demote_overdue(now);
         self.answer_cache
             .evict_expired(now, self.settings.answer_retention);
         self.fleet.remove_gone();
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -69,6 +69,8 @@
     pub(super) critical_path: Duration,
     /// The number of placements that were started or may have been.
     pub(super) started_count: u32,
+    /// Whether it can no longer meet its objective.
+    pub(super) is_overdue: bool,
 }
 
 impl Job {
@@ -100,13 +102,14 @@
             service: queue.service.clone(),
             policy: queue.policy,
             tasks: tasks.collect(),
-            critical_path: critical_path(&submission.steps),
+            critical_path: critical_path(&submission.steps, |_| false),
             spec: submission.spec,
             steps: submission.steps,
             callers: SmallVec::from_elem(caller, 1),
             arrived_at: now,
             caller_deadline: now + submission.caller_timeout,
             started_count: 0,
+            is_overdue: false,
         }
     }
 
@@ -119,6 +122,12 @@
         self.arrived_at + self.objective().saturating_sub(self.critical_path)
     }
 
+    /// Returns whether the job would miss its objective even if its waiting tasks started now.
+    pub(super) fn misses_objective(&self, now: Instant) -> bool {
+        now + critical_path(&self.steps, |step| self.is_done(step))
+            > self.arrived_at + self.objective()
+    }
+
     /// Returns the time after which the result is of no use to the callers.
     pub(super) fn useful_until(&self, settings: &EntrySettings) -> Instant {
         self.arrived_at + self.objective() * settings.objective_multiple_max
@@ -238,15 +247,18 @@
         u32::try_from(self.tasks.iter().filter(is_there).count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether all tasks of a step have succeeded.
+    fn is_done(&self, step: usize) -> bool {
+        self.tasks
+            .iter()
+            .filter(|task| usize::from(task.step) == step)
+            .all(|task| task.state == TaskState::Done)
+    }
+
     /// Moves blocked tasks to the waiting state if all steps that they depend on are done.
     fn unblock(&mut self) {
         let done: Vec<bool> = (0..self.steps.len())
-            .map(|step| {
-                self.tasks
-                    .iter()
-                    .filter(|task| usize::from(task.step) == step)
-                    .all(|task| task.state == TaskState::Done)
-            })
+            .map(|step| self.is_done(step))
             .collect();
         for task in &mut self.tasks {
             let after = &self.steps[usize::from(task.step)].after;
@@ -272,14 +284,15 @@
     }
 }
 
-/// Returns the estimated run time of the longest chain of dependent steps. A step can only depend
-/// on earlier ones.
-fn critical_path(steps: &[StepRequest]) -> Duration {
+/// Returns the estimated run time of the longest chain of dependent steps that are not done. A step
+/// can only depend on earlier ones.
+fn critical_path(steps: &[StepRequest], is_done: impl Fn(usize) -> bool) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for step in steps {
+    for (index, step) in steps.iter().enumerate() {
         let start = step.after.iter().map(|before| ends[usize::from(*before)]);
         let start = start.max().unwrap_or_default();
-        ends.push(start + step.estimate);
+        let is_left = !is_done(index);
+        ends.push(start + step.estimate * u32::from(is_left));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/knapweedrill/src/dispatch/entry/jobs.rs
+++ b/knapweedrill/src/dispatch/entry/jobs.rs
@@ -1,6 +1,7 @@
 //! The jobs of an entry, and the order in which they are placed.
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use super::job::Job;
 use super::queue::WaitingJobs;
@@ -42,6 +43,23 @@
         Some(result)
     }
 
+    /// Moves waiting jobs that can no longer meet their objective behind the others of their
+    /// priority, so that one late job does not make the next one late as well.
+    pub(super) fn demote_overdue(&mut self, now: Instant) {
+        let waiting = self.waiting.names().filter_map(|name| self.jobs.get(&name));
+        let overdue: Vec<_> = waiting
+            .filter(|job| !job.is_overdue && job.misses_objective(now))
+            .map(|job| job.name)
+            .collect();
+        for name in overdue {
+            if let Some(job) = self.jobs.get_mut(&name) {
+                self.waiting.remove(job);
+                job.is_overdue = true;
+                self.waiting.update(job);
+            }
+        }
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
     }
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -7,19 +7,24 @@
 use super::job::Job;
 use crate::dispatch::JobName;
 
-/// The sort key of a waiting job: the priority of its queue, then its latest start (earliest
-/// deadline first), then its name.
+/// The sort key of a waiting job: the priority of its queue, then whether it has missed its latest
+/// start, then its latest start (earliest deadline first), then its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct QueuePosition(u8, Instant, JobName);
+pub(super) struct QueuePosition(u8, bool, Instant, JobName);
 
 impl QueuePosition {
     fn of(job: &Job) -> Self {
-        Self(job.policy.priority, job.latest_start(), job.name)
+        Self(
+            job.policy.priority,
+            job.is_overdue,
+            job.latest_start(),
+            job.name,
+        )
     }
 
     /// Returns the name of the job.
     pub(super) fn job(&self) -> JobName {
-        self.2
+        self.3
     }
 }
 
@@ -57,6 +62,11 @@
         next.map(|(position, _)| *position)
     }
 
+    /// Returns the names of all jobs, in the order of placement.
+    pub(super) fn names(&self) -> impl Iterator<Item = JobName> + '_ {
+        self.work_by_position.keys().map(QueuePosition::job)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.work_by_position.len()
     }
