feat(entry): a task waits for a minion that is in time instead of being late on a slow one

Change: Fleet::choose places no task where its run would end after the job's objective while another usable minion, with room or without, would be in time. A job that no minion can serve in time goes to the best one with room, which also shows when a slow minion is well again.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -384,6 +384,7 @@
                 service: &queue.service,
                 resources: step.resources,
                 estimate: step.estimate,
+                time_left: Duration::MAX,
                 required_label: step.required_label.as_deref(),
                 preferred_label: None,
             };
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -33,6 +33,8 @@
     pub resources: Resources,
     /// The estimate of the task's run time.
     pub estimate: Duration,
+    /// How long the run may take so that the job meets its objective.
+    pub time_left: Duration,
     /// A label that the minion must have.
     pub required_label: Option<&'a str>,
     /// A label that the minion should have; a minion without it counts as slower by half of the
@@ -249,6 +251,11 @@
             })
             .collect();
         let best = candidates.iter().map(|candidate| candidate.time).min()?;
+        if best > requirements.time_left && self.has_faster_minion(requirements) {
+            // The job would certainly be late there, and a minion that is in time may have room
+            // soon.
+            return None;
+        }
         let bound = best + best * EQUAL_RUN_TIME_PERCENT / 100;
         candidates.retain(|candidate| candidate.time <= bound);
         candidates.sort_unstable_by_key(|candidate| candidate.incarnation);
@@ -259,6 +266,13 @@
             .map(|candidate| candidate.incarnation)
     }
 
+    /// Returns whether any minion, with room or without, could run a task within the time left.
+    fn has_faster_minion(&self, requirements: &TaskRequirements<'_>) -> bool {
+        self.of_service(requirements.service)
+            .filter(|view| view.is_usable() && !view.is_suspect())
+            .any(|view| view.run_time(requirements.estimate) <= requirements.time_left)
+    }
+
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a SidecarView> {
         self.views.values().filter(move |view| {
             view.profile()
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -124,8 +124,18 @@
 
     /// Returns whether the job would miss its objective even if its waiting tasks started now.
     pub(super) fn misses_objective(&self, now: Instant) -> bool {
-        now + critical_path(&self.steps, |step| self.is_done(step))
-            > self.arrived_at + self.objective()
+        now + self.remaining_path() > self.arrived_at + self.objective()
+    }
+
+    /// Returns how long a task with the given estimate may run so that the job meets its objective.
+    pub(super) fn run_time_left(&self, estimate: Duration, now: Instant) -> Duration {
+        let until_objective = (self.arrived_at + self.objective()).saturating_duration_since(now);
+        until_objective.saturating_sub(self.remaining_path().saturating_sub(estimate))
+    }
+
+    /// Returns the estimated run time of the longest chain of dependent steps that are not done.
+    fn remaining_path(&self) -> Duration {
+        critical_path(&self.steps, |step| self.is_done(step))
     }
 
     /// Returns the time after which the result is of no use to the callers.
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -100,6 +100,7 @@
             service: &job.service,
             resources: step.resources,
             estimate: step.estimate,
+            time_left: job.run_time_left(step.estimate, now),
             required_label: step.required_label.as_deref(),
             preferred_label: step.data_rack.as_deref(),
         };
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -24,6 +24,7 @@
         service: "service",
         resources: resources(cpu_millicores),
         estimate,
+        time_left: Duration::MAX,
         required_label: None,
         preferred_label: None,
     }
@@ -71,6 +72,24 @@
     assert_eq!(chosen, Some(2));
 }
 
+/// Many minions have turned slow, and the fast ones are full. The choice of a slow minion makes the
+/// whole job late, while a fast one will have room soon.
+#[test_case(150 * MS, None; "waits while the fast one would be in time")]
+#[test_case(500 * MS, Some(1); "goes to the slow one if that is in time")]
+#[test_case(50 * MS, Some(1); "goes to the slow one if none is in time")]
+fn task_on_a_fleet_of_which_half_turned_slow(time_left: Duration, chosen: Option<u64>) {
+    let mut fleet = fleet(&[
+        (MinionAvailability::Ready, 64_000, 5_000),
+        (MinionAvailability::Ready, 0, 1_000),
+    ]);
+    let task = TaskRequirements {
+        time_left,
+        ..requirements(6_200, 60 * MS)
+    };
+    let place = |fleet: &mut Fleet| fleet.choose(&task, Instant::now(), |_| Some(Duration::ZERO));
+    assert_eq!(place(&mut fleet), chosen);
+}
+
 /// Several entries place tasks at the same time on a fleet of equal, idle minions.
 #[test]
 fn entries_do_not_all_choose_the_same_of_equal_minions() {
