refactor(dispatch): one decision a module out of the two cores

Admission::new collects its own inputs, retry_after and start_step are modules, ConnectedEntries keeps when entries were alive.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -2,6 +2,13 @@
 
 use std::time::Duration;
 
+use super::fleet::Fleet;
+use super::job::Job;
+use super::queue::WaitingJobs;
+
+/// The priority of the most urgent queues; lower is more urgent.
+const HIGHEST_PRIORITY: u8 = 0;
+
 /// The inputs of the admission decision for one job.
 #[derive(Debug, Clone, Copy)]
 pub struct Admission {
@@ -14,6 +21,24 @@
 }
 
 impl Admission {
+    /// Collects the inputs for a new job. `spare_count` is the number of minions that would join the
+    /// subset of the entry under load.
+    pub(super) fn new(job: &Job, waiting: &WaitingJobs, fleet: &Fleet, spare_count: u64) -> Self {
+        // A job of the most urgent queues only waits for the work ahead of it. For the others all
+        // admitted work counts, whatever its position, so that jobs that were admitted before
+        // still meet their objectives.
+        let work_ahead_millicore_ms = if job.policy.priority == HIGHEST_PRIORITY {
+            waiting.work_ahead(job)
+        } else {
+            waiting.total_work()
+        };
+        Self {
+            work_ahead_millicore_ms,
+            share_millicores: fleet.share_millicores(&job.service, spare_count),
+            slack: job.objective().saturating_sub(job.critical_path),
+        }
+    }
+
     /// Returns the estimated queueing delay of the job.
     pub fn wait(&self) -> Duration {
         Duration::from_millis(self.work_ahead_millicore_ms / self.share_millicores.max(1))
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -13,6 +13,7 @@
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
 use super::placer::{Placer, stop_placements};
+use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
 use super::{EntrySettings, Submission};
@@ -23,16 +24,6 @@
 use crate::dispatch::units::millis;
 use crate::dispatch::{JobName, Notice, Packet, SidecarRecord};
 
-/// The minimum retry delay of refused callers: long enough for a burst to drain.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// The range of the jitter that is added to `RETRY_AFTER`, so that refused callers do not all
-/// return at once. It is derived from the name of the job.
-const RETRY_AFTER_JITTER_S: u64 = 3;
-
-/// The priority of the most urgent queues; lower is more urgent.
-const HIGHEST_PRIORITY: u8 = 0;
-
 /// An action that the process that owns the entry has to carry out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryAction {
@@ -233,7 +224,8 @@
             return;
         };
         let job = Job::new(submission, queue, caller, now);
-        let admission = self.admission(&job);
+        let spare_count = self.subset.spare_count(&job.service);
+        let admission = Admission::new(&job, self.jobs.waiting(), &self.fleet, spare_count);
         if !admission.is_admitted() {
             log::warn!(
                 job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
@@ -403,24 +395,6 @@
         Ok(())
     }
 
-    fn admission(&self, job: &Job) -> Admission {
-        // A job of the most urgent queues only waits for the work ahead of it. For the others all
-        // admitted work counts, whatever its position, so that jobs that were admitted before
-        // still meet their objectives.
-        let work_ahead_millicore_ms = if job.policy.priority == HIGHEST_PRIORITY {
-            self.jobs.waiting().work_ahead(job)
-        } else {
-            self.jobs.waiting().total_work()
-        };
-        Admission {
-            work_ahead_millicore_ms,
-            share_millicores: self
-                .fleet
-                .share_millicores(&job.service, self.subset.spare_count(&job.service)),
-            slack: job.objective().saturating_sub(job.critical_path),
-        }
-    }
-
     fn handle_event(&mut self, event: SessionEvent, now: Instant) {
         self.is_placement_due = true;
         match event {
@@ -681,7 +655,3 @@
         });
     }
 }
-
-fn retry_after(name: JobName) -> Duration {
-    RETRY_AFTER + Duration::from_secs(name.0 % RETRY_AFTER_JITTER_S)
-}
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod placer;
 mod queue;
+mod retry_after;
 mod settings;
 mod sidecar_subset;
 mod sidecar_view;
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -1,12 +1,13 @@
 //! The state machine of a sidecar.
 
-use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::collections::HashSet;
+use std::time::Instant;
 
 use super::SidecarSettings;
 use super::action::{
     CallNumber, EndKind, EndedRun, HoldAnswer, MinionHeartbeat, OrderAnswer, RunKey, SidecarAction,
 };
+use super::connected_entries::ConnectedEntries;
 use super::hold_schedule::HoldSchedule;
 use super::minion_state::MinionState;
 use super::minion_stats::MinionStats;
@@ -14,6 +15,7 @@
 use super::recent_entries::RecentEntries;
 use super::run::{Phase, Run};
 use super::run_table::RunTable;
+use super::start_step::StartStep;
 use crate::common::Incarnation;
 use crate::dispatch::message::{
     Message, MinionAvailability, MinionProfile, PlacementOutcome, RefusalCause, RunEnd,
@@ -22,13 +24,6 @@
 use crate::dispatch::units::{clamp_duration, millis};
 use crate::dispatch::{Attempt, Resources, TaskName};
 
-/// Number of start orders for a run before the sidecar gives up.
-const START_ORDER_COUNT_MAX: u32 = 16;
-
-/// Time from the first start order of a run after which an order without an answer is not
-/// repeated, so that the task is placed elsewhere.
-const START_ANSWER_TIME_MAX: Duration = Duration::from_millis(160);
-
 /// Increment of a run number when the minion has seen a higher one. Larger than the number of
 /// placements of a task within one job.
 const RUN_NUMBER_STEP: u32 = 16;
@@ -43,8 +38,7 @@
     settings: SidecarSettings,
     minion: Option<MinionState>,
     runs: RunTable,
-    /// When each connected entry was last known to be alive.
-    entries: HashMap<Incarnation, Instant>,
+    entries: ConnectedEntries,
     stats: MinionStats,
     recent_entries: RecentEntries,
     orders: OrderTracker,
@@ -63,7 +57,7 @@
             settings,
             minion: None,
             runs: RunTable::default(),
-            entries: HashMap::new(),
+            entries: ConnectedEntries::default(),
             stats: MinionStats::default(),
             recent_entries: RecentEntries::default(),
             orders: OrderTracker::new(fencing_token),
@@ -112,7 +106,7 @@
 
     /// Returns the connected entries.
     pub fn entries(&self) -> impl Iterator<Item = Incarnation> + '_ {
-        self.entries.keys().copied()
+        self.entries.iter()
     }
 
     /// Refuses all further start orders.
@@ -122,21 +116,19 @@
 
     /// Handles a new session with an entry and sends it the profile of the minion.
     pub fn entry_connected(&mut self, entry: Incarnation, now: Instant) {
-        self.entries.entry(entry).or_insert(now);
+        self.entries.insert(entry, now);
         let profile = self.minion.as_ref().map(|minion| minion.profile.clone());
         self.send(entry, Message::Minion(profile));
     }
 
     /// Records that an entry was alive at `at`.
     pub fn entry_alive(&mut self, entry: Incarnation, at: Instant) {
-        if let Some(known) = self.entries.get_mut(&entry) {
-            *known = at.max(*known);
-        }
+        self.entries.record_alive(entry, at);
     }
 
     /// Handles the end of the session with an entry and stops its runs.
     pub fn entry_disconnected(&mut self, entry: Incarnation, now: Instant) {
-        self.entries.remove(&entry);
+        self.entries.remove(entry);
         self.stop_runs_of(entry, now);
     }
 
@@ -271,10 +263,15 @@
             // The run is being stopped; an answer to a hold call reports its end.
             return;
         }
-        let all_answered = run.unanswered_count == 0;
-        let can_repeat = run.order_count < START_ORDER_COUNT_MAX;
-        match answer {
-            OrderAnswer::Accepted => {
+        if answer == OrderAnswer::NoAnswer {
+            run.unanswered_count += 1;
+            log::warn!(
+                job:% = key.task.job, task = key.task.index, run = key.number,
+                orders = run.order_count; "start without an answer"
+            );
+        }
+        match run.step_after(answer, now) {
+            StartStep::Accepted => {
                 run.phase = Phase::Running(now);
                 self.stats
                     .record_start_delay(now.saturating_duration_since(run.ordered_at));
@@ -283,43 +280,24 @@
                     run = key.number, orders = run.order_count; "run started"
                 );
             }
-            // An earlier order without an answer was carried out; hold calls report the rest.
-            OrderAnswer::Superseded if !all_answered => run.phase = Phase::Running(now),
-            OrderAnswer::Superseded if can_repeat => self.renumber(key, now),
-            OrderAnswer::LeaseExpired if can_repeat => self.order_start(key, now),
-            OrderAnswer::Fenced if can_repeat => {
+            StartStep::AcceptedEarlier => run.phase = Phase::Running(now),
+            StartStep::Renumber => self.renumber(key, now),
+            StartStep::Repeat => self.order_start(key, now),
+            StartStep::RaiseToken => {
                 self.orders.raise_fencing_token();
                 self.order_start(key, now);
             }
-            OrderAnswer::NoAnswer => {
-                run.unanswered_count += 1;
-                log::warn!(
-                    job:% = key.task.job, task = key.task.index, run = key.number,
-                    orders = run.order_count; "start without an answer"
-                );
-                let age = now.saturating_duration_since(run.ordered_at);
-                if can_repeat && age < START_ANSWER_TIME_MAX {
-                    self.order_start(key, now);
-                } else {
-                    self.begin_stop(key, now);
-                }
-            }
-            OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
-            _ if !all_answered => self.begin_stop(key, now),
-            OrderAnswer::NoRoom => self.refuse_run(key, RefusalCause::NoRoom),
-            OrderAnswer::Malformed => {
+            StartStep::Stop => self.begin_stop(key, now),
+            StartStep::Missing => self.settle_missing(key, now),
+            StartStep::Failed => {
                 let outcome = run.outcome(RunEnd::Failed, now);
                 self.settle(key, outcome);
             }
-            OrderAnswer::Unhealthy => {
-                self.stats.record_outcome(key.task.job, true);
-                self.refuse_run(key, RefusalCause::Unhealthy);
-            }
-            OrderAnswer::Superseded
-            | OrderAnswer::LeaseExpired
-            | OrderAnswer::Fenced
-            | OrderAnswer::NotSent => {
-                self.refuse_run(key, RefusalCause::NoMinion);
+            StartStep::Refused(cause) => {
+                if cause == RefusalCause::Unhealthy {
+                    self.stats.record_outcome(key.task.job, true);
+                }
+                self.refuse_run(key, cause);
             }
         }
     }
@@ -449,7 +427,7 @@
         let Some(minion) = &self.minion else {
             return Some(RefusalCause::NoMinion);
         };
-        let is_known = self.entries.contains_key(&entry);
+        let is_known = self.entries.contains(entry);
         if !is_known
             || now.saturating_duration_since(stamped_at) > self.settings.entry_silence_timeout
         {
@@ -524,7 +502,7 @@
 
     fn announce_minion(&mut self) {
         let profile = self.minion.as_ref().map(|minion| minion.profile.clone());
-        let entries: Vec<_> = self.entries.keys().copied().collect();
+        let entries: Vec<_> = self.entries.iter().collect();
         for entry in entries {
             self.send(entry, Message::Minion(profile.clone()));
         }
@@ -612,13 +590,7 @@
 
     fn stop_runs_of_silent_entries(&mut self, now: Instant) {
         let timeout = self.settings.entry_silence_timeout;
-        let silent: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, alive_at)| now.saturating_duration_since(**alive_at) > timeout)
-            .map(|(entry, _)| *entry)
-            .collect();
-        for entry in silent {
+        for entry in self.entries.silent_for(timeout, now) {
             self.stop_runs_of(entry, now);
         }
     }
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The sidecar, the only process that sends orders to its minion.
 
 mod action;
+mod connected_entries;
 mod core;
 mod endpoint;
 mod health;
@@ -15,6 +16,7 @@
 mod run;
 mod run_table;
 mod settings;
+mod start_step;
 
 pub use action::{
     CallNumber, EndKind, EndedRun, HoldAnswer, HoldCall, MinionHeartbeat, OrderAnswer, RunKey,
