--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -135,7 +135,7 @@
 
     /// Returns the estimated run time of the longest chain of dependent steps that are not done.
     fn remaining_path(&self) -> Duration {
-        critical_path(&self.steps, |step| self.is_done(step))
+        critical_path(&self.steps, |step| self.is_step_done(step))
     }
 
     /// Returns the time after which the result is of no use to the callers.
@@ -258,7 +258,7 @@
     }
 
     /// Returns whether all tasks of a step have succeeded.
-    fn is_done(&self, step: usize) -> bool {
+    fn is_step_done(&self, step: usize) -> bool {
         self.tasks
             .iter()
             .filter(|task| usize::from(task.step) == step)
@@ -268,7 +268,7 @@
     /// Moves blocked tasks to the waiting state if all steps that they depend on are done.
     fn unblock(&mut self) {
         let done: Vec<bool> = (0..self.steps.len())
-            .map(|step| self.is_done(step))
+            .map(|step| self.is_step_done(step))
             .collect();
         for task in &mut self.tasks {
             let after = &self.steps[usize::from(task.step)].after;
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -7,24 +7,29 @@
 use super::job::Job;
 use crate::dispatch::JobName;
 
-/// The sort key of a waiting job: the priority of its queue, then whether it has missed its latest
-/// start, then its latest start (earliest deadline first), then its name.
+/// The sort key of a waiting job, most significant field first: jobs of a priority that are not
+/// overdue come first, by earliest deadline.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct QueuePosition(u8, bool, Instant, JobName);
+pub(super) struct QueuePosition {
+    priority: u8,
+    is_overdue: bool,
+    latest_start: Instant,
+    name: JobName,
+}
 
 impl QueuePosition {
     fn of(job: &Job) -> Self {
-        Self(
-            job.policy.priority,
-            job.is_overdue,
-            job.latest_start(),
-            job.name,
-        )
+        Self {
+            priority: job.policy.priority,
+            is_overdue: job.is_overdue,
+            latest_start: job.latest_start(),
+            name: job.name,
+        }
     }
 
     /// Returns the name of the job.
     pub(super) fn job(&self) -> JobName {
-        self.3
+        self.name
     }
 }
 
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -5,8 +5,8 @@
 use super::SidecarSettings;
 use super::action::{CallNumber, HoldCall};
 
-/// Number of consecutive hold calls without an answer before the minion can count as unreachable.
-/// A single idle call may stay unanswered for longer than `UNREACHABLE_AFTER`.
+/// Number of consecutive hold calls without an answer before the minion can count as unreachable. A
+/// pause of this process can make a single call look unanswered for long.
 const FAILURE_COUNT_MIN: u32 = 3;
 
 /// Time without an answer to any call after which the minion counts as unreachable and its lease is
@@ -162,8 +162,9 @@
             hold.sent_at + interval
         });
         let was_reachable = self.is_reachable();
-        let is_silent = !has_timed_out || unanswered_for >= UNREACHABLE_AFTER;
-        self.is_unreachable |= self.failure_count >= FAILURE_COUNT_MIN && is_silent;
+        // A refused connection leaves no doubt; a lost call may be followed by an answered one.
+        let is_certain = !has_timed_out || unanswered_for >= UNREACHABLE_AFTER;
+        self.is_unreachable |= self.failure_count >= FAILURE_COUNT_MIN && is_certain;
         was_reachable && self.is_unreachable
     }
 }
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -28,7 +28,7 @@
     /// How long after a lost answer `lossy_hold_wait` applies. About ten calls, so that it stays
     /// in force at a loss of one answer in ten.
     pub lossy_window: Duration,
-    /// The minimum interval between a hold call without an answer and the next one.
+    /// The minimum interval between a hold call that failed at once and the next one.
     pub hold_retry_interval: Duration,
     /// The pause before a stop order without an answer is repeated.
     pub stop_retry_pause: Duration,
