perf(entry): a job keeps its remaining path instead of working it out for each task that is placed

The placement of a task walked all tasks of its job for the time that is left to it; the value changes only when a run ends.

--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -71,6 +71,8 @@
     pub(super) started_count: u32,
     /// Whether it can no longer meet its objective.
     pub(super) is_overdue: bool,
+    /// The estimated run time of the longest chain of dependent steps that are not done.
+    remaining_path: Duration,
 }
 
 impl Job {
@@ -96,13 +98,15 @@
                 avoided_sidecars: SmallVec::new(),
             })
         });
+        let critical_path = critical_path(&submission.steps, |_| false);
         Self {
             name: submission.name,
             queue: queue.name.clone(),
             service: queue.service.clone(),
             policy: queue.policy,
             tasks: tasks.collect(),
-            critical_path: critical_path(&submission.steps, |_| false),
+            critical_path,
+            remaining_path: critical_path,
             spec: submission.spec,
             steps: submission.steps,
             callers: SmallVec::from_elem(caller, 1),
@@ -124,18 +128,13 @@
 
     /// Returns whether the job would miss its objective even if its waiting tasks started now.
     pub(super) fn misses_objective(&self, now: Instant) -> bool {
-        now + self.remaining_path() > self.arrived_at + self.objective()
+        now + self.remaining_path > self.arrived_at + self.objective()
     }
 
     /// Returns how long a task with the given estimate may run so that the job meets its objective.
     pub(super) fn run_time_left(&self, estimate: Duration, now: Instant) -> Duration {
         let until_objective = (self.arrived_at + self.objective()).saturating_duration_since(now);
-        until_objective.saturating_sub(self.remaining_path().saturating_sub(estimate))
-    }
-
-    /// Returns the estimated run time of the longest chain of dependent steps that are not done.
-    fn remaining_path(&self) -> Duration {
-        critical_path(&self.steps, |step| self.is_step_done(step))
+        until_objective.saturating_sub(self.remaining_path.saturating_sub(estimate))
     }
 
     /// Returns the time after which the result is of no use to the callers.
@@ -226,6 +225,7 @@
         if self.tasks.iter().all(|task| task.state == TaskState::Done) {
             return Progress::Completed;
         }
+        self.remaining_path = critical_path(&self.steps, |step| self.is_step_done(step));
         self.unblock();
         Progress::Ongoing
     }
