feat(sidecar): log lines and a gauge that tell the hypotheses on two runs of one task apart

clock_lead_ms says how far the estimate of the minion's clock is ahead (H1), stop without an answer when a run outlives its stop (H2), lease_left_ms how long runs may last if no stop gets through, and is_running_here on start refused that a task was sent to a minion where an earlier run of it had not ended, which is a near miss.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -1,7 +1,7 @@
 //! The state machine of a sidecar.
 
 use std::collections::HashSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::SidecarSettings;
 use super::action::{
@@ -43,6 +43,8 @@
     recent_entries: RecentEntries,
     orders: OrderTracker,
     holds: HoldSchedule,
+    /// By how much the estimate of the minion's clock was ahead at the last answer to a hold call.
+    clock_lead: Duration,
     is_draining: bool,
     actions: Vec<SidecarAction>,
 }
@@ -62,6 +64,7 @@
             recent_entries: RecentEntries::default(),
             orders: OrderTracker::new(fencing_token),
             holds: HoldSchedule::default(),
+            clock_lead: Duration::ZERO,
             is_draining: false,
             actions: Vec::new(),
         }
@@ -88,6 +91,12 @@
         self.minion.as_ref().map(|minion| &minion.profile)
     }
 
+    /// Returns by how much the estimate of the minion's clock was ahead of the clock itself when a
+    /// hold call was last answered.
+    pub fn clock_lead(&self) -> Duration {
+        self.clock_lead
+    }
+
     /// Returns whether nothing is due until the next event: nothing runs, and a hold call is in
     /// flight.
     pub fn is_idle(&self) -> bool {
@@ -207,7 +216,8 @@
         if let Some(cause) = refusal {
             log::info!(
                 job:% = order.task.job, task = order.task.index, attempt = order.attempt,
-                cause:? = cause, free_millicores = self.free().cpu_millicores;
+                cause:? = cause, free_millicores = self.free().cpu_millicores,
+                is_running_here = self.runs.has_task(order.task);
                 "start refused"
             );
             let outcome = PlacementOutcome::Refused(cause);
@@ -316,6 +326,10 @@
         self.update_clock(clock_ms, now);
         match answer {
             OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
+                log::warn!(
+                    job:% = key.task.job, task = key.task.index, run = key.number;
+                    "stop without an answer"
+                );
                 self.orders
                     .retry_stop_at(key, now + self.settings.stop_retry_pause);
             }
@@ -376,6 +390,7 @@
         if self.holds.record_answer(now) {
             log::info!(instance = minion.profile.instance.as_str(); "minion reachable again");
         }
+        self.clock_lead = minion.clock_lead(answer.clock_ms, now);
         minion.set_clock(answer.clock_ms, now);
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
@@ -598,8 +613,12 @@
     fn stop_runs_of(&mut self, entry: Incarnation, now: Instant) {
         let keys = self.runs.active_runs_of(entry);
         if !keys.is_empty() {
+            let lease_left = self
+                .minion
+                .as_ref()
+                .map_or(Duration::ZERO, |minion| minion.lease_left(now));
             log::warn!(
-                entry:% = entry, runs = keys.len();
+                entry:% = entry, runs = keys.len(), lease_left_ms = millis(lease_left);
                 "stopping the runs of an unreachable or disconnected entry"
             );
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -102,6 +102,19 @@
         Some(clock_ms + millis(now.saturating_duration_since(at)))
     }
 
+    /// Returns by how much the estimate of the minion's clock is ahead of a reading that has just
+    /// arrived. More than a few milliseconds mean that leases are longer than intended.
+    pub(super) fn clock_lead(&self, clock_ms: StampMs, now: Instant) -> Duration {
+        let estimate_ms = self.clock_ms(now).unwrap_or(clock_ms);
+        Duration::from_millis(estimate_ms.saturating_sub(clock_ms))
+    }
+
+    /// Returns how long the last lease lasts from now on, by the estimate of the minion's clock.
+    pub(super) fn lease_left(&self, now: Instant) -> Duration {
+        let clock_ms = self.clock_ms(now).unwrap_or(self.lease_end_ms);
+        Duration::from_millis(self.lease_end_ms.saturating_sub(clock_ms))
+    }
+
     /// Returns a new lease end on the minion's clock and records it.
     pub(super) fn extend_lease(
         &mut self,
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -223,6 +223,7 @@
             ("free_memory_mib", u64::from(status.free.memory_mib)),
             ("pace_permille", u64::from(status.pace_permille)),
             ("delay_ms", u64::from(status.delay_ms)),
+            ("clock_lead_ms", sidecar.clock_lead().as_millis() as u64),
             (
                 "takes_tasks",
                 u64::from(status.availability != MinionAvailability::Unavailable),
