test(simulation): slow minion clocks; leases grow with the uptime

Change: the drift can be set for all minions, traces tell kills, freezes and cuts made by tests, and dispatch_run_once puts a freeze, a kill or a cut of the sidecars 300 to 570 ms after the kill of an entry, from 40 s of uptime on. Ruled out: nothing; no product code is changed.

--- /dev/null
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -0,0 +1,72 @@
+//! Runs of a task at two minions, on a simulated system with faults that meet at close moments.
+//!
+//! The simulation checks at each millisecond that no task runs twice at the same time.
+
+mod dispatch_simulation;
+
+use dispatch_simulation::{FaultSettings, Simulation};
+use knapweedrill::dispatch::JobName;
+use test_case::test_case;
+
+/// The run time of long tasks, in milliseconds.
+const LONG_RUN_MS: u64 = 8_000;
+
+/// The timeout of patient callers, in milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 20_000;
+
+/// The uptime after which the estimate of a slow clock is ahead by more than a lease, in
+/// milliseconds.
+const LONG_UPTIME_MS: u64 = 40_000;
+
+/// A fault that keeps a sidecar from stopping its runs.
+#[derive(Debug, Clone, Copy)]
+enum SidecarFault {
+    Freeze,
+    Kill,
+    IsolateAndFreeze,
+}
+
+/// Submits a job of two long tasks and returns it with its entry once both run.
+fn start_long_job(simulation: &mut Simulation) -> (JobName, usize) {
+    simulation.set_run_ms(LONG_RUN_MS);
+    let job = simulation.submit(2, CALLER_TIMEOUT_MS);
+    simulation.advance(200);
+    assert!(!simulation.minions_of(job).is_empty(), "job {job} runs");
+    let entry = simulation
+        .entry_of(job)
+        .expect("the caller of the job waits");
+    (job, entry)
+}
+
+fn disturb_sidecars_of(simulation: &mut Simulation, job: JobName, fault: SidecarFault) {
+    for minion in simulation.minions_of(job) {
+        let node = simulation.sidecar_node(minion);
+        match fault {
+            SidecarFault::Freeze => simulation.freeze(node, 3_000),
+            SidecarFault::Kill => simulation.kill(node, 3_000),
+            SidecarFault::IsolateAndFreeze => {
+                simulation.isolate(node, 3_000);
+                simulation.freeze(node, 3_000);
+            }
+        }
+    }
+}
+
+/// Guards against leases that grow with the uptime of a minion whose clock is slow.
+#[test_case(SidecarFault::Freeze; "frozen")]
+#[test_case(SidecarFault::Kill; "killed")]
+#[test_case(SidecarFault::IsolateAndFreeze; "isolated and frozen")]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn leases_on_slow_clocks_end_before_the_caller_returns(fault: SidecarFault) {
+    let mut simulation = Simulation::new(3, 6, 1, FaultSettings::default());
+    simulation.slow_minion_clocks(20);
+    simulation.warm_up();
+    simulation.advance(LONG_UPTIME_MS);
+    for pause_ms in (300..600).step_by(30) {
+        let (job, entry) = start_long_job(&mut simulation);
+        simulation.kill(entry, 3_000);
+        simulation.advance(pause_ms);
+        disturb_sidecars_of(&mut simulation, job, fault);
+        simulation.advance(2_000 + LONG_RUN_MS);
+    }
+}
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -188,16 +188,27 @@
         self.default_profile.run_ms = run_ms;
     }
 
+    /// Sets how much slower than real time the clocks of all minions run. Called before time
+    /// advances.
+    pub(crate) fn slow_minion_clocks(&mut self, drift_permille: u64) {
+        for minion in &mut self.minions {
+            minion.drift_permille = drift_permille;
+        }
+    }
+
     /// Kills the process on a node, and starts it again after `down_ms`.
     pub(crate) fn kill(&mut self, node: usize, down_ms: u64) {
+        self.record_event(None, format!("node {node} killed for {down_ms} ms"));
         self.stop_process(node, down_ms);
     }
 
     pub(crate) fn freeze(&mut self, node: usize, for_ms: u64) {
+        self.record_event(None, format!("node {node} freezes for {for_ms} ms"));
         self.nodes[node].frozen_until_ms = self.now_ms + for_ms;
     }
 
     pub(crate) fn isolate(&mut self, node: usize, for_ms: u64) {
+        self.record_event(None, format!("node {node} isolated for {for_ms} ms"));
         self.nodes[node].isolated_until_ms = self.now_ms + for_ms;
     }
 
@@ -208,6 +219,7 @@
 
     /// Makes a minion announce in a heartbeat at once that it is draining.
     pub(crate) fn drain(&mut self, minion: usize) {
+        self.record_event(None, format!("minion {minion} drains"));
         self.heartbeats[minion].2 = true;
         self.heartbeats[minion].0 = self.now_ms;
     }
@@ -277,6 +289,17 @@
             .collect()
     }
 
+    /// Returns the entry at which the caller of a job waits.
+    pub(crate) fn entry_of(&self, job: JobName) -> Option<usize> {
+        let mut callers = self.callers.values();
+        Some(callers.find(|caller| caller.job == job)?.entry)
+    }
+
+    /// Returns the node of the sidecar of a minion.
+    pub(crate) fn sidecar_node(&self, minion: usize) -> usize {
+        self.entry_count + minion
+    }
+
     /// Returns the number of sidecars that each running entry has a session with.
     pub(crate) fn sessions_per_entry(&self) -> Vec<usize> {
         let entries = self.nodes.iter().filter_map(|node| node.entry.as_ref());
@@ -378,14 +401,10 @@
             3 => Fault::MinionCrash,
             _ => Fault::MinionDrain,
         };
-        self.record_event(
-            None,
-            format!("fault {fault:?}, node {node}, for {for_ms} ms"),
-        );
         match fault {
             Fault::Isolate => self.isolate(node, for_ms),
             Fault::Freeze => self.freeze(node, for_ms),
-            Fault::Kill => self.stop_process(node, for_ms),
+            Fault::Kill => self.kill(node, for_ms),
             Fault::MinionCrash | Fault::MinionDrain => {
                 let minion = self.random.random_range(0..self.minions.len());
                 if fault == Fault::MinionDrain {
