test(simulation): suspended machines and the clock that processes read

All simulated processes shared one clock. Change: suspend freezes a node and stops its steady clock; each process reads the clock of its node. process_clock chooses between a steady clock (the product today) and one that counts suspensions. An entry learns of connections that broke meanwhile up to 1.5 s after it wakes up. Ruled out: a sidecar that wakes up while its entry lives starts no old order either way. The entry's stop arrives behind the order, and the order's lease has ended, so that it would have to be repeated. The two tests by a steady clock are ignored and listed in KNOWN-RED.txt.

--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -4,7 +4,7 @@
 
 mod dispatch_simulation;
 
-use dispatch_simulation::{FaultSettings, Simulation};
+use dispatch_simulation::{FaultSettings, ProcessClock, Simulation};
 use knapweedrill::dispatch::JobName;
 use test_case::test_case;
 
@@ -109,3 +109,91 @@
         simulation.advance(2_000 + LONG_RUN_MS);
     }
 }
+
+/// Submits a job, and suspends the machines of all sidecars but two within milliseconds. The entry
+/// of the job is killed or lives on.
+fn suspend_sidecars_with_orders(clock: ProcessClock, is_entry_killed: bool) {
+    for seed in 1..=5 {
+        for pause_ms in 0..3 {
+            let mut simulation = warm_simulation(seed);
+            simulation.process_clock = clock;
+            simulation.set_run_ms(LONG_RUN_MS);
+            let job = simulation.submit(6, CALLER_TIMEOUT_MS);
+            let entry = simulation
+                .entry_of(job)
+                .expect("the caller of the job waits");
+            simulation.advance(pause_ms);
+            for minion in 0..4 {
+                let node = simulation.sidecar_node(minion);
+                simulation.suspend(node, 3_000);
+            }
+            if is_entry_killed {
+                simulation.advance(5);
+                simulation.kill(entry, 4_000);
+            }
+            simulation.advance(2_000 + LONG_RUN_MS);
+        }
+    }
+}
+
+/// Guards against start orders that look fresh to a sidecar whose machine was suspended, after its
+/// entry was killed.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn suspended_sidecar_refuses_old_orders_of_a_killed_entry_by_a_steady_clock() {
+    suspend_sidecars_with_orders(ProcessClock::Steady, true);
+}
+
+/// Guards against start orders that look fresh to a sidecar whose machine was suspended, after its
+/// entry was killed.
+#[test]
+fn suspended_sidecar_refuses_old_orders_of_a_killed_entry() {
+    suspend_sidecars_with_orders(ProcessClock::CountsSuspension, true);
+}
+
+/// Guards against start orders that look fresh to a sidecar whose machine was suspended, while its
+/// entry has placed the tasks elsewhere.
+#[test]
+fn suspended_sidecar_refuses_old_orders_by_a_steady_clock() {
+    suspend_sidecars_with_orders(ProcessClock::Steady, false);
+}
+
+/// Guards against start orders that look fresh to a sidecar whose machine was suspended, while its
+/// entry has placed the tasks elsewhere.
+#[test]
+fn suspended_sidecar_refuses_old_orders() {
+    suspend_sidecars_with_orders(ProcessClock::CountsSuspension, false);
+}
+
+/// Suspends the machine of an entry until after its caller has given up and come back elsewhere.
+fn suspend_entry_until_its_caller_returns(clock: ProcessClock) {
+    for seed in 1..=5 {
+        for suspended_ms in (4_100..4_900).step_by(200) {
+            let mut simulation = warm_simulation(seed);
+            simulation.process_clock = clock;
+            simulation.set_run_ms(1_500);
+            let job = simulation.submit(2, 2_500);
+            simulation.advance(200);
+            let entry = simulation
+                .entry_of(job)
+                .expect("the caller of the job waits");
+            simulation.suspend(entry, suspended_ms);
+            simulation.advance(2_300);
+            simulation.disconnect_callers(entry);
+            simulation.advance(6_000);
+        }
+    }
+}
+
+/// Guards against an entry that takes a caller for patient because its machine was suspended.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn suspended_entry_gives_overdue_jobs_up_by_a_steady_clock() {
+    suspend_entry_until_its_caller_returns(ProcessClock::Steady);
+}
+
+/// Guards against an entry that takes a caller for patient because its machine was suspended.
+#[test]
+fn suspended_entry_gives_overdue_jobs_up() {
+    suspend_entry_until_its_caller_returns(ProcessClock::CountsSuspension);
+}
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -14,6 +14,7 @@
 mod node;
 mod observations;
 mod pending_call;
+mod process_clock;
 mod resubmission;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -45,6 +46,7 @@
 use node::Node;
 use observations::Observations;
 use pending_call::PendingCall;
+pub(crate) use process_clock::ProcessClock;
 use resubmission::Resubmission;
 
 /// The period of the heartbeats of a minion, in milliseconds.
@@ -57,6 +59,10 @@
 /// How long a running entry takes to notice a broken connection, in milliseconds.
 const DEPARTURE_DELAY_MS: RangeInclusive<u64> = 1..=20;
 
+/// How long an entry takes to notice a connection that broke while its machine was suspended, in
+/// milliseconds: the end of the connection is transmitted again with growing pauses.
+const SUSPENDED_DEPARTURE_DELAY_MS: RangeInclusive<u64> = 1..=1_500;
+
 /// The time after which minions carry out orders that they leave unanswered, in milliseconds.
 const LATE_ORDER_DELAY_MS: Range<u64> = 2_000..12_000;
 
@@ -68,6 +74,7 @@
 pub(crate) struct Simulation {
     pub(crate) faults: FaultSettings,
     pub(crate) observations: Observations,
+    pub(crate) process_clock: ProcessClock,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -139,6 +146,7 @@
                 sent_bytes: vec![0; entry_count + sidecar_count],
                 ..Observations::default()
             },
+            process_clock: ProcessClock::default(),
             epoch,
             now_ms: 0,
             random,
@@ -169,6 +177,8 @@
                 sidecar: None,
                 isolated_until_ms: 0,
                 frozen_until_ms: 0,
+                suspended_since_ms: None,
+                suspended_ms: 0,
                 down_until_ms: 0,
                 inbox: Vec::new(),
                 next_tick_ms: 0,
@@ -226,6 +236,15 @@
         self.nodes[node].frozen_until_ms = self.now_ms + for_ms;
     }
 
+    /// Suspends the machine of a node: its process is frozen, and its steady clock stands still.
+    /// Datagrams wait in the inbox.
+    pub(crate) fn suspend(&mut self, node: usize, for_ms: u64) {
+        self.record_event(None, format!("node {node} suspended for {for_ms} ms"));
+        let node = &mut self.nodes[node];
+        node.frozen_until_ms = self.now_ms + for_ms;
+        node.suspended_since_ms.get_or_insert(self.now_ms);
+    }
+
     pub(crate) fn isolate(&mut self, node: usize, for_ms: u64) {
         self.record_event(None, format!("node {node} isolated for {for_ms} ms"));
         self.nodes[node].isolated_until_ms = self.now_ms + for_ms;
@@ -235,7 +254,10 @@
     /// it has been frozen, and the callers resubmit their jobs to other entries.
     pub(crate) fn disconnect_callers(&mut self, entry: usize) {
         self.record_event(None, format!("entry {entry} loses its callers"));
-        let delay_ms = self.random.random_range(DEPARTURE_DELAY_MS);
+        let delay_ms = match self.nodes[entry].suspended_since_ms {
+            Some(_) => self.random.random_range(SUSPENDED_DEPARTURE_DELAY_MS),
+            None => self.random.random_range(DEPARTURE_DELAY_MS),
+        };
         for (id, caller) in self.remove_callers_of(entry) {
             self.departures.push(Departure {
                 entry,
@@ -370,12 +392,34 @@
         }
     }
 
-    fn now(&self) -> Instant {
-        self.epoch + Duration::from_millis(self.now_ms)
+    /// Returns the time on the clock of the process on a node, in milliseconds.
+    fn process_now_ms(&self, node: usize) -> u64 {
+        let node = &self.nodes[node];
+        let since_ms = node.suspended_since_ms.unwrap_or(self.now_ms);
+        match self.process_clock {
+            ProcessClock::Steady => since_ms - node.suspended_ms,
+            ProcessClock::CountsSuspension => self.now_ms,
+        }
+    }
+
+    /// Returns the time on the clock of the process on a node.
+    fn process_now(&self, node: usize) -> Instant {
+        self.epoch + Duration::from_millis(self.process_now_ms(node))
+    }
+
+    fn resume_machines(&mut self) {
+        for node in &mut self.nodes {
+            if node.frozen_until_ms <= self.now_ms
+                && let Some(since_ms) = node.suspended_since_ms.take()
+            {
+                node.suspended_ms += self.now_ms - since_ms;
+            }
+        }
     }
 
     fn step(&mut self) {
         self.now_ms += 1;
+        self.resume_machines();
         self.inject_random_fault();
         self.send_heartbeats();
         self.execute_calls();
@@ -499,8 +543,9 @@
                 sequence,
                 is_draining,
             };
-            let now = self.now();
-            let node = &mut self.nodes[self.entry_count + index];
+            let node = self.entry_count + index;
+            let now = self.process_now(node);
+            let node = &mut self.nodes[node];
             if node.frozen_until_ms <= self.now_ms
                 && let Some(sidecar) = &mut node.sidecar
             {
@@ -612,7 +657,7 @@
             return;
         }
         call.is_resolved = true;
-        let now = self.now();
+        let now = self.process_now(call.node);
         let Some(endpoint) = self.sidecar_of(call) else {
             return;
         };
@@ -653,7 +698,7 @@
             }
             call.is_resolved = true;
             let answer = minion.hold_answer(self.now_ms);
-            let (number, now) = (hold.call, self.now());
+            let (number, now) = (hold.call, self.process_now(call.node));
             if let Some(endpoint) = self.sidecar_of(call) {
                 endpoint
                     .sidecar_mut()
@@ -672,7 +717,7 @@
             // The sidecar ignores this if the response has arrived, as it has then removed the
             // number of the call.
             call.is_resolved = true;
-            let now = self.now();
+            let now = self.process_now(call.node);
             let Some(endpoint) = self.sidecar_of(call) else {
                 continue;
             };
@@ -734,8 +779,8 @@
         if self.nodes[index].frozen_until_ms > self.now_ms {
             return;
         }
-        let now = self.now();
-        let now_ms = self.now_ms;
+        let now = self.process_now(index);
+        let now_ms = self.process_now_ms(index);
         let node = &mut self.nodes[index];
         let inbox = std::mem::take(&mut node.inbox);
         let is_tick = node.next_tick_ms <= now_ms;
@@ -846,7 +891,7 @@
             }
             let text = format!("entry {} learns that the caller left", departure.entry);
             self.record_event(Some(departure.job), text);
-            let now = self.now();
+            let now = self.process_now(departure.entry);
             if let Some(entry) = &mut self.nodes[departure.entry].entry {
                 entry.caller_left(departure.caller, departure.job, now);
             }
@@ -880,7 +925,7 @@
         self.next_id += 1;
         let id = self.next_id;
         self.record_event(Some(submission.name), format!("submitted to entry {index}"));
-        let now = self.now();
+        let now = self.process_now(index);
         let caller_timeout_ms = submission.caller_timeout.as_millis() as u64;
         self.callers.insert(
             (index, id),
@@ -925,13 +970,13 @@
         let identity = Identity {
             incarnation: self.random.random_range(1..u64::MAX),
             role: if is_entry { Role::Entry } else { Role::Sidecar },
-            started_at: self.now(),
+            started_at: self.process_now(index),
         };
         let sessions = Sessions::new(identity, SessionSettings::default());
         self.process_generations[index] += 1;
         let seed = self.next_id;
         let token = self.now_ms + 1;
-        let now = self.now();
+        let now = self.process_now(index);
         let entry_count = self.entry_count;
         let node_count = self.nodes.len().max(entry_count + self.minions.len());
         let node = &mut self.nodes[index];
--- a/knapweedrill_lab/tests/dispatch_simulation/node.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/node.rs
@@ -12,6 +12,10 @@
     pub(super) sidecar: Option<SidecarEndpoint>,
     pub(super) isolated_until_ms: u64,
     pub(super) frozen_until_ms: u64,
+    /// Since when the machine has been suspended, if it is.
+    pub(super) suspended_since_ms: Option<u64>,
+    /// How long earlier suspensions lasted, in milliseconds.
+    pub(super) suspended_ms: u64,
     pub(super) down_until_ms: u64,
     pub(super) inbox: Vec<(SocketAddr, Packet)>,
     pub(super) next_tick_ms: u64,
