test(simulation): what minions send to a frozen sidecar waits; orders and answers across a restart under one name

Answers reached a frozen sidecar at once and heartbeats were lost, so no answer of one incarnation could be read after the heartbeat of the next. Change: heartbeats, responses and time-outs wait until a frozen sidecar wakes up; heartbeats come first, as they arrive on other connections. Tests restart minions under their names. Ignored and listed in KNOWN-RED.txt.

--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -237,3 +237,62 @@
         }
     }
 }
+
+/// Guards against an order that the next incarnation of a minion carries out late, under the same
+/// name, while its sidecar is frozen and the task runs elsewhere.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn next_incarnation_carries_no_orders_of_the_last_one_out() {
+    for seed in 1..=20 {
+        let mut simulation = warm_simulation(seed);
+        simulation.set_run_ms(LONG_RUN_MS);
+        for minion in 0..3 {
+            simulation.delay_orders(minion, 400);
+        }
+        for _ in 0..3 {
+            simulation.submit(4, CALLER_TIMEOUT_MS);
+        }
+        simulation.advance(50);
+        for minion in 0..3 {
+            let node = simulation.sidecar_node(minion);
+            simulation.freeze(node, 6_000);
+        }
+        simulation.advance(350);
+        for minion in 0..3 {
+            simulation.restart_minion_under_its_name(minion);
+        }
+        simulation.advance(2_000 + LONG_RUN_MS);
+    }
+}
+
+/// Guards against leases that follow the clock of the last incarnation of a minion: its sidecar
+/// reads an answer of that one after the first heartbeat of the next.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn answer_of_the_last_incarnation_sets_no_clock_of_the_next() {
+    for (seed, pause_ms) in (1..).zip((300..600).step_by(30)) {
+        let mut simulation = Simulation::new(3, 6, seed, FaultSettings::default());
+        simulation.slow_minion_clocks(0);
+        simulation.warm_up();
+        simulation.advance(3_000);
+        simulation.set_run_ms(100);
+        for _ in 0..6 {
+            simulation.submit(4, CALLER_TIMEOUT_MS);
+        }
+        simulation.advance(2);
+        for minion in 0..6 {
+            let node = simulation.sidecar_node(minion);
+            simulation.freeze(node, 1_500);
+        }
+        simulation.advance(20);
+        for minion in 0..6 {
+            simulation.restart_minion_under_its_name(minion);
+        }
+        simulation.advance(4_000);
+        let (job, entry) = start_long_job(&mut simulation);
+        simulation.kill(entry, 3_000);
+        simulation.advance(pause_ms);
+        disturb_sidecars_of(&mut simulation, job, SidecarFault::Freeze);
+        simulation.advance(2_000 + LONG_RUN_MS);
+    }
+}
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -15,6 +15,7 @@
 mod observations;
 mod pending_call;
 mod process_clock;
+mod response;
 mod resubmission;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -47,6 +48,7 @@
 use observations::Observations;
 use pending_call::PendingCall;
 pub(crate) use process_clock::ProcessClock;
+use response::Response;
 use resubmission::Resubmission;
 
 /// The period of the heartbeats of a minion, in milliseconds.
@@ -182,6 +184,8 @@
                 down_until_ms: 0,
                 inbox: Vec::new(),
                 unread_submissions: Vec::new(),
+                unread_heartbeats: Vec::new(),
+                unread_responses: Vec::new(),
                 next_tick_ms: 0,
             });
             simulation.start_process(index);
@@ -422,6 +426,7 @@
         self.now_ms += 1;
         self.resume_machines();
         self.inject_random_fault();
+        self.read_waiting_input();
         self.send_heartbeats();
         self.execute_calls();
         for minion in &mut self.minions {
@@ -513,14 +518,26 @@
 
     /// Makes a minion crash and start anew; with a chance of one half it keeps its instance name.
     fn restart_minion(&mut self, index: usize) {
-        self.record_event(None, format!("minion {index} crashes"));
-        let old = &self.minions[index];
-        let (capacity, drift) = (old.capacity, old.drift_permille);
         let instance = if self.random.random_bool(0.5) {
-            old.instance.clone()
+            self.minions[index].instance.clone()
         } else {
             format!("minion-{index}-{}", self.now_ms)
         };
+        self.restart_minion_as(index, instance);
+    }
+
+    /// Makes a minion crash and start anew under the same instance name.
+    pub(crate) fn restart_minion_under_its_name(&mut self, index: usize) {
+        self.restart_minion_as(index, self.minions[index].instance.clone());
+    }
+
+    fn restart_minion_as(&mut self, index: usize, instance: String) {
+        self.record_event(
+            None,
+            format!("minion {index} crashes, restarts as {instance}"),
+        );
+        let old = &self.minions[index];
+        let (capacity, drift) = (old.capacity, old.drift_permille);
         self.minions[index] = Minion::new(instance, capacity, drift, self.now_ms);
         self.heartbeats[index] = (self.now_ms + 300, 1, false);
     }
@@ -547,14 +564,37 @@
             let node = self.entry_count + index;
             let now = self.process_now(node);
             let node = &mut self.nodes[node];
-            if node.frozen_until_ms <= self.now_ms
-                && let Some(sidecar) = &mut node.sidecar
-            {
+            if node.frozen_until_ms > self.now_ms {
+                node.unread_heartbeats.push(report);
+            } else if let Some(sidecar) = &mut node.sidecar {
                 sidecar.sidecar_mut().heartbeat_received(report, now);
             }
         }
     }
 
+    /// Lets sidecars that are no longer frozen read what their minions sent meanwhile. Heartbeats,
+    /// which arrive on other connections, may overtake responses.
+    fn read_waiting_input(&mut self) {
+        for index in 0..self.nodes.len() {
+            let now = self.process_now(index);
+            let node = &mut self.nodes[index];
+            if node.frozen_until_ms > self.now_ms {
+                continue;
+            }
+            let heartbeats = std::mem::take(&mut node.unread_heartbeats);
+            let responses = std::mem::take(&mut node.unread_responses);
+            let Some(endpoint) = &mut node.sidecar else {
+                continue;
+            };
+            for heartbeat in heartbeats {
+                endpoint.sidecar_mut().heartbeat_received(heartbeat, now);
+            }
+            for response in responses {
+                response.deliver_to(endpoint.sidecar_mut(), now);
+            }
+        }
+    }
+
     /// Draws whether the next call to a minion is delayed.
     fn draw_is_delayed(&mut self) -> bool {
         self.random.random_range(0..1_000) < self.faults.delayed_call_permille
@@ -658,30 +698,30 @@
             return;
         }
         call.is_resolved = true;
-        let now = self.process_now(call.node);
-        let Some(endpoint) = self.sidecar_of(call) else {
-            return;
-        };
         match &call.content {
             CallContent::Start(start) => {
-                endpoint
-                    .sidecar_mut()
-                    .start_answered(start.call, answer, clock_ms, now);
+                self.respond(call, Response::Start(start.call, answer, clock_ms));
             }
             CallContent::Stop(stop) => {
-                endpoint
-                    .sidecar_mut()
-                    .stop_answered(stop.call, answer, clock_ms, now);
+                self.respond(call, Response::Stop(stop.call, answer, clock_ms));
             }
             CallContent::Hold(_) => {}
         }
     }
 
-    /// Returns the sidecar that made a call, if its process is still the same.
-    fn sidecar_of(&mut self, call: &PendingCall) -> Option<&mut SidecarEndpoint> {
-        let is_current = self.process_generations[call.node] == call.generation;
-        let sidecar = self.nodes[call.node].sidecar.as_mut();
-        sidecar.filter(|_| is_current)
+    /// Passes a response to the sidecar that made the call, if its process is still the same. A
+    /// frozen sidecar reads it when it wakes up.
+    fn respond(&mut self, call: &PendingCall, response: Response) {
+        if self.process_generations[call.node] != call.generation {
+            return;
+        }
+        let now = self.process_now(call.node);
+        let node = &mut self.nodes[call.node];
+        if node.frozen_until_ms > self.now_ms {
+            node.unread_responses.push(response);
+        } else if let Some(endpoint) = &mut node.sidecar {
+            response.deliver_to(endpoint.sidecar_mut(), now);
+        }
     }
 
     fn respond_to_holds(&mut self) {
@@ -699,12 +739,8 @@
             }
             call.is_resolved = true;
             let answer = minion.hold_answer(self.now_ms);
-            let (number, now) = (hold.call, self.process_now(call.node));
-            if let Some(endpoint) = self.sidecar_of(call) {
-                endpoint
-                    .sidecar_mut()
-                    .hold_answered(number, Some(answer), now);
-            }
+            let response = Response::Hold(hold.call, Some(answer));
+            self.respond(call, response);
         }
         self.calls = calls;
     }
@@ -715,23 +751,23 @@
             if call.response_deadline_ms != self.now_ms {
                 continue;
             }
+            let frozen_until_ms = self.nodes[call.node].frozen_until_ms;
+            if frozen_until_ms > self.now_ms {
+                // The process notices when it wakes up, after it has read the response.
+                call.response_deadline_ms = frozen_until_ms;
+                continue;
+            }
             // The sidecar ignores this if the response has arrived, as it has then removed the
             // number of the call.
             call.is_resolved = true;
-            let now = self.process_now(call.node);
-            let Some(endpoint) = self.sidecar_of(call) else {
-                continue;
-            };
-            let sidecar = endpoint.sidecar_mut();
-            match &call.content {
+            let response = match &call.content {
                 CallContent::Start(start) => {
-                    sidecar.start_answered(start.call, OrderAnswer::NoAnswer, None, now);
-                }
-                CallContent::Stop(stop) => {
-                    sidecar.stop_answered(stop.call, OrderAnswer::NoAnswer, None, now);
+                    Response::Start(start.call, OrderAnswer::NoAnswer, None)
                 }
-                CallContent::Hold(hold) => sidecar.hold_answered(hold.call, None, now),
-            }
+                CallContent::Stop(stop) => Response::Stop(stop.call, OrderAnswer::NoAnswer, None),
+                CallContent::Hold(hold) => Response::Hold(hold.call, None),
+            };
+            self.respond(call, response);
         }
         let now_ms = self.now_ms;
         calls.retain(|call| !call.is_executed || call.response_deadline_ms > now_ms);
@@ -956,6 +992,8 @@
         node.sidecar = None;
         node.inbox.clear();
         node.unread_submissions.clear();
+        node.unread_heartbeats.clear();
+        node.unread_responses.clear();
         node.down_until_ms = self.now_ms + down_ms.max(1);
         self.process_generations[index] += 1;
         // Its callers lose their connections.
--- a/knapweedrill_lab/tests/dispatch_simulation/node.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/node.rs
@@ -2,7 +2,9 @@
 
 use knapweedrill::dispatch::Packet;
 use knapweedrill::dispatch::entry::{CallerId, Entry, Submission};
-use knapweedrill::dispatch::sidecar::SidecarEndpoint;
+use knapweedrill::dispatch::sidecar::{MinionHeartbeat, SidecarEndpoint};
+
+use super::response::Response;
 
 /// A machine with the process of an entry or a sidecar.
 #[derive(Debug)]
@@ -20,5 +22,8 @@
     pub(super) inbox: Vec<(SocketAddr, Packet)>,
     /// Submissions that arrived while the process was frozen.
     pub(super) unread_submissions: Vec<(CallerId, Submission)>,
+    /// Heartbeats and responses of the minion that arrived while the process was frozen.
+    pub(super) unread_heartbeats: Vec<MinionHeartbeat>,
+    pub(super) unread_responses: Vec<Response>,
     pub(super) next_tick_ms: u64,
 }
