test(simulation): a suspended machine notices broken connections within the time that they have been broken

Cause: an entry on a suspended machine learned of broken connections up to 1.5 s after it woke up, however short the suspension; no peer that sends the end of a connection again with pauses that double leaves a machine in doubt for longer than it was away. Change: the delay is drawn up to the rest of the suspension. Conclusion: the simulated faults stay within what a network does; no test is relaxed.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -61,10 +61,6 @@
 /// How long a running entry takes to notice a broken connection, in milliseconds.
 const DEPARTURE_DELAY_MS: RangeInclusive<u64> = 1..=20;
 
-/// How long an entry takes to notice a connection that broke while its machine was suspended, in
-/// milliseconds: the end of the connection is transmitted again with growing pauses.
-const SUSPENDED_DEPARTURE_DELAY_MS: RangeInclusive<u64> = 1..=1_500;
-
 /// The time after which minions carry out orders that they leave unanswered, in milliseconds.
 const LATE_ORDER_DELAY_MS: Range<u64> = 2_000..12_000;
 
@@ -259,10 +255,14 @@
     /// it has been frozen, and the callers resubmit their jobs to other entries.
     pub(crate) fn disconnect_callers(&mut self, entry: usize) {
         self.record_event(None, format!("entry {entry} loses its callers"));
-        let delay_ms = match self.nodes[entry].suspended_since_ms {
-            Some(_) => self.random.random_range(SUSPENDED_DEPARTURE_DELAY_MS),
-            None => self.random.random_range(DEPARTURE_DELAY_MS),
+        let node = &self.nodes[entry];
+        let delay_range_ms = if node.suspended_since_ms.is_some() {
+            // The end of a connection is transmitted again with pauses that double.
+            1..=(node.frozen_until_ms - self.now_ms).max(1)
+        } else {
+            DEPARTURE_DELAY_MS
         };
+        let delay_ms = self.random.random_range(delay_range_ms);
         for (id, caller) in self.remove_callers_of(entry) {
             self.departures.push(Departure {
                 entry,
