test(simulation): a sidecar that wakes up handles its timeouts before answers and heartbeats

Cause: since what minions send waits while a sidecar is frozen, it was read before the first tick. The process ticks before it handles any event, so that runs of silent entries are stopped first. Change: read_waiting_input ticks first. Ruled out: reading after the datagrams, since answers and datagrams come from different threads.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -586,6 +586,11 @@
             let Some(endpoint) = &mut node.sidecar else {
                 continue;
             };
+            if heartbeats.is_empty() && responses.is_empty() {
+                continue;
+            }
+            // Timeouts are overdue after a pause and handled first.
+            endpoint.sidecar_mut().tick(now);
             for heartbeat in heartbeats {
                 endpoint.sidecar_mut().heartbeat_received(heartbeat, now);
             }
