test(simulation): old start orders that a frozen sidecar finds answered as too late

Cause: an order that is answered as too late for its lease is repeated at once, however old it is. Only the tick before it, which stops the runs of silent entries, keeps a sidecar that wakes up from repeating orders of entries that are gone. Change: a test that guards this: orders are carried out 2 to 6 s late, their sidecars are frozen for 4 s and the entry is killed.

--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -296,3 +296,26 @@
         simulation.advance(2_000 + LONG_RUN_MS);
     }
 }
+
+/// Guards against a sidecar that wakes up, reads that a start was too late for its lease and orders
+/// it again, although the order is seconds old and the task runs elsewhere.
+#[test]
+fn frozen_sidecar_repeats_no_old_orders() {
+    for seed in 1..=20 {
+        let mut simulation = warm_simulation(seed);
+        simulation.set_run_ms(LONG_RUN_MS);
+        simulation.faults.delayed_call_permille = 1_000;
+        let job = simulation.submit(6, CALLER_TIMEOUT_MS);
+        let entry = simulation
+            .entry_of(job)
+            .expect("the caller of the job waits");
+        simulation.advance(3);
+        simulation.faults.delayed_call_permille = 0;
+        for minion in 0..4 {
+            let node = simulation.sidecar_node(minion);
+            simulation.freeze(node, 4_000);
+        }
+        simulation.kill(entry, 3_000);
+        simulation.advance(2_000 + LONG_RUN_MS);
+    }
+}
