--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -63,7 +63,6 @@
 #[test_case(SidecarFault::Freeze; "frozen")]
 #[test_case(SidecarFault::Kill; "killed")]
 #[test_case(SidecarFault::IsolateAndFreeze; "isolated and frozen")]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn leases_on_slow_clocks_end_before_the_caller_returns(fault: SidecarFault) {
     let mut simulation = Simulation::new(3, 6, 1, FaultSettings::default());
     simulation.slow_minion_clocks(20);
@@ -81,7 +80,6 @@
 /// Guards against leases that are renewed while stops of the same minion get no answer, after the
 /// callers of the runs have left.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn runs_end_before_disconnected_callers_return_although_stops_get_no_answer() {
     for seed in 1..=5 {
         let mut simulation = warm_simulation(seed);
@@ -97,7 +95,6 @@
 /// Guards against leases that are renewed while stops of the same minion get no answer, after the
 /// entry of the runs was killed.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn runs_of_a_killed_entry_end_although_stops_get_no_answer() {
     for seed in 1..=5 {
         let mut simulation = warm_simulation(seed);
