--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -133,8 +133,12 @@
     pub running: Vec<(RunKey, u8)>,
     /// The runs that ended after the acknowledged one.
     pub ended: Vec<EndedRun>,
-    /// Whether more runs have ended than fit into one answer.
+    /// Whether the lists may be incomplete, such as when more runs have ended than fit into one
+    /// answer.
     pub has_more: bool,
+    /// The sequence numbers of ended runs that could not be parsed; `None` if not even the number
+    /// could be.
+    pub malformed_ends: Vec<Option<u64>>,
 }
 
 /// A heartbeat of a minion.
--- a/knapweedrill/tests/dispatch_malformed.rs
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -366,6 +366,7 @@
                             running: vec![(run, percent)],
                             ended: vec![EndedRun { number: ended, run, kind: EndKind::Done }],
                             has_more: percent % 3 == 0,
+                            malformed_ends: vec![Some(ended), None],
                         };
                         sidecar.hold_answered(call.call, Some(answer), now);
                     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -170,6 +170,7 @@
             running,
             ended,
             has_more: false,
+            malformed_ends: Vec::new(),
         };
         self.sidecar.hold_answered(call, Some(answer), self.now);
         self.collect_actions();
--- a/knapweedrill_lab/src/stand_in/platform/minion_model.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_model.rs
@@ -232,6 +232,7 @@
                 .collect(),
             ended: self.ended.clone(),
             has_more: false,
+            malformed_ends: Vec::new(),
         }
     }
 
