fix(sidecar): an odd end is acknowledged only with a plausible number

Cause: the highest number of an ended run was acknowledged whatever it was. One end numbered u64::MAX made the sidecar ignore all later ends, and the minion forget them, until its next restart.

Ruled out: ignoring the number altogether, as the minion forgets only what is acknowledged.

Change: a number may be at most 100,000 ahead of the acknowledged one; the first one is bounded by the clock of the minion. A malformed end is acknowledged by its number. While an end can't be acknowledged, hold calls keep the pause of a retry (10 ms).

Limit: a number that is odd but less than 100,000 ahead still hides as many ends.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -412,6 +412,7 @@
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
         }
+        self.acknowledge_malformed_ends(&answer, now);
         self.reconcile_running(&answer, hold.sent_at, now);
     }
 
@@ -579,7 +580,7 @@
         if ended.number <= minion.acknowledged_end {
             return;
         }
-        minion.acknowledged_end = ended.number;
+        minion.acknowledge_end(ended.number, now);
         let Some(run) = self.runs.get(ended.run) else {
             return;
         };
@@ -606,6 +607,29 @@
         self.settle(ended.run, outcome);
     }
 
+    /// Acknowledges the ends that could not be parsed. While any end of the answer can't be
+    /// acknowledged, the minion reports it again without a wait, so the next hold call is delayed.
+    fn acknowledge_malformed_ends(&mut self, answer: &HoldAnswer, now: Instant) {
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
+        for number in answer.malformed_ends.iter().flatten() {
+            minion.acknowledge_end(*number, now);
+        }
+        let mut numbers = answer.ended.iter().map(|ended| ended.number);
+        let is_reported_again = answer.malformed_ends.contains(&None)
+            || numbers.any(|number| number > minion.acknowledged_end)
+            || answer
+                .malformed_ends
+                .iter()
+                .flatten()
+                .any(|number| *number > minion.acknowledged_end);
+        if is_reported_again {
+            self.holds
+                .reschedule(now + self.settings.hold_retry_interval);
+        }
+    }
+
     /// Compares the runs of the minion with the run table: stops orphaned and stalled runs, and
     /// settles runs that are missing at the minion.
     fn reconcile_running(&mut self, answer: &HoldAnswer, hold_sent_at: Instant, now: Instant) {
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -10,6 +10,13 @@
 /// Upper limit of a plausible reading of a minion's monotonic clock, in milliseconds: 100 years.
 const CLOCK_MAX_MS: StampMs = 100 * 365 * 24 * 60 * 60 * 1_000;
 
+/// How far the number of an ended run may be ahead of the acknowledged one.
+const END_NUMBER_STEP_MAX: u64 = 100_000;
+
+/// How many runs a minion can have ended for each millisecond on its clock. Bounds the first number
+/// that a sidecar process sees, since the minion may have run longer than the process.
+const ENDS_PER_CLOCK_MS_MAX: u64 = 10;
+
 /// What the sidecar knows of one incarnation of its minion.
 #[derive(Debug)]
 pub(super) struct MinionState {
@@ -80,6 +87,25 @@
         has_changed
     }
 
+    /// Acknowledges an ended run and those before it, which the minion then forgets. A number that is
+    /// too far ahead to be plausible is ignored, since the minion would forget runs that have not been
+    /// reported.
+    pub(super) fn acknowledge_end(&mut self, number: u64, now: Instant) {
+        let number_max = match self.acknowledged_end {
+            0 => self
+                .clock_ms(now)
+                .unwrap_or(0)
+                .saturating_mul(ENDS_PER_CLOCK_MS_MAX)
+                .max(END_NUMBER_STEP_MAX),
+            acknowledged => acknowledged.saturating_add(END_NUMBER_STEP_MAX),
+        };
+        if number > number_max {
+            log::warn!(number, number_max; "number of an ended run out of range, it is not acknowledged");
+            return;
+        }
+        self.acknowledged_end = self.acknowledged_end.max(number);
+    }
+
     pub(super) fn set_clock(&mut self, clock_ms: StampMs, now: Instant) {
         if clock_ms > CLOCK_MAX_MS {
             log::warn!(clock_ms; "minion clock out of range, reading ignored");
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -163,18 +163,31 @@
     }
 
     fn answer_hold(&mut self, running: Vec<(RunKey, u8)>, ended: Vec<EndedRun>) {
-        let call = self.holds.last().expect("a hold was sent").call;
-        let answer = HoldAnswer {
+        self.answer_hold_with(|answer| {
+            answer.running = running;
+            answer.ended = ended;
+        });
+    }
+
+    /// Answers the last hold call with empty lists that `change` may alter.
+    fn answer_hold_with(&mut self, change: impl FnOnce(&mut HoldAnswer)) {
+        let mut answer = HoldAnswer {
             started_unix_ms: self.started_unix_ms,
             clock_ms: self.clock_ms,
-            running,
-            ended,
+            running: Vec::new(),
+            ended: Vec::new(),
             has_more: false,
             malformed_ends: Vec::new(),
         };
+        change(&mut answer);
+        let call = self.last_hold().call;
         self.sidecar.hold_answered(call, Some(answer), self.now);
         self.collect_actions();
     }
+
+    fn last_hold(&self) -> &HoldCall {
+        self.holds.last().expect("a hold was sent")
+    }
 }
 
 fn resources(tasks: u32) -> Resources {
@@ -697,3 +710,68 @@
     let lease_ms = SidecarSettings::default().lease.as_millis() as u64;
     assert!(hold.lease_end_ms <= Some(fixture.clock_ms + lease_ms));
 }
+
+fn ended_run(number: u64, index: u32) -> EndedRun {
+    EndedRun {
+        number,
+        run: run(index),
+        kind: EndKind::Done,
+    }
+}
+
+/// Guards against a malformed end that is reported again by each hold call, which then never waits.
+#[test]
+fn malformed_end_is_acknowledged_by_its_number() {
+    let mut fixture = Fixture::new();
+    fixture.answer_hold_with(|answer| answer.malformed_ends = vec![Some(3)]);
+    fixture.advance(MS);
+    assert_eq!(fixture.last_hold().acknowledged_end, 3);
+}
+
+/// Guards against hold calls in quick succession while the minion reports an end that can't be
+/// acknowledged.
+#[test_case(vec![None], Vec::new(); "malformed end without a number")]
+#[test_case(vec![Some(u64::MAX)], Vec::new(); "malformed end with a number out of range")]
+#[test_case(Vec::new(), vec![ended_run(u64::MAX, 5)]; "end with a number out of range")]
+fn hold_calls_pause_while_an_end_is_not_acknowledged(
+    malformed_ends: Vec<Option<u64>>,
+    ended: Vec<EndedRun>,
+) {
+    let mut fixture = Fixture::new();
+    let before = fixture.holds.len();
+    for _ in 0..200 {
+        fixture.answer_hold_with(|answer| {
+            answer.malformed_ends.clone_from(&malformed_ends);
+            answer.ended.clone_from(&ended);
+        });
+        fixture.advance(MS);
+    }
+    let count = fixture.holds.len() - before;
+    assert!((5..=20).contains(&count), "{count} calls in 200 ms");
+}
+
+/// Guards against an odd end that hides those after it: once its number is acknowledged, the minion
+/// forgets them.
+#[test_case(u64::MAX, 1; "first end")]
+#[test_case(u64::MAX, 9; "later end")]
+#[test_case(40_000_000, 9; "far ahead")]
+fn end_with_a_number_out_of_range_hides_no_later_one(odd: u64, number: u64) {
+    let mut fixture = Fixture::new();
+    if number > 1 {
+        fixture.answer_hold_with(|answer| answer.ended = vec![ended_run(number - 1, 5)]);
+        fixture.advance(MS);
+    }
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.answer_hold_with(|answer| {
+        answer.running = vec![(run(0), 50)];
+        answer.ended = vec![ended_run(odd, 6)];
+    });
+    fixture.advance(100 * MS);
+    assert!(fixture.last_hold().acknowledged_end < number);
+    fixture.answer_hold_with(|answer| {
+        answer.ended = vec![ended_run(number, 0), ended_run(odd, 6)];
+    });
+    assert_eq!(fixture.only_end(), RunEnd::Done);
+}
