fix(sidecar): an odd sequence number no longer makes later heartbeats look late

Cause: a heartbeat was late if its sequence number was not above the highest one seen. After one with u64::MAX each further heartbeat was ignored: a minion that drained, or whose capacity changed, was not noticed until it restarted.

Change: a number that is 64 or more behind the newest can't be that of a late call, so the newest was odd and the heartbeat is applied.

Limit: a number that is odd but less than 64 ahead hides as many heartbeats.

--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -17,6 +17,10 @@
 /// that a sidecar process sees, since the minion may have run longer than the process.
 const ENDS_PER_CLOCK_MS_MAX: u64 = 10;
 
+/// How many newer heartbeats may overtake a late one. A sequence number that is further behind the
+/// newest means that the newest was odd.
+const LATE_HEARTBEAT_COUNT_MAX: u64 = 64;
+
 /// What the sidecar knows of one incarnation of its minion.
 #[derive(Debug)]
 pub(super) struct MinionState {
@@ -73,8 +77,9 @@
     /// Applies a heartbeat of this incarnation and returns whether the profile or the draining
     /// state changed.
     pub(super) fn update(&mut self, heartbeat: MinionHeartbeat) -> bool {
-        let is_older =
-            heartbeat.started_unix_ms < self.started_unix_ms || heartbeat.sequence <= self.sequence;
+        let is_older = heartbeat.started_unix_ms < self.started_unix_ms
+            || (heartbeat.sequence <= self.sequence
+                && self.sequence - heartbeat.sequence < LATE_HEARTBEAT_COUNT_MAX);
         if is_older {
             return false;
         }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -55,7 +55,12 @@
     }
 
     fn send_heartbeat(&mut self) {
-        let heartbeat = MinionHeartbeat {
+        self.send_heartbeat_with(|_| {});
+    }
+
+    /// Sends a heartbeat of the minion that `change` may alter.
+    fn send_heartbeat_with(&mut self, change: impl FnOnce(&mut MinionHeartbeat)) {
+        let mut heartbeat = MinionHeartbeat {
             profile: MinionProfile {
                 instance: "minion".into(),
                 service: "service".into(),
@@ -66,9 +71,14 @@
             sequence: 1,
             is_draining: false,
         };
+        change(&mut heartbeat);
         self.sidecar.heartbeat_received(heartbeat, self.now);
     }
 
+    fn availability(&self) -> MinionAvailability {
+        self.sidecar.status().availability
+    }
+
     fn advance(&mut self, by: Duration) {
         self.now += by;
         self.clock_remainder += by - by * self.clock_drift_permille / 1_000;
@@ -775,3 +785,26 @@
     });
     assert_eq!(fixture.only_end(), RunEnd::Done);
 }
+
+/// Guards against an odd sequence number that makes all later heartbeats look late.
+#[test]
+fn heartbeat_after_one_with_an_odd_sequence_number_is_applied() {
+    let mut fixture = Fixture::new();
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = u64::MAX);
+    fixture.send_heartbeat_with(|heartbeat| {
+        heartbeat.sequence = 7;
+        heartbeat.is_draining = true;
+    });
+    assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
+}
+
+#[test]
+fn late_heartbeat_is_ignored() {
+    let mut fixture = Fixture::new();
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 30);
+    fixture.send_heartbeat_with(|heartbeat| {
+        heartbeat.sequence = 29;
+        heartbeat.is_draining = true;
+    });
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
