fix(sidecar): a start time in the future no longer shuts the minion out

Cause: the incarnation with the latest start was taken for the current one, whatever the start. After one heartbeat or answer with a start in the future each further heartbeat and answer of the minion looked like one of a predecessor and was ignored for good; so did a new incarnation that started after its wall clock was set back. A heartbeat of another instance that never answered had the same effect.

Ruled out: comparing the start with the wall clock of the sidecar, since clocks jump. Answers to calls of before a restart can't be mistaken: a call in flight is abandoned when an incarnation registers (new test).

Change: an answer to a hold tells which incarnation is there, also if that one started earlier. An instance that does not answer and has no runs gives way to any other one.

Limit: runs are reported as lost as soon as another instance with a later start registers, before anything shows that it is there.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -152,8 +152,14 @@
     ///
     /// Returns whether it belongs to the latest incarnation of the minion.
     pub fn heartbeat_received(&mut self, heartbeat: MinionHeartbeat, now: Instant) -> bool {
+        // An instance that does not answer may be one that was never there, whatever start it claimed.
+        let is_replaceable = !self.holds.is_reachable() && self.runs.is_empty();
         match &mut self.minion {
-            Some(minion) if minion.is_superseded_by(&heartbeat) => {
+            Some(minion)
+                if minion.is_superseded_by(&heartbeat)
+                    || (is_replaceable
+                        && minion.profile.instance != heartbeat.profile.instance) =>
+            {
                 log::warn!(
                     instance = heartbeat.profile.instance.as_str(),
                     started_unix_ms = heartbeat.started_unix_ms,
@@ -388,15 +394,12 @@
         let Some(minion) = &mut self.minion else {
             return;
         };
-        if answer.started_unix_ms > 0 && answer.started_unix_ms < minion.started_unix_ms {
-            // The answer of an earlier incarnation.
-            self.holds
-                .reschedule(now + self.settings.hold_retry_interval);
-            return;
-        }
-        if answer.started_unix_ms > minion.started_unix_ms && minion.started_unix_ms > 0 {
+        // A call in flight is abandoned when an incarnation registers, so the answer tells which one is
+        // there now. If that one started earlier, the later start was odd.
+        let is_unreported = minion.started_unix_ms == 0 || answer.started_unix_ms == 0;
+        if !is_unreported && answer.started_unix_ms != minion.started_unix_ms {
             log::warn!(
-                started_unix_ms = answer.started_unix_ms;
+                started_unix_ms = answer.started_unix_ms, before = minion.started_unix_ms;
                 "minion restarted, detected by a hold answer before the first heartbeat"
             );
             minion.reset_for_restart(answer.started_unix_ms, self.settings.lease_max);
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -808,3 +808,99 @@
     });
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
+
+/// Guards against an odd start time that makes the minion look like its own predecessor for good.
+#[test]
+fn minion_is_served_after_a_heartbeat_with_a_start_in_the_future() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.started_unix_ms = u64::MAX);
+    fixture.advance(MS);
+    fixture.answer_hold(vec![(run(0), 20)], Vec::new());
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 9);
+    fixture.advance(MS);
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+    assert_eq!(fixture.sidecar.run_count(), 1);
+    assert_eq!(fixture.outcomes, []);
+}
+
+/// Guards against an odd start time in an answer, after which no other answer would be accepted.
+#[test]
+fn minion_is_served_after_an_answer_with_a_start_in_the_future() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.answer_hold_with(|answer| {
+        answer.started_unix_ms = u64::MAX;
+        answer.running = vec![(run(0), 20)];
+    });
+    fixture.advance(MS);
+    fixture.answer_hold(vec![(run(0), 20)], Vec::new());
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 9);
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+    assert_eq!(fixture.outcomes, []);
+}
+
+/// Guards against taking the answer to an abandoned call for one of the current incarnation.
+#[test]
+fn answer_to_a_call_before_the_restart_is_ignored() {
+    let mut fixture = Fixture::new();
+    let call = fixture.last_hold().call;
+    fixture.started_unix_ms = 90_000;
+    fixture.send_heartbeat();
+    let answer = HoldAnswer {
+        started_unix_ms: 50,
+        clock_ms: 1_000,
+        running: Vec::new(),
+        ended: Vec::new(),
+        has_more: false,
+        malformed_ends: Vec::new(),
+    };
+    let now = fixture.now;
+    fixture.sidecar.hold_answered(call, Some(answer), now);
+    assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
+    fixture.advance(MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
+
+/// Guards against a minion that is shut out for good by the heartbeat of another instance that
+/// claims a later start and never answers, or by a clock that was set back.
+#[test]
+fn minion_replaces_an_instance_that_does_not_answer() {
+    let mut fixture = Fixture::new();
+    fixture.send_heartbeat_with(|heartbeat| {
+        heartbeat.profile.instance = "other".into();
+        heartbeat.started_unix_ms = u64::MAX;
+    });
+    for _ in 0..3 {
+        fixture.advance(20 * MS);
+        fixture.fail_hold();
+    }
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 9);
+    fixture.advance(MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
+
+/// Guards against replacing a minion that is out of reach while it may still have runs.
+#[test]
+fn unreachable_minion_with_runs_is_not_replaced_by_an_earlier_one() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    for _ in 0..3 {
+        fixture.advance(20 * MS);
+        fixture.fail_hold();
+    }
+    assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
+    fixture.send_heartbeat_with(|heartbeat| {
+        heartbeat.profile.instance = "predecessor".into();
+        heartbeat.started_unix_ms = 49;
+    });
+    assert_eq!(fixture.sidecar.run_count(), 1);
+    assert_eq!(fixture.outcomes, []);
+}
