fix(platform): a heartbeat with an odd address no longer replaces the minion

Cause: the address in a heartbeat was not read. A report of another writer, with a port out of range or the address of another minion, replaced the minion if it claimed a later start: its runs counted as lost, and their tasks were placed again while they ran on.

Ruled out: stack overflow and panic.

Change: a heartbeat needs an address with a port, at the IP address of the minion of this VM (`app`); any other gets 400.

--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -102,7 +102,7 @@
         )
     })?;
     serve(address, move |request| {
-        handle_registration(events.clone(), request)
+        handle_registration(events.clone(), minion_address.ip(), request)
     })
     .await
 }
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -1,5 +1,6 @@
 //! HTTP between a sidecar and its minion: registration calls in one direction, orders in the other.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
@@ -21,9 +22,10 @@
 /// a millisecond, so more would only open connections that are seldom reused.
 const ORDERS_IN_FLIGHT_MAX: usize = 6;
 
-/// Handles a registration call of the minion.
+/// Handles a registration call of the minion at `minion_ip`.
 pub(super) async fn handle_registration(
     events: Sender<SidecarEvent>,
+    minion_ip: IpAddr,
     request: Request<Incoming>,
 ) -> FullResponse {
     let (head, body) = request.into_parts();
@@ -31,7 +33,8 @@
         Ok(body) => body,
         Err(status) => return json_response(status, String::new()),
     };
-    let Some(registration) = parse_registration(&head.method, head.uri.path(), &body) else {
+    let path = head.uri.path();
+    let Some(registration) = parse_registration(&head.method, path, &body, minion_ip) else {
         return json_response(StatusCode::BAD_REQUEST, String::new());
     };
     let (handled, is_handled) = oneshot::channel();
