fix(entry): a reused address stays with its new owner when the former one moves

Cause: addresses are used again. When a VM whose address another one had taken over got a new record, the address was removed from the directory although it belonged to the other by then: the entry could not open a session with that sidecar any more, for good. The list of entries for gossip lost the other entry in the same way, until that one sent something.

Change: an address is removed only if it still belongs to the one that moves.

--- a/knapweedrill/src/dispatch/entry/directory.rs
+++ b/knapweedrill/src/dispatch/entry/directory.rs
@@ -101,7 +101,10 @@
             return false;
         }
         if known.record.address != record.address {
-            self.by_address.remove(&known.record.address);
+            // The former address may have been reused by another sidecar meanwhile.
+            if self.by_address.get(&known.record.address) == Some(&position) {
+                self.by_address.remove(&known.record.address);
+            }
             self.by_address.insert(record.address, position);
             known.backoff_until = None;
         }
--- a/knapweedrill/src/dispatch/entry/gossip.rs
+++ b/knapweedrill/src/dispatch/entry/gossip.rs
@@ -105,6 +105,7 @@
         if let Some(name) = name
             && let Some(previous) = self.store_addresses.insert(name, address)
             && previous != address
+            && !self.is_listed(previous)
         {
             self.peer_set.remove(&previous);
             self.peers.retain(|peer| *peer != previous);
@@ -114,6 +115,13 @@
         }
     }
 
+    /// Returns whether the store lists an entry with this address.
+    fn is_listed(&self, address: SocketAddr) -> bool {
+        self.store_addresses
+            .values()
+            .any(|listed| *listed == address)
+    }
+
     /// Remembers a sidecar as recently learnt, to spread it in the next rounds.
     pub(super) fn record_recent(&mut self, record: SidecarRecord) {
         self.recent.push_back(record);
