fix(entry): an odd record of a sidecar is ignored

Cause: any record that could be decoded was taken over and passed on. One with port 0 or an address that no process can have took a place in the subset; one with long texts made the page of the list that holds it longer than a datagram, so that an entry that starts while the store is down never got the records after it.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -163,8 +163,14 @@
         self.gossip.add_peer(address, name);
     }
 
-    /// Adds or updates the record of a sidecar.
+    /// Adds or updates the record of a sidecar. An invalid record is ignored.
     pub fn add_sidecar(&mut self, record: SidecarRecord, source: Source) {
+        if !record.is_valid() {
+            log::warn!(
+                address:% = record.address, source:? = source; "invalid record of a sidecar ignored"
+            );
+            return;
+        }
         if self.subset.upsert(record.clone(), source) {
             log::info!(
                 vm = record.vm.as_str(), address:% = record.address, source:? = source;
--- a/knapweedrill/tests/dispatch_odd_records.rs
+++ b/knapweedrill/tests/dispatch_odd_records.rs
@@ -7,7 +7,8 @@
 use knapweedrill::dispatch::entry::{Entry, EntrySettings, Source};
 use knapweedrill::dispatch::message::Role;
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
-use knapweedrill::dispatch::{Packet, Resources, SidecarRecord};
+use knapweedrill::dispatch::{Notice, Packet, Resources, SidecarRecord};
+use test_case::test_case;
 
 const RESOURCES_MAX: Resources = Resources {
     cpu_millicores: u32::MAX,
@@ -79,3 +80,58 @@
     let receivers = receivers(&sent(&mut entry, now));
     assert_eq!(receivers, HashSet::from([address(1), address(2)]));
 }
+
+/// Guards against records of sidecars that can't be reached, or that are too long to be passed on.
+#[test_case(|record| record.address = address(0); "port 0")]
+#[test_case(|record| record.address = SocketAddr::from(([0, 0, 0, 0], 7)); "unspecified address")]
+#[test_case(|record| record.address = SocketAddr::from(([255, 255, 255, 255], 7)); "broadcast address")]
+#[test_case(|record| record.address = SocketAddr::from(([224, 0, 0, 1], 7)); "multicast address")]
+#[test_case(|record| record.vm.clear(); "empty name")]
+#[test_case(|record| record.vm = "v".repeat(60_000); "long name")]
+#[test_case(|record| record.labels = vec!["label".into(); 10_000]; "many labels")]
+#[test_case(|record| record.labels = vec![String::new(); 10_000]; "many empty labels")]
+fn odd_record_of_a_sidecar_is_ignored(change: fn(&mut SidecarRecord)) {
+    let mut odd = record("odd", 9);
+    change(&mut odd);
+    let now = Instant::now();
+    let mut entry = entry(now);
+    entry.add_sidecar(odd.clone(), Source::First);
+    let announcement = Packet::Notice(Notice::SidecarAnnouncement(odd.clone()));
+    entry.receive(address(8), announcement, now);
+    let page = Packet::Notice(Notice::SidecarPage {
+        offset: 0,
+        count: 2,
+        sidecars: vec![odd, record("sound", 1)],
+    });
+    entry.receive(address(8), page, now);
+    assert_eq!(entry.directory().len(), 1);
+    let receivers = receivers(&sent(&mut entry, now));
+    assert_eq!(receivers, HashSet::from([address(1)]));
+}
+
+/// Guards against records whose page is too long for a datagram, so that an entry that starts never
+/// gets the list.
+#[test]
+fn page_of_the_longest_records_fits_into_a_datagram() {
+    const DATAGRAM_BYTES_MAX: usize = 65_507;
+    let now = Instant::now();
+    let mut entry = entry(now);
+    for index in 0..200_u16 {
+        for label_bytes in (0..2_000).step_by(100) {
+            let mut record = record(&format!("vm-{index}-{label_bytes}"), 1 + index);
+            record.labels = vec!["l".repeat(label_bytes)];
+            entry.add_sidecar(record, Source::First);
+        }
+    }
+    for offset in 0..1_000 {
+        let request = Packet::Notice(Notice::SidecarPageRequest { offset });
+        entry.receive(address(9), request, now);
+    }
+    let sent = entry.poll(now);
+    let lengths = sent.iter().map(|(_, packet)| {
+        postcard::to_stdvec(packet)
+            .expect("it can be encoded")
+            .len()
+    });
+    assert!(lengths.max().expect("pages are sent") <= DATAGRAM_BYTES_MAX);
+}
