fix(entry): the sum of waiting work saturates

Cause: the work of waiting tasks was added without a check. Jobs of the largest size on a minion that reports the largest capacity overflow the sum: a panic with overflow checks, a wrong admission without.

Change: the sums saturate, like the product of each task.

--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -290,7 +290,7 @@
                 let step = &self.steps[usize::from(task.step)];
                 u64::from(step.resources.cpu_millicores).saturating_mul(millis(step.estimate))
             })
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 }
 
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -78,14 +78,15 @@
 
     /// Returns the waiting work of all jobs, in millicores times milliseconds.
     pub(super) fn total_work(&self) -> u64 {
-        self.work_by_position.values().sum()
+        self.work_by_position
+            .values()
+            .fold(0, |sum, work| sum.saturating_add(*work))
     }
 
     /// Returns the work queued ahead of a job, in millicores times milliseconds.
     pub(super) fn work_ahead(&self, job: &Job) -> u64 {
         self.work_by_position
             .range(..QueuePosition::of(job))
-            .map(|(_, work)| work)
-            .sum()
+            .fold(0, |sum, (_, work)| sum.saturating_add(*work))
     }
 }
--- a/knapweedrill/tests/dispatch_odd_records.rs
+++ b/knapweedrill/tests/dispatch_odd_records.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use knapweedrill::dispatch::entry::{Entry, EntrySettings, Source};
+use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
+use knapweedrill::dispatch::entry::{Entry, EntrySettings, Source, StepRequest, Submission};
 use knapweedrill::dispatch::message::Role;
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
-use knapweedrill::dispatch::{Notice, Packet, Resources, SidecarRecord};
+use knapweedrill::dispatch::{JobName, Notice, Packet, Resources, SidecarRecord};
+use smallvec::SmallVec;
 use test_case::test_case;
 
 const RESOURCES_MAX: Resources = Resources {
@@ -135,3 +137,55 @@
     });
     assert!(lengths.max().expect("pages are sent") <= DATAGRAM_BYTES_MAX);
 }
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 5,
+        queues: vec![Queue {
+            name: "queue".into(),
+            host: "host".into(),
+            path_prefix: "/".into(),
+            service: "service".into(),
+            policy: QueuePolicy {
+                priority: 1,
+                attempt_count_max: u32::MAX,
+                stretch_permille: u32::MAX,
+                target_latency: Duration::from_millis(u64::MAX),
+            },
+            has_advice: false,
+        }],
+        body_bytes_max: u32::MAX,
+    }
+}
+
+/// Guards against an overflow in the sum of waiting work.
+#[test]
+fn work_of_the_largest_jobs_is_added_up() {
+    let now = Instant::now();
+    let mut entry = entry(now);
+    entry.configure(configuration(), "test", now);
+    entry.add_sidecar(record("vm", 1), Source::First);
+    for name in 0..4 {
+        let step = StepRequest {
+            task_count: 1_000,
+            resources: RESOURCES_MAX,
+            estimate: Duration::MAX,
+            after: SmallVec::new(),
+            required_label: None,
+            per_minion_max: None,
+            data_rack: None,
+        };
+        let submission = Submission {
+            name: JobName(name),
+            host: "host".into(),
+            path: "/x".into(),
+            spec: String::new(),
+            steps: vec![step],
+            caller_timeout: Duration::MAX,
+            is_supported: true,
+        };
+        entry.submit(name, submission, now);
+    }
+    assert!(entry.job_count() > 0);
+    sent(&mut entry, now);
+}
