fix(entry): a record under the key of another VM no longer hides that VM's own

Cause: the record of a sidecar was filed under the name in its value, whatever its key was. One odd record with the name of another VM took the place of the good one: an entry that started read both in any order and never reached that sidecar.

Change: the name has to equal the key; the address of an entry needs a port.

--- a/knapweedrill_daemon/src/dispatch/store.rs
+++ b/knapweedrill_daemon/src/dispatch/store.rs
@@ -123,15 +123,17 @@
     }
 }
 
-/// Parses the record of a sidecar, or returns `None` if it is malformed.
+/// Parses the record of a sidecar, or returns `None` if it is malformed or has the key of another VM.
 pub(super) fn parse_sidecar_record(record: &Record) -> Option<SidecarRecord> {
-    serde_json::from_slice(&record.value).ok()
+    let sidecar: SidecarRecord = serde_json::from_slice(&record.value).ok()?;
+    (sidecar.vm == record.key).then_some(sidecar)
 }
 
-/// Parses the address of an entry, or returns `None` if it is malformed.
+/// Parses the address of an entry, or returns `None` if it is malformed or has no port.
 pub(super) fn parse_entry_address(record: &Record) -> Option<SocketAddr> {
     let text = std::str::from_utf8(&record.value).ok()?;
-    text.parse().ok()
+    let address: SocketAddr = text.parse().ok()?;
+    (address.port() > 0).then_some(address)
 }
 
 /// Exponential backoff with jitter, so that processes do not retry all at the same time.
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -114,6 +114,96 @@
     assert_eq!(response.status, 200);
 }
 
+/// Guards against a heartbeat of another writer that replaces the minion.
+#[test]
+fn heartbeat_of_another_writer_does_not_replace_the_minion() {
+    let site = start_site(1, 1);
+    let minion_ip = site.minions[0].address().ip();
+    let url = format!("http://{minion_ip}:28166/v1/instances/i-odd");
+    let heartbeat = |address: &str| {
+        let body = json!({
+            "Service": "desk",
+            "Address": address,
+            "State": "ready",
+            "Capacity": {"Cpu": 64_000, "MemMb": 131_072},
+            "Seq": u64::MAX,
+            "born": u64::MAX,
+        });
+        let response = attohttpc::put(&url).text(body.to_string()).send();
+        response.expect("the sidecar responds").status().as_u16()
+    };
+    assert_eq!(heartbeat(&format!("{minion_ip}:70000")), 400);
+    assert_eq!(heartbeat(&format!("{minion_ip}:0")), 400);
+    assert_eq!(heartbeat("127.0.0.1:8080"), 400);
+    let response = site
+        .submit(0, &path("normal", 1), 2, 20)
+        .expect("the entry responds");
+    assert_eq!(response.status, 200);
+}
+
+/// Guards against an odd record that ends a process that reads its topic, stops it from following
+/// the topic, or takes the place of another record.
+#[test]
+fn odd_records_in_the_store_hide_no_other() {
+    let mut site = start_site(1, 1);
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let sidecar = |vm: &str, address: &str| {
+        json!({
+            "vm": vm,
+            "address": address,
+            "service": "desk",
+            "capacity": {"cpu_millicores": 64_000, "memory_mib": 131_072, "accelerator_count": 0},
+            "labels": [],
+        })
+        .to_string()
+    };
+    let values = [
+        String::new(),
+        "null".into(),
+        "127.0.0.1:70000".into(),
+        "127.0.0.1:0".into(),
+        format!("{{\"vm\":{nested}}}"),
+        nested,
+        "{\"vm\":1e999}".into(),
+        sidecar("odd", "127.0.0.1:70000"),
+        sidecar("odd", "127.0.0.1:0"),
+    ];
+    let impostor = sidecar("sidecar-0", "127.0.0.9:7720");
+    let write_odd_records = || {
+        for topic in ["entries", "sidecars"].map(|name| format!("keyed.knapweedrill-{name}")) {
+            for (number, value) in values.iter().enumerate() {
+                site.store
+                    .write(&topic, &format!("odd {number}&"), value.as_bytes());
+            }
+            site.store.write(&topic, "odd bytes", &[0xff, 0xfe, 0]);
+            site.store.write(&topic, "", b"odd key");
+        }
+        // The newest records of the keys are read in any order.
+        for number in 0..20 {
+            let key = format!("impostor {number}");
+            site.store
+                .write("keyed.knapweedrill-sidecars", &key, impostor.as_bytes());
+        }
+        for value in &values[..7] {
+            site.store.write("keyed.op", "config", value.as_bytes());
+        }
+    };
+    write_odd_records();
+    std::thread::sleep(2 * SECOND);
+    site.configure(5)
+        .expect("the entry follows the operator's topic");
+    let status = |site: &PlatformSite, number| {
+        let response = site.submit(0, &path("normal", number), 2, 20);
+        response.expect("the entry responds").status
+    };
+    assert_eq!(status(&site, 1), 200);
+    // A process that starts reads the newest record of each key.
+    kill(entry_process_id(&site));
+    site.start_entry(0).expect("the entry starts");
+    site.wait_ready(0).expect("the entry becomes ready");
+    assert_eq!(status(&site, 2), 200);
+}
+
 #[test]
 fn new_configuration_is_in_force_within_two_seconds() {
     let site = start_site(2, 1);
