fix(sidecar): an odd reading of the minion's clock is corrected by the next answer

Cause: a reading was taken over if it was ahead of the estimate, and never one behind. After one reading far ahead all leases ended far ahead as well, so the minion granted the longest one instead of the intended 550 ms, and the runs of an unreachable minion never counted as ended.

Change: a reading in the answer to a hold call replaces the estimate, also if it is behind. At most one such call is in flight, so these readings are in order. The recorded end of the lease is bounded by what the minion grants from that reading on.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -411,7 +411,7 @@
             log::info!(instance = minion.profile.instance.as_str(); "minion reachable again");
         }
         self.clock_lead = minion.clock_lead(answer.clock_ms, now);
-        minion.set_clock(answer.clock_ms, now);
+        minion.correct_clock(answer.clock_ms, self.settings.lease_max, now);
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -123,6 +123,19 @@
         }
     }
 
+    /// Replaces the estimate of the clock by a reading in the answer to a hold call, even if it is
+    /// behind: at most one such call is in flight, so these readings are in order.
+    pub(super) fn correct_clock(&mut self, clock_ms: StampMs, lease_max: Duration, now: Instant) {
+        if self.clock_ms(now).is_some_and(|known| clock_ms < known) {
+            self.clock = None;
+            // The minion has shortened a lease that ended later.
+            self.lease_end_ms = self
+                .lease_end_ms
+                .min(clock_ms.saturating_add(millis(lease_max)));
+        }
+        self.set_clock(clock_ms, now);
+    }
+
     pub(super) fn is_clock_known(&self) -> bool {
         self.clock.is_some()
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -904,3 +904,32 @@
     assert_eq!(fixture.sidecar.run_count(), 1);
     assert_eq!(fixture.outcomes, []);
 }
+
+/// Guards against a reading of the clock that is far ahead: leases would last for as long as the
+/// minion grants, and the runs of an unreachable minion would never count as ended.
+#[test]
+fn odd_reading_of_the_clock_is_corrected_by_the_next_answer() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.answer_hold_with(|answer| {
+        answer.clock_ms = 90_000_000_000;
+        answer.running = vec![(run(0), 20)];
+    });
+    fixture.advance(MS);
+    fixture.answer_hold(vec![(run(0), 20)], Vec::new());
+    fixture.order_start(1, 2);
+    fixture.answer_start(OrderAnswer::Accepted);
+    let lease_end_ms = fixture
+        .starts
+        .last()
+        .expect("a start was ordered")
+        .lease_end_ms;
+    assert!(lease_end_ms <= fixture.clock_ms + 600, "{lease_end_ms}");
+    for _ in 0..200 {
+        fixture.advance(10 * MS);
+        fixture.fail_hold();
+    }
+    assert_eq!(fixture.sidecar.run_count(), 0);
+}
