test(lab): the odd records test waits for the end of the killed entry

Cause: the test killed the entry and started it again without a wait. Seen in 1 of 6 runs: the new process ended with "can't listen for datagrams ... Address already in use", as the old one still held its port.

Change: the entry is killed by the handle that waits for its end, as in killed_sidecar_causes_no_overlapping_runs. What is checked is unchanged.

--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -198,7 +198,10 @@
     };
     assert_eq!(status(&site, 1), 200);
     // A process that starts reads the newest record of each key.
-    kill(entry_process_id(&site));
+    site.entry_mut(0)
+        .expect("the process was started")
+        .kill()
+        .expect("the process ends");
     site.start_entry(0).expect("the entry starts");
     site.wait_ready(0).expect("the entry becomes ready");
     assert_eq!(status(&site, 2), 200);
