feat(sidecar): a crash of the minion is told apart from lapse, stop and silence

Cause: a run that a crash ended was reported as lost, as after a lapse, so that neither logs, metrics nor entries could tell a deadly task from an unreachable minion.

Ruled out: each failed hold for a crash; a minion that turns calls down or is silent may go on running.

Change: a hold whose connection is refused is told apart from one without an answer. Three of them in a row, or a new incarnation without a notice, are a crash: its runs end as crashed, each is logged with queue and age, and the status of the sidecar counts crashes with the queue of the run that was ordered last. Orders carry the queue, and whether the job is on trial (not used by entries yet).

--- a/knapweedrill/src/dispatch/configuration.rs
+++ b/knapweedrill/src/dispatch/configuration.rs
@@ -4,6 +4,7 @@
 
 use knapweedrill_derive::message;
 
+use super::QueueTag;
 use crate::common::ServiceName;
 
 /// The version of a configuration. Versions rise, not necessarily by 1.
@@ -52,6 +53,18 @@
     pub target_latency: Duration,
 }
 
+impl Queue {
+    /// Returns the tag that identifies the queue in messages.
+    pub fn tag(&self) -> QueueTag {
+        let mut bytes = [0; 4];
+        blake3::Hasher::new()
+            .update(self.name.as_bytes())
+            .finalize_xof()
+            .fill(&mut bytes);
+        QueueTag::from_le_bytes(bytes)
+    }
+}
+
 impl QueuePolicy {
     /// Returns the latency objective of a job whose longest chain of work takes `longest`.
     pub fn objective(&self, longest: Duration) -> Duration {
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::configuration::{Queue, QueuePolicy};
 use crate::dispatch::message::{RefusalCause, RunEnd, TaskReport};
 use crate::dispatch::units::millis;
-use crate::dispatch::{Attempt, JobName, Resources, RunNumber, StepIndex, TaskName};
+use crate::dispatch::{Attempt, JobName, QueueTag, Resources, RunNumber, StepIndex, TaskName};
 
 /// The state of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +56,7 @@
 pub(super) struct Job {
     pub(super) name: JobName,
     pub(super) queue: String,
+    pub(super) queue_tag: QueueTag,
     pub(super) service: ServiceName,
     pub(super) policy: QueuePolicy,
     pub(super) spec: String,
@@ -102,6 +103,7 @@
         Self {
             name: submission.name,
             queue: queue.name.clone(),
+            queue_tag: queue.tag(),
             service: queue.service.clone(),
             policy: queue.policy,
             tasks: tasks.collect(),
@@ -217,7 +219,7 @@
                     return Progress::Failed;
                 }
             }
-            RunEnd::Stopped | RunEnd::Lost => {
+            RunEnd::Stopped | RunEnd::Lost | RunEnd::Crashed => {
                 task.avoided_sidecars.push(at);
                 task.state = TaskState::Waiting;
             }
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -127,6 +127,8 @@
             resources,
             estimate,
             is_movable: task.avoided_sidecars.len() < MOVES_MAX,
+            queue: job.queue_tag,
+            is_trial: false,
             service: job.service.clone(),
             spec: job.spec.clone(),
             sidecar_stamp_ms: stamp_ms,
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -4,7 +4,7 @@
 
 use knapweedrill_derive::{key, message};
 
-use super::{Attempt, Resources, RunNumber, TaskName};
+use super::{Attempt, QueueTag, Resources, RunNumber, TaskName};
 use crate::common::ServiceName;
 
 /// A time on the monotonic clock of a process, in milliseconds since its start.
@@ -61,6 +61,11 @@
     /// Whether the sidecar may stop the run if it stalls, so that the task is placed elsewhere.
     /// False once the task has been moved too often: its estimate is the likely cause then.
     pub is_movable: bool,
+    /// The queue of the job.
+    pub queue: QueueTag,
+    /// Whether the job is on trial because it may crash the minion. The sidecar refuses it while
+    /// another job runs there.
+    pub is_trial: bool,
     /// The service that the minion has to belong to.
     pub service: ServiceName,
     /// The work to run, as given by the caller and passed on to the minion.
@@ -113,6 +118,8 @@
     Stale,
     /// The minion rejected the start.
     Unhealthy,
+    /// The job is on trial, and another job runs there.
+    NotAlone,
 }
 
 /// How a run ended.
@@ -126,6 +133,8 @@
     Stopped,
     /// The lease of the run expired, or its minion disappeared.
     Lost,
+    /// The minion crashed during the run.
+    Crashed,
 }
 
 /// The properties of a minion that seldom change.
@@ -152,6 +161,16 @@
     Unavailable,
 }
 
+/// The crashes of the minion that the sidecar has seen while runs were there.
+#[message]
+#[derive(Copy, Default)]
+pub struct CrashRecord {
+    /// The number of crashes.
+    pub count: u32,
+    /// The queue whose run is the likely cause of the last one, if there was one.
+    pub queue: Option<QueueTag>,
+}
+
 /// The current status of a sidecar. Every datagram of a session repeats it, so that a lost one does
 /// no harm.
 #[message]
@@ -168,4 +187,6 @@
     pub delay_ms: u32,
     /// The number of entries that have recently ordered runs at this sidecar.
     pub recent_entry_count: u32,
+    /// The crashes of the minion.
+    pub crashes: CrashRecord,
 }
--- a/knapweedrill/src/dispatch/mod.rs
+++ b/knapweedrill/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 mod sidecar_record;
 mod units;
 
-pub use names::{Attempt, JobName, RunNumber, StepIndex, TaskName};
+pub use names::{Attempt, JobName, QueueTag, RunNumber, StepIndex, TaskName};
 pub use notice::{Notice, Packet};
 pub use resources::Resources;
 pub use run_timing::RunTiming;
--- a/knapweedrill/src/dispatch/names.rs
+++ b/knapweedrill/src/dispatch/names.rs
@@ -18,6 +18,9 @@
 /// The number of a run of a task on a minion, which accepts only rising numbers: a fencing token.
 pub type RunNumber = u32;
 
+/// Identifies a queue in messages: a hash of its name.
+pub type QueueTag = u32;
+
 /// The identifier that a caller gave to a job.
 #[key]
 pub struct JobName(pub u64);
--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -141,6 +141,15 @@
     pub malformed_ends: Vec<Option<u64>>,
 }
 
+/// Why a hold call has no answer.
+#[key]
+pub enum HoldFailure {
+    /// No connection could be made.
+    NotSent,
+    /// No valid answer arrived in time.
+    NoAnswer,
+}
+
 /// A heartbeat of a minion.
 #[value]
 pub struct MinionHeartbeat {
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -5,9 +5,11 @@
 
 use super::SidecarSettings;
 use super::action::{
-    CallNumber, EndKind, EndedRun, HoldAnswer, MinionHeartbeat, OrderAnswer, RunKey, SidecarAction,
+    CallNumber, EndKind, EndedRun, HoldAnswer, HoldFailure, MinionHeartbeat, OrderAnswer, RunKey,
+    SidecarAction,
 };
 use super::connected_entries::ConnectedEntries;
+use super::crash_log::CrashLog;
 use super::hold_schedule::HoldSchedule;
 use super::minion_state::MinionState;
 use super::minion_stats::MinionStats;
@@ -45,6 +47,7 @@
     entries: ConnectedEntries,
     stats: MinionStats,
     recent_entries: RecentEntries,
+    crashes: CrashLog,
     orders: OrderTracker,
     holds: HoldSchedule,
     /// By how much the estimate of the minion's clock was ahead at the last answer to a hold call.
@@ -68,6 +71,7 @@
             entries: ConnectedEntries::default(),
             stats: MinionStats::default(),
             recent_entries: RecentEntries::default(),
+            crashes: CrashLog::default(),
             orders: OrderTracker::new(fencing_token),
             holds: HoldSchedule::default(),
             clock_lead: Duration::ZERO,
@@ -90,6 +94,7 @@
             pace_permille: self.stats.pace_permille(),
             delay_ms: self.stats.delay_ms(),
             recent_entry_count: self.recent_entries.count(),
+            crashes: self.crashes.record(),
         }
     }
 
@@ -165,6 +170,9 @@
                     started_unix_ms = heartbeat.started_unix_ms,
                     runs_lost = self.runs.len(); "minion restarted"
                 );
+                if !minion.is_draining {
+                    self.crashes.crashed(self.runs.iter(), now);
+                }
                 if minion.profile.instance == heartbeat.profile.instance {
                     // Orders may have reached the new incarnation already; its answer to the next
                     // hold call shows which.
@@ -248,6 +256,8 @@
             owner: entry,
             attempt: order.attempt,
             resources: order.resources,
+            queue: order.queue,
+            is_trial: order.is_trial,
             spec: order.spec,
             estimate: clamp_duration(order.estimate),
             is_movable: order.is_movable,
@@ -369,6 +379,13 @@
         }
     }
 
+    /// Handles a hold call without an answer.
+    pub fn hold_failed(&mut self, call: CallNumber, failure: HoldFailure, now: Instant) {
+        let is_refused = failure == HoldFailure::NotSent;
+        self.holds.set_refused(is_refused);
+        self.hold_answered(call, None, now);
+    }
+
     /// Handles the answer to a hold call, or `None` if there was no answer.
     pub fn hold_answered(&mut self, call: CallNumber, answer: Option<HoldAnswer>, now: Instant) {
         let Some(hold) = self.holds.take_pending(call) else {
@@ -382,7 +399,14 @@
                 .holds
                 .record_failure(&hold, unanswered_for, &self.settings, now)
             {
-                log::warn!(runs = self.runs.len(); "minion unreachable");
+                log::warn!(
+                    runs = self.runs.len(), is_refusing = self.holds.is_refusing();
+                    "minion unreachable"
+                );
+                let is_draining = |minion: &MinionState| minion.is_draining;
+                if self.holds.is_refusing() && !self.minion.as_ref().is_some_and(is_draining) {
+                    self.crashes.crashed(self.runs.iter(), now);
+                }
             }
             return;
         };
@@ -402,10 +426,12 @@
                 started_unix_ms = answer.started_unix_ms, before = minion.started_unix_ms;
                 "minion restarted, detected by a hold answer before the first heartbeat"
             );
+            self.crashes.crashed(self.runs.iter(), now);
             minion.reset_for_restart(answer.started_unix_ms, self.settings.lease_max);
             self.orders.begin_incarnation();
             self.stats = MinionStats::default();
         }
+        self.crashes.recovered();
         self.stats.record_end_delay(self.holds.unanswered_for(now));
         if self.holds.record_answer(now) {
             log::info!(instance = minion.profile.instance.as_str(); "minion reachable again");
@@ -493,6 +519,9 @@
         if minion.profile.service != order.service {
             return Some(RefusalCause::OtherService);
         }
+        if order.is_trial && self.runs.has_other_job(order.task.job) {
+            return Some(RefusalCause::NotAlone);
+        }
         // The minion may still run the task for another entry or an earlier placement.
         if self.runs.has_task(order.task) || !order.resources.fits_into(self.free()) {
             return Some(RefusalCause::NoRoom);
@@ -548,6 +577,7 @@
 
     /// Resets the statistics for a new incarnation, schedules a hold call and announces the minion.
     fn start_monitoring(&mut self, now: Instant) {
+        self.crashes.recovered();
         self.stats = MinionStats::default();
         // The pending answer may be that of the previous incarnation.
         self.holds.reschedule(now);
@@ -761,7 +791,11 @@
     fn settle_missing(&mut self, key: RunKey, now: Instant) {
         self.runs.remove_orphans(Some(key));
         if let Some(run) = self.runs.get(key) {
-            let outcome = run.outcome_if_missing(now);
+            let outcome = if self.crashes.ended(run) {
+                run.outcome(RunEnd::Crashed, now)
+            } else {
+                run.outcome_if_missing(now)
+            };
             self.settle(key, outcome);
         }
     }
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -43,6 +43,8 @@
     /// When the first of the consecutive calls without an answer was sent.
     unanswered_since: Option<Instant>,
     is_unreachable: bool,
+    /// Whether the connection for the last failed call was refused.
+    is_refused: bool,
     next_at: Option<Instant>,
 }
 
@@ -68,6 +70,16 @@
         !self.is_unreachable
     }
 
+    /// Sets whether the connection for a call that has failed was refused.
+    pub(super) fn set_refused(&mut self, is_refused: bool) {
+        self.is_refused = is_refused;
+    }
+
+    /// Returns whether the minion is unreachable because it refuses connections.
+    pub(super) fn is_refusing(&self) -> bool {
+        self.is_unreachable && self.is_refused
+    }
+
     /// Returns whether the last call had no answer.
     pub(super) fn is_failing(&self) -> bool {
         self.failure_count > 0
@@ -136,6 +148,7 @@
     /// Records an answer and returns whether the minion was unreachable before.
     pub(super) fn record_answer(&mut self, now: Instant) -> bool {
         self.failure_count = 0;
+        self.is_refused = false;
         self.unanswered_since = None;
         self.next_at = Some(now);
         std::mem::take(&mut self.is_unreachable)
@@ -156,6 +169,7 @@
         // A call that timed out has already waited; one that was refused has not.
         let has_timed_out = now >= hold.sent_at + hold.wait + hold.timeout;
         let interval = unanswered_for.clamp(settings.hold_retry_interval, RETRY_INTERVAL_MAX);
+        self.is_refused &= !has_timed_out;
         self.next_at = Some(if has_timed_out {
             now
         } else {
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -3,6 +3,7 @@
 mod action;
 mod connected_entries;
 mod core;
+mod crash_log;
 mod endpoint;
 mod health;
 mod hold_schedule;
@@ -19,8 +20,8 @@
 mod start_step;
 
 pub use action::{
-    CallNumber, EndKind, EndedRun, HoldAnswer, HoldCall, MinionHeartbeat, OrderAnswer, RunKey,
-    SidecarAction, StartCall, StopCall,
+    CallNumber, EndKind, EndedRun, HoldAnswer, HoldCall, HoldFailure, MinionHeartbeat, OrderAnswer,
+    RunKey, SidecarAction, StartCall, StopCall,
 };
 pub use core::Sidecar;
 pub use endpoint::{Outgoing, SidecarEndpoint};
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -5,7 +5,7 @@
 use super::action::RunKey;
 use crate::common::Incarnation;
 use crate::dispatch::message::{PlacementOutcome, RefusalCause, RunEnd};
-use crate::dispatch::{Attempt, Resources};
+use crate::dispatch::{Attempt, QueueTag, Resources};
 
 /// The state of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +27,9 @@
     pub(super) owner: Incarnation,
     pub(super) attempt: Attempt,
     pub(super) resources: Resources,
+    pub(super) queue: QueueTag,
+    /// Whether its job may crash the minion.
+    pub(super) is_trial: bool,
     pub(super) spec: String,
     pub(super) estimate: Duration,
     pub(super) is_movable: bool,
@@ -65,6 +68,11 @@
         now.saturating_duration_since(since)
     }
 
+    /// Returns whether the minion may have started the run.
+    pub(super) fn may_have_started(&self) -> bool {
+        self.phase != Phase::Starting || self.unanswered_count > 0
+    }
+
     /// Returns whether the run has stalled, given its progress in percent.
     pub(super) fn is_stalled(&self, percent: u8, now: Instant) -> bool {
         // Counted from the answer: a run whose start order was repeated began late.
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -6,7 +6,7 @@
 use super::action::RunKey;
 use super::run::{Phase, Run};
 use crate::common::Incarnation;
-use crate::dispatch::{Attempt, Resources, TaskName};
+use crate::dispatch::{Attempt, JobName, Resources, TaskName};
 
 /// The runs that this process has ordered, and orphaned runs that it has found at the minion.
 #[derive(Debug, Default)]
@@ -46,6 +46,16 @@
         self.ordered.keys().copied().collect()
     }
 
+    /// Returns the runs that this process has ordered.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Run> {
+        self.ordered.values()
+    }
+
+    /// Returns whether any run belongs to another job.
+    pub(super) fn has_other_job(&self, job: JobName) -> bool {
+        self.iter().any(|run| run.key.task.job != job)
+    }
+
     /// Returns the resources that the runs occupy, including runs that are being stopped.
     pub(super) fn resources(&self) -> Resources {
         let runs = self.ordered.values();
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -4,7 +4,9 @@
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
 use knapweedrill::dispatch::entry::{Admission, Fleet, TaskRequirements};
-use knapweedrill::dispatch::message::{MinionAvailability, MinionProfile, SidecarStatus};
+use knapweedrill::dispatch::message::{
+    CrashRecord, MinionAvailability, MinionProfile, SidecarStatus,
+};
 use knapweedrill::dispatch::sidecar::{Health, Pace, RetryDelay};
 use knapweedrill::dispatch::{JobName, Resources};
 use test_case::test_case;
@@ -53,6 +55,7 @@
             pace_permille: *pace_permille,
             delay_ms: 0,
             recent_entry_count: 1,
+            crashes: CrashRecord::default(),
         };
         view.set_status(status, 0);
     }
@@ -191,6 +194,7 @@
         pace_permille: 1_000,
         delay_ms: 0,
         recent_entry_count: 1,
+        crashes: CrashRecord::default(),
     };
     view.set_status(status, 5);
     assert_eq!(
@@ -380,6 +384,7 @@
             pace_permille: 1_000,
             delay_ms: 40,
             recent_entry_count: 1,
+            crashes: CrashRecord::default(),
         };
         fleet.get_or_insert(lossy).set_status(status, 0);
     }
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -150,6 +150,7 @@
         RunEnd::Failed => "failed",
         RunEnd::Stopped => "stopped",
         RunEnd::Lost => "lost",
+        RunEnd::Crashed => "crashed",
     }
 }
 
@@ -161,6 +162,7 @@
         RefusalCause::OtherService => "refused-other-service",
         RefusalCause::Stale => "refused-stale",
         RefusalCause::Unhealthy => "refused-unhealthy",
+        RefusalCause::NotAlone => "refused-not-alone",
     }
 }
 
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -7,8 +7,8 @@
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use knapweedrill::dispatch::message::{MinionAvailability, StampMs};
 use knapweedrill::dispatch::sidecar::{
-    CallNumber, HoldAnswer, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
-    SidecarSettings,
+    CallNumber, HoldAnswer, HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction,
+    SidecarEndpoint, SidecarSettings,
 };
 use knapweedrill::dispatch::{Packet, SidecarRecord};
 use knapweedrill_platform::{MinionClient, ProcessSettings, StoreClient};
@@ -35,8 +35,8 @@
     StartAnswered(CallNumber, OrderAnswer, Option<StampMs>),
     /// A stop order has a result; the last value is the clock of the minion.
     StopAnswered(CallNumber, OrderAnswer, Option<StampMs>),
-    /// A hold has a response, or `None` if it failed.
-    HoldAnswered(CallNumber, Option<HoldAnswer>),
+    /// A hold has a response, or failed.
+    HoldAnswered(CallNumber, Result<HoldAnswer, HoldFailure>),
     /// A datagram arrived.
     Datagram(SocketAddr, Packet),
     /// The store has confirmed this record of the sidecar.
@@ -199,7 +199,11 @@
                     .stop_answered(call, answer, clock_ms, now);
             }
             SidecarEvent::HoldAnswered(call, answer) => {
-                self.endpoint.sidecar_mut().hold_answered(call, answer, now);
+                let sidecar = self.endpoint.sidecar_mut();
+                match answer {
+                    Ok(answer) => sidecar.hold_answered(call, Some(answer), now),
+                    Err(failure) => sidecar.hold_failed(call, failure, now),
+                }
             }
             SidecarEvent::Datagram(from, packet) => self.endpoint.receive(from, packet, now),
             SidecarEvent::RecordConfirmed(record) => self.endpoint.sidecar_record_confirmed(record),
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -6,7 +6,7 @@
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use knapweedrill::dispatch::sidecar::SidecarAction;
+use knapweedrill::dispatch::sidecar::{HoldFailure, SidecarAction};
 use knapweedrill_platform::{MinionClient, Registration, parse_registration};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Semaphore, oneshot};
@@ -92,7 +92,11 @@
         }
         SidecarAction::Hold(call) => {
             let answer = minion.hold(&call).await;
-            let label = if answer.is_some() { "accepted" } else { "none" };
+            let label = match answer {
+                Ok(_) => "accepted",
+                Err(HoldFailure::NotSent) => "not-sent",
+                Err(HoldFailure::NoAnswer) => "none",
+            };
             metrics.count_minion_call("hold", label);
             Some(SidecarEvent::HoldAnswered(call.call, answer))
         }
