test(dispatch): deadly tasks of one queue in the simulated system

Change: jobs whose first task crashes its minion, minions that refuse connections for 3 s after a crash, a second queue, and three tests: the other queue is served and a part of the queue itself, no task crashes more than three minions, nothing is lost without deadly tasks.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -8,6 +8,7 @@
 
 mod call_content;
 mod caller;
+mod deadly_jobs;
 mod departure;
 mod fault;
 mod fault_settings;
@@ -41,6 +42,7 @@
 
 use call_content::CallContent;
 use caller::Caller;
+use deadly_jobs::DeadlyJobs;
 use departure::Departure;
 pub(crate) use fault::Fault;
 pub(crate) use fault_settings::FaultSettings;
@@ -120,6 +122,7 @@
     /// The profiles of tasks that differ from the default.
     task_profiles: HashMap<TaskName, TaskProfile>,
     default_profile: TaskProfile,
+    pub(crate) deadly_jobs: DeadlyJobs,
     /// Events by time in milliseconds, for the messages of failed assertions; those without a job
     /// concern a node or a minion.
     trace: Vec<(u64, Option<JobName>, String)>,
@@ -181,6 +184,7 @@
             started_jobs: HashSet::new(),
             task_profiles: HashMap::new(),
             default_profile,
+            deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
         };
         for index in 0..entry_count + sidecar_count {
@@ -338,13 +342,24 @@
         tasks: u32,
         caller_timeout_ms: u64,
         change: impl FnOnce(&mut StepRequest),
+    ) -> JobName {
+        self.submit_to("/jobs/", tasks, caller_timeout_ms, change)
+    }
+
+    /// Submits a job of one step to the queue with this path prefix, at a random running entry.
+    pub(crate) fn submit_to(
+        &mut self,
+        path_prefix: &str,
+        tasks: u32,
+        caller_timeout_ms: u64,
+        change: impl FnOnce(&mut StepRequest),
     ) -> JobName {
         self.next_id += 1;
         let name = JobName(self.next_id);
         let mut submission = Submission {
             name,
             host: "host".into(),
-            path: format!("/jobs/{name}"),
+            path: format!("{path_prefix}{name}"),
             spec: "what to run".into(),
             steps: vec![StepRequest {
                 task_count: tasks,
@@ -446,6 +461,7 @@
         self.inject_random_fault();
         self.freeze_sidecars_when_due();
         self.read_waiting_input();
+        self.crash_minions_of_deadly_jobs();
         self.send_heartbeats();
         self.execute_calls();
         for minion in &mut self.minions {
@@ -701,6 +717,10 @@
                 continue;
             }
             call.is_executed = true;
+            if self.is_minion_down(call.node) {
+                self.refuse_call(call);
+                continue;
+            }
             let minion = &mut self.minions[call.node - self.entry_count];
             let answer = match &call.content {
                 CallContent::Start(start) => {
@@ -720,6 +740,8 @@
                     if answer == OrderAnswer::Accepted && !was_running {
                         self.started_jobs.insert(start.run.task.job);
                         self.observations.started_count += 1;
+                        self.deadly_jobs
+                            .record_start(start.run.task, index, self.now_ms);
                     }
                     Some(answer)
                 }
@@ -791,6 +813,10 @@
             else {
                 continue;
             };
+            if !call.is_resolved && self.is_minion_down(call.node) {
+                self.refuse_call(call);
+                continue;
+            }
             let minion = &self.minions[call.node - self.entry_count];
             let is_due = until_ms <= self.now_ms || minion.has_unacknowledged_ends();
             if call.is_resolved || !is_due || minion.instance != hold.instance {
@@ -1126,23 +1152,24 @@
     }
 }
 
-/// Returns a configuration with one queue.
+/// Returns a configuration with two queues of the same policy.
 pub(crate) fn configuration() -> Configuration {
+    let queue = |name: &str, path_prefix: &str| Queue {
+        name: name.into(),
+        host: "host".into(),
+        path_prefix: path_prefix.into(),
+        service: "service".into(),
+        policy: QueuePolicy {
+            priority: 1,
+            attempt_count_max: 3,
+            stretch_permille: 1_600,
+            target_latency: Duration::from_millis(60),
+        },
+        has_advice: false,
+    };
     Configuration {
         version: 1,
-        queues: vec![Queue {
-            name: "queue".into(),
-            host: "host".into(),
-            path_prefix: "/jobs/".into(),
-            service: "service".into(),
-            policy: QueuePolicy {
-                priority: 1,
-                attempt_count_max: 3,
-                stretch_permille: 1_600,
-                target_latency: Duration::from_millis(60),
-            },
-            has_advice: false,
-        }],
+        queues: vec![queue("queue", "/jobs/"), queue("other", "/other/")],
         body_bytes_max: 262_144,
     }
 }
--- a/knapweedrill_lab/tests/dispatch_simulation/response.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/response.rs
@@ -1,5 +1,5 @@
 use knapweedrill::dispatch::message::StampMs;
-use knapweedrill::dispatch::sidecar::{CallNumber, HoldAnswer, OrderAnswer, Sidecar};
+use knapweedrill::dispatch::sidecar::{CallNumber, HoldAnswer, HoldFailure, OrderAnswer, Sidecar};
 use std::time::Instant;
 
 /// The response of a minion to a call, or the end of the wait for it.
@@ -8,6 +8,8 @@
     Start(CallNumber, OrderAnswer, Option<StampMs>),
     Stop(CallNumber, OrderAnswer, Option<StampMs>),
     Hold(CallNumber, Option<HoldAnswer>),
+    /// The minion refused the connection for the hold.
+    HoldRefused(CallNumber),
 }
 
 impl Response {
@@ -19,6 +21,9 @@
             Self::Stop(call, answer, clock_ms) => {
                 sidecar.stop_answered(call, answer, clock_ms, now);
             }
+            Self::HoldRefused(call) => {
+                sidecar.hold_failed(call, HoldFailure::NotSent, now);
+            }
             Self::Hold(call, answer) => sidecar.hold_answered(call, answer, now),
         }
     }
