feat(entry): a queue whose jobs crash minions is confined to a part of the fleet

Cause: a crash was not tied to the job under which it happened, so that the jobs of a queue with a tenth of deadly ones went to all minions and kept eight to ten of eleven away; a third of the crashes were second starts of the same task.

Ruled out: only to stop the repetition (two thirds of the crashes are first ones); to show a job as failed after one crash (trial, breaks LOST); a confinement that ends by time alone.

Change: entry::confinement. After three separate crashes within 3 s, most of them with one queue, its jobs are on trial: alone on a minion of a quarter of the fleet; the others keep to the rest, and admission counts accordingly. Two crashes fail a job, one as the only job on a minion gives it up.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use super::confinement::Confinement;
 use super::fleet::Fleet;
 use super::job::Job;
-use super::queue::WaitingJobs;
+use super::jobs::Jobs;
 
 /// The priority of the most urgent queues; lower is more urgent.
 const HIGHEST_PRIORITY: u8 = 0;
@@ -23,7 +24,15 @@
 impl Admission {
     /// Collects the inputs for a new job. `spare_count` is the number of minions that would join the
     /// subset of the entry under load.
-    pub(super) fn new(job: &Job, waiting: &WaitingJobs, fleet: &Fleet, spare_count: u64) -> Self {
+    pub(super) fn new(
+        job: &Job,
+        jobs: &Jobs,
+        fleet: &Fleet,
+        confinement: &Confinement,
+        spare_count: u64,
+    ) -> Self {
+        let waiting = jobs.waiting();
+        let lane = confinement.lane(job);
         // A job of the most urgent queues only waits for the work ahead of it. For the others all
         // admitted work counts, whatever its position, so that jobs that were admitted before
         // still meet their objectives.
@@ -32,9 +41,13 @@
         } else {
             waiting.total_work()
         };
+        // Jobs that wait for a trial take no resources of the others.
+        let trial_work = confinement.waiting_trial_work(jobs);
         Self {
-            work_ahead_millicore_ms,
-            share_millicores: fleet.share_millicores(&job.service, spare_count),
+            work_ahead_millicore_ms: work_ahead_millicore_ms.saturating_sub(trial_work),
+            share_millicores: fleet.share_millicores_of(&job.service, spare_count, |sidecar| {
+                confinement.is_in_lane(lane, sidecar)
+            }),
             slack: job.objective().saturating_sub(job.critical_path),
         }
     }
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -7,13 +7,14 @@
 use super::admission::Admission;
 use super::answer::{Answer, CallerId, RefusalReason};
 use super::answer_cache::AnswerCache;
+use super::confinement::{Confinement, Lane};
 use super::directory::{Directory, Source};
 use super::fleet::{Fleet, TaskRequirements};
 use super::gossip::{Gossip, LocalState};
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
 use super::pause::Pause;
-use super::placer::{Placer, stop_placements};
+use super::placer::{Placer, Targets, stop_placements};
 use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
@@ -60,6 +61,7 @@
     /// Whether an event since the last placement may allow waiting tasks to be placed.
     is_placement_due: bool,
     placer: Placer,
+    confinement: Confinement,
     answer_cache: AnswerCache,
     /// Until when something that arrived during a long pause of this process may be unread.
     backlog_until: Option<Instant>,
@@ -83,6 +85,7 @@
             jobs: Jobs::default(),
             is_placement_due: false,
             placer: Placer::default(),
+            confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             backlog_until: None,
             refuses_backlog: false,
@@ -269,8 +272,20 @@
         };
         let job = Job::new(submission, queue, caller, now);
         let spare_count = self.subset.spare_count(&job.service);
-        let admission = Admission::new(&job, self.jobs.waiting(), &self.fleet, spare_count);
-        if !admission.is_admitted() {
+        let admission = Admission::new(
+            &job,
+            &self.jobs,
+            &self.fleet,
+            &self.confinement,
+            spare_count,
+        );
+        let is_admitted = match self.confinement.lane(&job) {
+            Lane::Any | Lane::Rest => admission.is_admitted(),
+            Lane::Trial => self
+                .confinement
+                .has_trial_capacity(&job, &self.jobs, &self.fleet),
+        };
+        if !is_admitted {
             log::warn!(
                 job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
                 slack_ms = millis(admission.slack), waiting = self.jobs.waiting().len();
@@ -341,13 +356,13 @@
         if self.has_backlog(now) || !std::mem::take(&mut self.is_placement_due) {
             return;
         }
-        self.placer.place_waiting(
-            &mut self.jobs,
-            &mut self.fleet,
-            &mut self.subset,
-            &mut self.sessions,
-            now,
-        );
+        let mut targets = Targets {
+            fleet: &mut self.fleet,
+            subset: &mut self.subset,
+            sessions: &mut self.sessions,
+            confinement: &self.confinement,
+        };
+        self.placer.place_waiting(&mut self.jobs, &mut targets, now);
     }
 
     /// Handles due session events and returns the datagrams to send.
@@ -376,6 +391,14 @@
     /// Handles time-outs, adjusts the set of sessions, gossips and places waiting tasks.
     pub fn tick(&mut self, now: Instant) {
         self.recover_lost_tasks(now);
+        self.confinement.tick(
+            self.configuration.as_ref(),
+            self.subset.directory(),
+            &self.sessions,
+            &self.fleet,
+            now,
+        );
+        self.give_up_untriable(now);
         self.give_up_overdue(now);
         self.jobs.demote_overdue(now);
         self.answer_cache
@@ -465,6 +488,7 @@
             SessionEvent::Status(process, status, acknowledged) => {
                 if let Some(view) = self.fleet.view_mut(process) {
                     view.set_status(status, acknowledged);
+                    self.confinement.record_status(process, status.crashes, now);
                 }
             }
         }
@@ -597,6 +621,7 @@
         match progress {
             Some(Progress::Completed) => self.end_job(name, Some(Answer::Completed), now),
             Some(Progress::Failed) => self.end_job(name, Some(Answer::Failed), now),
+            Some(Progress::GivenUp) => self.end_job(name, Some(Answer::GivenUp), now),
             Some(Progress::Ongoing) | None => {}
         }
     }
@@ -630,6 +655,19 @@
         }
     }
 
+    /// Refuses the jobs that wait for a trial while no minion for trials is usable.
+    fn give_up_untriable(&mut self, now: Instant) {
+        let waiting = self.confinement.waiting_for_trial(&self.jobs);
+        let untriable: Vec<JobName> = waiting
+            .filter(|job| job.started_count == 0)
+            .filter(|job| self.confinement.trial_minion_count(job, &self.fleet) == 0)
+            .map(|job| job.name)
+            .collect();
+        for name in untriable {
+            self.give_up(name, RefusalReason::Overload, now);
+        }
+    }
+
     /// Gives up jobs that can no longer end in time.
     fn give_up_overdue(&mut self, now: Instant) {
         let overdue: Vec<JobName> = self
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -162,8 +162,20 @@
     /// The minions outside of the subset are assumed to be as free as those inside would be
     /// without this entry's tasks.
     pub fn share_millicores(&self, service: &str, spare_count: u64) -> u64 {
+        self.share_millicores_of(service, spare_count, |_| true)
+    }
+
+    /// Returns the same as [`share_millicores`](Self::share_millicores), of the minions that
+    /// `is_counted` selects.
+    pub(super) fn share_millicores_of(
+        &self,
+        service: &str,
+        spare_count: u64,
+        is_counted: impl Fn(Incarnation) -> bool,
+    ) -> u64 {
         let (mut count, mut share, mut free, mut others_used) = (0, 0, 0, 0);
-        for view in self.of_service(service).filter(|view| view.is_usable()) {
+        let views = self.of_service(service).filter(|view| view.is_usable());
+        for view in views.filter(|view| is_counted(view.incarnation())) {
             let Some(profile) = view.profile() else {
                 continue;
             };
@@ -200,6 +212,20 @@
         sum / u64::max(count, 1)
     }
 
+    /// Returns the usable sidecars of a service.
+    pub(super) fn usable(&self, service: &str) -> impl Iterator<Item = Incarnation> {
+        let views = self.of_service(service).filter(|view| view.is_usable());
+        views.map(SidecarView::incarnation)
+    }
+
+    /// Returns the usable sidecars of a service where nothing runs.
+    pub(super) fn idle(&self, service: &str) -> impl Iterator<Item = Incarnation> {
+        let views = self.of_service(service).filter(|view| view.is_usable());
+        views
+            .filter(|view| view.is_idle())
+            .map(SidecarView::incarnation)
+    }
+
     /// Returns whether a usable minion of a service has a label.
     pub(super) fn has_label(&self, service: &str, label: &str) -> bool {
         self.of_service(service)
@@ -273,7 +299,7 @@
             .any(|view| view.run_time(requirements.estimate) <= requirements.time_left)
     }
 
-    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a SidecarView> {
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &SidecarView> {
         self.views.values().filter(move |view| {
             view.profile()
                 .is_some_and(|profile| profile.service == service)
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -13,6 +13,9 @@
 use crate::dispatch::units::millis;
 use crate::dispatch::{Attempt, JobName, QueueTag, Resources, RunNumber, StepIndex, TaskName};
 
+/// The number of minions that may crash during the runs of one task before its job fails.
+const CRASH_COUNT_MAX: u32 = 2;
+
 /// The state of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -35,6 +38,8 @@
     Completed,
     /// A task used up its attempts without success.
     Failed,
+    /// A task has crashed a minion on which no other job ran, and is not started again.
+    GivenUp,
 }
 
 /// A task of a job.
@@ -47,6 +52,8 @@
     pub(super) attempt: Attempt,
     pub(super) placement_count: RunNumber,
     pub(super) failed_count: u32,
+    /// The number of runs during which the minion crashed.
+    pub(super) crash_count: u32,
     /// The sidecars where it failed, was lost or stopped, or was refused as unhealthy.
     pub(super) avoided_sidecars: SmallVec<[Incarnation; 2]>,
 }
@@ -72,6 +79,8 @@
     pub(super) started_count: u32,
     /// Whether it can no longer meet its objective.
     pub(super) is_overdue: bool,
+    /// The sidecar where the job is on trial.
+    trial_at: Option<Incarnation>,
     /// The estimated run time of the longest chain of dependent steps that are not done.
     remaining_path: Duration,
 }
@@ -96,6 +105,7 @@
                 attempt: 0,
                 placement_count: 0,
                 failed_count: 0,
+                crash_count: 0,
                 avoided_sidecars: SmallVec::new(),
             })
         });
@@ -116,6 +126,7 @@
             caller_deadline: now + submission.caller_timeout,
             started_count: 0,
             is_overdue: false,
+            trial_at: None,
         }
     }
 
@@ -219,7 +230,19 @@
                     return Progress::Failed;
                 }
             }
-            RunEnd::Stopped | RunEnd::Lost | RunEnd::Crashed => {
+            RunEnd::Crashed => {
+                task.crash_count += 1;
+                task.avoided_sidecars.push(at);
+                task.state = TaskState::Waiting;
+                if task.crash_count >= CRASH_COUNT_MAX {
+                    return Progress::Failed;
+                }
+                if self.trial_at == Some(at) {
+                    // Nothing else ran there, so another start would crash another minion.
+                    return Progress::GivenUp;
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lost => {
                 task.avoided_sidecars.push(at);
                 task.state = TaskState::Waiting;
             }
@@ -232,6 +255,19 @@
         Progress::Ongoing
     }
 
+    /// Returns the sidecar where the job is on trial, as long as tasks are placed there.
+    pub(super) fn trial_at(&self) -> Option<Incarnation> {
+        self.trial_at.filter(|sidecar| {
+            let mut states = self.tasks.iter().map(|task| task.state);
+            states.any(|state| state == TaskState::Placed(*sidecar))
+        })
+    }
+
+    /// Records that a task was placed for a trial of the job.
+    pub(super) fn begin_trial(&mut self, sidecar: Incarnation) {
+        self.trial_at = Some(sidecar);
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         self.tasks
             .iter()
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod answer_cache;
+mod confinement;
 mod core;
 mod directory;
 mod download;
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -1,13 +1,15 @@
 //! Placement of waiting tasks on sidecars.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
+use super::confinement::{Confinement, Lane};
 use super::fleet::{Fleet, TaskRequirements};
 use super::job::{Job, TaskState};
 use super::jobs::Jobs;
 use super::sidecar_subset::SidecarSubset;
+use crate::common::Incarnation;
 use crate::dispatch::Attempt;
 use crate::dispatch::message::{Message, StartOrder};
 use crate::dispatch::session::Sessions;
@@ -31,24 +33,33 @@
     last_attempt: Attempt,
 }
 
+/// The sidecars to place tasks on, and what decides which of them a job may use.
+#[derive(Debug)]
+pub(super) struct Targets<'a> {
+    pub(super) fleet: &'a mut Fleet,
+    pub(super) subset: &'a mut SidecarSubset,
+    pub(super) sessions: &'a mut Sessions,
+    pub(super) confinement: &'a Confinement,
+}
+
 impl Placer {
     /// Places the waiting tasks in the order of their jobs while resources are free.
     pub(super) fn place_waiting(
         &mut self,
         jobs: &mut Jobs,
-        fleet: &mut Fleet,
-        subset: &mut SidecarSubset,
-        sessions: &mut Sessions,
+        targets: &mut Targets<'_>,
         now: Instant,
     ) {
         let mut skipped_count = 0;
         let mut next = jobs.waiting().first();
         while let Some(queue_position) = next {
             next = jobs.waiting().after(&queue_position);
-            let all_placed = jobs.change(queue_position.job(), |job| {
-                self.place_job(job, fleet, subset, sessions, now)
+            let is_skipped = jobs.change(queue_position.job(), |job| {
+                let lane = targets.confinement.lane(job);
+                // Jobs that wait for a trial say nothing about the resources that are free.
+                !self.place_job(job, lane, targets, now) && lane != Lane::Trial
             });
-            if all_placed == Some(false) {
+            if is_skipped == Some(true) {
                 skipped_count += 1;
             }
             if skipped_count >= SKIPPED_JOBS_MAX {
@@ -56,7 +67,7 @@
             }
         }
         if skipped_count > 0 {
-            subset.request_early_round();
+            targets.subset.request_early_round();
         }
     }
 
@@ -64,26 +75,30 @@
     fn place_job(
         &mut self,
         job: &mut Job,
-        fleet: &mut Fleet,
-        subset: &mut SidecarSubset,
-        sessions: &mut Sessions,
+        lane: Lane,
+        targets: &mut Targets<'_>,
         now: Instant,
     ) -> bool {
         let waiting: SmallVec<[usize; 16]> = job.waiting_positions().collect();
         waiting
             .into_iter()
-            .all(|position| self.place_task(job, position, fleet, subset, sessions, now))
+            .all(|position| self.place_task(job, position, lane, targets, now))
     }
 
     fn place_task(
         &mut self,
         job: &mut Job,
         position: usize,
-        fleet: &mut Fleet,
-        subset: &mut SidecarSubset,
-        sessions: &mut Sessions,
+        lane: Lane,
+        targets: &mut Targets<'_>,
         now: Instant,
     ) -> bool {
+        let Targets {
+            fleet,
+            subset,
+            sessions,
+            confinement,
+        } = targets;
         let task = &job.tasks[position];
         let step = &job.steps[usize::from(task.step)];
         let labels = [&step.required_label, &step.data_rack];
@@ -100,11 +115,29 @@
             service: &job.service,
             resources: step.resources,
             estimate: step.estimate,
-            time_left: job.run_time_left(step.estimate, now),
+            time_left: match lane {
+                Lane::Any | Lane::Rest => job.run_time_left(step.estimate, now),
+                Lane::Trial => Duration::MAX,
+            },
             required_label: step.required_label.as_deref(),
             preferred_label: step.data_rack.as_deref(),
         };
+        let idle: SmallVec<[Incarnation; 8]> = match lane {
+            Lane::Trial => fleet.idle(&job.service).collect(),
+            Lane::Any | Lane::Rest => SmallVec::new(),
+        };
+        let trial_at = job.trial_at();
         let penalty = |sidecar| {
+            let is_open = match lane {
+                Lane::Any | Lane::Rest => true,
+                Lane::Trial => match trial_at {
+                    Some(trial_at) => sidecar == trial_at,
+                    None => idle.contains(&sidecar),
+                },
+            };
+            if !is_open || !confinement.is_in_lane(lane, sidecar) {
+                return None;
+            }
             let placed_there = job.placed_count(task.step, sidecar);
             if step.per_minion_max.is_some_and(|max| placed_there >= max) {
                 return None;
@@ -128,7 +161,7 @@
             estimate,
             is_movable: task.avoided_sidecars.len() < MOVES_MAX,
             queue: job.queue_tag,
-            is_trial: false,
+            is_trial: lane == Lane::Trial,
             service: job.service.clone(),
             spec: job.spec.clone(),
             sidecar_stamp_ms: stamp_ms,
@@ -146,6 +179,9 @@
         );
         fleet.record_placement(sidecar, number, resources, now);
         job.mark_placed(position, sidecar, attempt);
+        if lane == Lane::Trial {
+            job.begin_trial(sidecar);
+        }
         true
     }
 }
--- a/knapweedrill/src/dispatch/entry/sidecar_view.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_view.rs
@@ -141,6 +141,12 @@
             .is_some_and(|status| status.availability == MinionAvailability::Suspect)
     }
 
+    /// Returns whether nothing runs there, by the newest status and the orders since.
+    pub(super) fn is_idle(&self) -> bool {
+        let capacity = self.profile.as_ref().map(|profile| profile.capacity);
+        capacity.is_some_and(|capacity| self.free() == capacity)
+    }
+
     /// Returns whether a suspect minion may get a probe task: it is idle, and the last one is at
     /// least `interval` old.
     pub fn may_be_probed(&self, now: Instant, interval: Duration) -> bool {
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -169,6 +169,8 @@
     pub count: u32,
     /// The queue whose run is the likely cause of the last one, if there was one.
     pub queue: Option<QueueTag>,
+    /// The number of jobs on trial whose runs there have ended without a crash.
+    pub passed_count: u32,
 }
 
 /// The current status of a sidecar. Every datagram of a session repeats it, so that a lost one does
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -637,7 +637,11 @@
             self.stats
                 .record_outcome(ended.run.task.job, end == RunEnd::Failed);
         }
+        let is_trial = run.is_trial;
         self.settle(ended.run, outcome);
+        if is_trial && self.runs.is_empty() && matches!(end, RunEnd::Done | RunEnd::Failed) {
+            self.crashes.trial_passed();
+        }
     }
 
     /// Acknowledges the ends that could not be parsed. While any end of the answer can't be
--- a/knapweedrill/src/dispatch/sidecar/crash_log.rs
+++ b/knapweedrill/src/dispatch/sidecar/crash_log.rs
@@ -40,6 +40,11 @@
         self.record.queue = Some(cause);
     }
 
+    /// Records that the last run of a job on trial has ended without a crash.
+    pub(super) fn trial_passed(&mut self) {
+        self.record.passed_count = self.record.passed_count.saturating_add(1);
+    }
+
     /// Records that a new incarnation of the minion has started, or that it answers again.
     pub(super) fn recovered(&mut self) {
         self.is_down = false;
