fix(sidecar): a run that a crashed minion never confirmed is told apart from one that it had started

Cause: every run of a crashed minion whose order may have arrived counted as a crash under its task. Change: only runs that the minion has accepted, or listed, count towards the two crashes after which a job fails. Others count as possible; after three possible crashes the job is given up without a claim. Test: run_that_the_minion_never_confirmed_is_no_confirmed_crash; with the code before both ends are reported as Crashed.

--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -16,6 +16,10 @@
 /// The number of minions that may crash during the runs of one task before its job fails.
 const CRASH_COUNT_MAX: u32 = 2;
 
+/// The number of minions that may crash while they may have been running one task, whether they
+/// confirmed it or not, before its job is given up.
+const POSSIBLE_CRASH_COUNT_MAX: u32 = 3;
+
 /// The state of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -54,6 +58,8 @@
     pub(super) failed_count: u32,
     /// The number of runs during which the minion crashed.
     pub(super) crash_count: u32,
+    /// The crashes of minions that may have been running it, confirmed or not.
+    pub(super) possible_crash_count: u32,
     /// The sidecars where it failed, was lost or stopped, or was refused as unhealthy.
     pub(super) avoided_sidecars: SmallVec<[Incarnation; 2]>,
 }
@@ -106,6 +112,7 @@
                 placement_count: 0,
                 failed_count: 0,
                 crash_count: 0,
+                possible_crash_count: 0,
                 avoided_sidecars: SmallVec::new(),
             })
         });
@@ -230,13 +237,17 @@
                     return Progress::Failed;
                 }
             }
-            RunEnd::Crashed => {
-                task.crash_count += 1;
+            RunEnd::Crashed | RunEnd::CrashedUnconfirmed => {
+                task.crash_count += u32::from(end == RunEnd::Crashed);
+                task.possible_crash_count += 1;
                 task.avoided_sidecars.push(at);
                 task.state = TaskState::Waiting;
                 if task.crash_count >= CRASH_COUNT_MAX {
                     return Progress::Failed;
                 }
+                if task.possible_crash_count >= POSSIBLE_CRASH_COUNT_MAX {
+                    return Progress::GivenUp;
+                }
                 if self.trial_at == Some(at) {
                     // Nothing else ran there, so another start would crash another minion.
                     return Progress::GivenUp;
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -135,6 +135,8 @@
     Lost,
     /// The minion crashed during the run.
     Crashed,
+    /// The minion crashed and may have started the run before, but never confirmed it.
+    CrashedUnconfirmed,
 }
 
 /// The properties of a minion that seldom change.
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -263,6 +263,7 @@
             is_movable: order.is_movable,
             ordered_at: now,
             phase: Phase::Starting,
+            is_confirmed: false,
             abandoned_at: None,
             unanswered_count: 0,
             order_count: 0,
@@ -312,6 +313,7 @@
         }
         match run.step_after(answer, now) {
             StartStep::Accepted => {
+                run.is_confirmed = true;
                 run.phase = Phase::Running(now);
                 self.stats
                     .record_start_delay(now.saturating_duration_since(run.ordered_at));
@@ -671,6 +673,7 @@
     /// settles runs that are missing at the minion.
     fn reconcile_running(&mut self, answer: &HoldAnswer, hold_sent_at: Instant, now: Instant) {
         let running: HashSet<RunKey> = answer.running.iter().map(|(key, _)| *key).collect();
+        self.runs.confirm(&running);
         for key in self.runs.update_orphans(&running) {
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number;
@@ -796,7 +799,7 @@
         self.runs.remove_orphans(Some(key));
         if let Some(run) = self.runs.get(key) {
             let outcome = if self.crashes.ended(run) {
-                run.outcome(RunEnd::Crashed, now)
+                run.outcome(run.crash_end(), now)
             } else {
                 run.outcome_if_missing(now)
             };
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -35,6 +35,8 @@
     pub(super) is_movable: bool,
     pub(super) ordered_at: Instant,
     pub(super) phase: Phase,
+    /// Whether the minion has accepted it.
+    pub(super) is_confirmed: bool,
     /// When its entry gave it up or was found to be gone, so that it has to end soon: the task may
     /// be started elsewhere.
     pub(super) abandoned_at: Option<Instant>,
@@ -95,6 +97,15 @@
         }
     }
 
+    /// Returns how the run ended if its minion has crashed.
+    pub(super) fn crash_end(&self) -> RunEnd {
+        if self.is_confirmed {
+            RunEnd::Crashed
+        } else {
+            RunEnd::CrashedUnconfirmed
+        }
+    }
+
     /// Returns the outcome of a run that the minion does not have, although it may have had it.
     pub(super) fn outcome_if_missing(&self, now: Instant) -> PlacementOutcome {
         match self.phase {
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -140,6 +140,13 @@
         }
     }
 
+    /// Records which runs the minion has.
+    pub(super) fn confirm(&mut self, running: &HashSet<RunKey>) {
+        for run in self.ordered.values_mut() {
+            run.is_confirmed |= running.contains(&run.key);
+        }
+    }
+
     /// Updates the orphaned runs from what runs at the minion and returns those found for the first
     /// time.
     pub(super) fn update_orphans(&mut self, running: &HashSet<RunKey>) -> Vec<RunKey> {
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1016,3 +1016,32 @@
     }
     assert_eq!(fixture.sidecar.run_count(), 0);
 }
+
+/// Guards against a job that is shown as failed because minions crashed beside a task that they had
+/// never started.
+#[test]
+fn run_that_the_minion_never_confirmed_is_no_confirmed_crash() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.order_start(1, 2);
+    fixture.answer_start(OrderAnswer::NoAnswer);
+    for _ in 0..4 {
+        let call = fixture.holds.last().expect("a hold was sent").call;
+        fixture
+            .sidecar
+            .hold_failed(call, HoldFailure::NotSent, fixture.now);
+        fixture.advance(20 * MS);
+    }
+    fixture.advance(700 * MS);
+    let mut ends: Vec<RunEnd> = fixture
+        .outcomes
+        .iter()
+        .filter_map(|outcome| match outcome {
+            PlacementOutcome::Ended { end, .. } => Some(*end),
+            PlacementOutcome::Refused(_) => None,
+        })
+        .collect();
+    ends.sort_by_key(|end| *end == RunEnd::CrashedUnconfirmed);
+    assert_eq!(ends, [RunEnd::Crashed, RunEnd::CrashedUnconfirmed]);
+}
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -151,6 +151,7 @@
         RunEnd::Stopped => "stopped",
         RunEnd::Lost => "lost",
         RunEnd::Crashed => "crashed",
+        RunEnd::CrashedUnconfirmed => "crashed-unconfirmed",
     }
 }
 
