fix(sidecar): only an accepted stop of this incarnation counts as one

A stop that the minion turned down (unhealthy, unreadable answer), or that the last incarnation of the minion had answered, counted as carried out: it was not repeated, the lease was renewed again, and the run went on to its natural end while its task could run elsewhere. Change: anything but an accepted stop is repeated like one without an answer. Evidence: stop_that_the_minion_turned_down_is_repeated (two cases) and stop_answered_by_the_last_incarnation_is_repeated_to_the_next fail before; dispatch_sidecar 51 of 51 after.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -360,24 +360,25 @@
             self.update_clock(clock_ms, now);
         }
         match answer {
-            OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
-                log::warn!(
-                    job:% = key.task.job, task = key.task.index, run = key.number;
-                    "stop without an answer"
-                );
-                self.orders
-                    .retry_stop_at(key, now + self.settings.stop_retry_pause);
-            }
+            OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
             OrderAnswer::Fenced => {
                 self.orders.raise_fencing_token();
                 self.order_stop(key, now);
             }
-            OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
-            _ => {
+            OrderAnswer::Accepted if !order.is_outdated => {
                 if let Some(run) = self.runs.get_mut(key) {
                     run.phase = Phase::Stopped(now);
                 }
             }
+            _ => {
+                log::warn!(
+                    job:% = key.task.job, task = key.task.index, run = key.number,
+                    answer:? = answer, is_outdated = order.is_outdated;
+                    "stop without an answer"
+                );
+                self.orders
+                    .retry_stop_at(key, now + self.settings.stop_retry_pause);
+            }
         }
     }
 
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1045,3 +1045,36 @@
     ends.sort_by_key(|end| *end == RunEnd::CrashedUnconfirmed);
     assert_eq!(ends, [RunEnd::Crashed, RunEnd::CrashedUnconfirmed]);
 }
+
+/// Guards against a run that goes on, with a lease that is renewed, because the minion turned its
+/// stop order down.
+#[test_case(OrderAnswer::Unhealthy; "unhealthy")]
+#[test_case(OrderAnswer::Malformed; "unreadable answer")]
+fn stop_that_the_minion_turned_down_is_repeated(answer: OrderAnswer) {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
+    fixture.collect_actions();
+    fixture.answer_stop(answer);
+    fixture.advance(30 * MS);
+    assert_eq!(fixture.stops.len(), 2);
+}
+
+/// Guards against a stop that counts for the next incarnation of a minion although the last one
+/// answered it: the late start of the run is then never stopped.
+#[test]
+fn stop_answered_by_the_last_incarnation_is_repeated_to_the_next() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
+    fixture.collect_actions();
+    fixture.started_unix_ms = 90_000;
+    fixture.send_heartbeat();
+    fixture.answer_stop(OrderAnswer::Accepted);
+    fixture.advance(30 * MS);
+    fixture.answer_hold(vec![(run(0), 1)], Vec::new());
+    fixture.advance(30 * MS);
+    assert!(fixture.stops.len() >= 2, "{} stops", fixture.stops.len());
+}
