fix(sidecar): a restart that a hold answer shows settles runs only with the next answer; no refusal while an order is in flight

Both report a run as ended, or as never started, while an order for it may still be carried out. The call whose answer shows a new incarnation carried the old fencing token, so a late order to the last incarnation could still start; the runs were reported at once. And a run whose only order was in flight counted as never sent when the minion was replaced or its lease expired. Change: the answer only tells the new incarnation and its clock; the next one, to a call with the new token, settles the runs. An order in flight counts as unanswered.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -433,6 +433,12 @@
             minion.reset_for_restart(answer.started_unix_ms, self.settings.lease_max);
             self.orders.begin_incarnation();
             self.stats = MinionStats::default();
+            // Until a call brings it the new fencing token, this incarnation may still start runs
+            // of late orders to the last one. The next answer tells which runs are there.
+            minion.correct_clock(answer.clock_ms, self.settings.lease_max, now);
+            self.crashes.recovered();
+            self.holds.record_answer(now);
+            return;
         }
         self.crashes.recovered();
         self.stats.record_end_delay(self.holds.unanswered_for(now));
@@ -810,6 +816,13 @@
 
     fn settle_all_missing(&mut self, now: Instant) {
         for key in self.runs.keys() {
+            if let Some(run) = self.runs.get_mut(key)
+                && run.phase == Phase::Starting
+                && run.order_count > 0
+            {
+                // The order in flight may have been carried out.
+                run.unanswered_count += 1;
+            }
             self.settle_missing(key, now);
         }
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1078,3 +1078,32 @@
     fixture.advance(30 * MS);
     assert!(fixture.stops.len() >= 2, "{} stops", fixture.stops.len());
 }
+
+/// Guards against runs that are reported as ended before the next incarnation of their minion knows
+/// a fencing token that keeps it from starting them late.
+#[test]
+fn restart_seen_in_a_hold_answer_settles_runs_only_with_the_next_answer() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(10 * MS);
+    fixture.started_unix_ms = 90_000;
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.outcomes, []);
+    fixture.advance(10 * MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.only_end(), RunEnd::Crashed);
+}
+
+/// Guards against a refusal that claims that a task never ran while an order for it was in flight.
+#[test]
+fn run_with_an_order_in_flight_is_not_refused_when_its_minion_is_replaced() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.started_unix_ms = 90_000;
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.profile.instance = "another".into());
+    fixture.collect_actions();
+    let [PlacementOutcome::Ended { .. }] = fixture.outcomes[..] else {
+        panic!("{:?}", fixture.outcomes);
+    };
+}
