test(simulation): a process with a steady clock knows of no suspension

The simulated entry was told of its suspension by a clock that does not count it, so that since the test by that clock found no second run. dispatch_run_once passes without the one ignored.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -914,7 +914,12 @@
         let mut entry_actions = Vec::new();
         let pause = Pause {
             duration: Duration::from_millis(now_ms - node.last_run_ms),
-            suspended: Duration::from_millis(node.suspended_ms - node.suspended_before_ms),
+            suspended: match self.process_clock {
+                ProcessClock::Steady => Duration::ZERO,
+                ProcessClock::CountsSuspension => {
+                    Duration::from_millis(node.suspended_ms - node.suspended_before_ms)
+                }
+            },
         };
         node.last_run_ms = now_ms;
         node.suspended_before_ms = node.suspended_ms;
