--- a/knapweedrill_lab/tests/dispatch_promises.rs
+++ b/knapweedrill_lab/tests/dispatch_promises.rs
@@ -123,7 +123,6 @@
 #[test_case(&[Fault::FreezeAndDisconnect]; "broken connections while entries are frozen")]
 #[test_case(&[Fault::SuspendAndDisconnect]; "broken connections while entries are suspended")]
 #[test_case(&ALL_EXTRA_FAULTS; "all kinds")]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn no_task_runs_twice_on_long_days_with_pauses(extra_faults: &'static [Fault]) {
     run_long_days(machine_faults_with(extra_faults));
 }
