refactor(sidecar): one predicate for runs whose stop has no answer; one place where the entry's loop begins its clock

unconfirmed_stop_since and unconfirmed_stops each spelt the condition out, and the event loop set active_at twice. Behaviour is the same: clippy of both crates, dispatch_sidecar (53), dispatch_run_once, dispatch_promises and dispatch_unanswered_calls pass.

--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns whether its entry has abandoned it and its stop order has no answer yet.
+    pub(super) fn has_unconfirmed_stop(&self) -> bool {
+        self.phase == Phase::Stopping && self.abandoned_at.is_some()
+    }
+
     /// Returns how the run ended if its minion has crashed.
     pub(super) fn crash_end(&self) -> RunEnd {
         if self.is_confirmed {
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -89,10 +89,7 @@
     /// Returns since when the minion may have a run that has to end and whose stop order has no
     /// answer. Orphaned runs count from `now`.
     pub(super) fn unconfirmed_stop_since(&self, now: Instant) -> Option<Instant> {
-        let unconfirmed = self
-            .ordered
-            .values()
-            .filter(|run| run.phase == Phase::Stopping);
+        let unconfirmed = self.iter().filter(|run| run.has_unconfirmed_stop());
         let orphans = self.has_orphans().then_some(now);
         unconfirmed
             .filter_map(|run| run.abandoned_at)
@@ -102,9 +99,8 @@
 
     /// Returns the abandoned runs whose stop order has no answer.
     pub(super) fn unconfirmed_stops(&self) -> Vec<RunKey> {
-        self.ordered
-            .values()
-            .filter(|run| run.phase == Phase::Stopping && run.abandoned_at.is_some())
+        self.iter()
+            .filter(|run| run.has_unconfirmed_stop())
             .map(|run| run.key)
             .collect()
     }
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -209,7 +209,6 @@
         let clock = process.clock;
         let mut next_tick = clock.now();
         let mut next_gauge_update = next_tick;
-        self.active_at = next_tick;
         loop {
             let timeout = event_timeout(next_tick, self.entry.next_session_due(), clock.now());
             match events.recv_timeout(timeout) {
