test(review): show tasks that run twice after an entry stood still

Cause: placement is held back for 200 ms after a pause, but requests that the machine had not acknowledged arrive later than that.

--- /dev/null
+++ b/review/standins/proxy.rs
@@ -0,0 +1,155 @@
+//! Proxies that delay, drop and reset.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// When the machine behind a [`Forwarder`] stands still: since when, and until when if it is known.
+pub type Freeze = Arc<Mutex<Option<(Instant, Option<Instant>)>>>;
+
+/// The pauses of a TCP sender before it sends unacknowledged bytes again: 200 ms, then twice as long
+/// each time.
+const RETRANSMISSION_MS: [u64; 6] = [200, 600, 1_400, 3_000, 6_200, 12_600];
+
+/// The time from a segment to its acknowledgement: clients are 1 ms away.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// The platform's forwarder: passes channels of clients on to one machine. A machine that stands
+/// still acknowledges nothing, so bytes for it arrive when its peer first sends them again after the
+/// machine is awake. The end of a channel is sent once the bytes before it are acknowledged.
+pub struct Forwarder {
+    pub address: SocketAddr,
+}
+
+impl Forwarder {
+    pub fn start(listen: SocketAddr, to: SocketAddr, freeze: Freeze) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let Ok(machine) = TcpStream::connect(to) else {
+                    continue;
+                };
+                let _ = (client.set_nodelay(true), machine.set_nodelay(true));
+                let (Ok(from_machine), Ok(to_client)) = (machine.try_clone(), client.try_clone())
+                else {
+                    continue;
+                };
+                let freeze = Arc::clone(&freeze);
+                thread::spawn(move || forward(client, machine, Some(&freeze)));
+                thread::spawn(move || forward(from_machine, to_client, None));
+            }
+        });
+        Ok(Self { address })
+    }
+}
+
+fn forward(mut from: TcpStream, mut to: TcpStream, freeze: Option<&Freeze>) {
+    let mut bytes = [0; 16_384];
+    loop {
+        let length = from.read(&mut bytes).unwrap_or(0);
+        if let Some(freeze) = freeze {
+            wait_for_arrival(freeze);
+        }
+        if length == 0 {
+            thread::sleep(ROUND_TRIP);
+            let _ = to.shutdown(Shutdown::Write);
+            return;
+        }
+        if to.write_all(&bytes[..length]).is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits until bytes that are sent now arrive.
+fn wait_for_arrival(freeze: &Freeze) {
+    let sent_at = Instant::now();
+    let is_frozen = || match *freeze.lock().unwrap() {
+        None => false,
+        Some((_, until)) => until.is_none_or(|until| Instant::now() < until),
+    };
+    if !is_frozen() {
+        return;
+    }
+    for pause_ms in RETRANSMISSION_MS {
+        let next = sent_at + Duration::from_millis(pause_ms);
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        if !is_frozen() {
+            return;
+        }
+    }
+}
+
+/// A proxy that accepts channels and resets each once a request has begun to arrive.
+pub struct Resetter {
+    pub address: SocketAddr,
+}
+
+impl Resetter {
+    pub fn start(listen: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                // Closing a channel with unread bytes resets it.
+                let _ = client.peek(&mut [0; 1]);
+                drop(client);
+            }
+        });
+        Ok(Self { address })
+    }
+}
+
+/// A proxy of the datagrams of one process. Datagrams that the process sends are dropped while
+/// `drops_sent` is set.
+pub struct DatagramProxy {
+    pub address: SocketAddr,
+    pub drops_sent: Arc<AtomicBool>,
+}
+
+impl DatagramProxy {
+    pub fn start(listen: SocketAddr, process: SocketAddr) -> std::io::Result<Self> {
+        let outside = Arc::new(UdpSocket::bind(listen)?);
+        let address = outside.local_addr()?;
+        let drops_sent = Arc::new(AtomicBool::new(false));
+        let drops = Arc::clone(&drops_sent);
+        thread::spawn(move || {
+            let mut inside: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+            let mut bytes = vec![0; 65_535];
+            loop {
+                let Ok((length, peer)) = outside.recv_from(&mut bytes) else {
+                    continue;
+                };
+                let socket = inside.entry(peer).or_insert_with(|| {
+                    let listen = SocketAddr::new(listen.ip(), 0);
+                    let socket = UdpSocket::bind(listen).expect("a free port");
+                    let socket = Arc::new(socket);
+                    let (outside, drops) = (Arc::clone(&outside), Arc::clone(&drops));
+                    let receiver = Arc::clone(&socket);
+                    thread::spawn(move || {
+                        let mut bytes = vec![0; 65_535];
+                        loop {
+                            let Ok((length, _)) = receiver.recv_from(&mut bytes) else {
+                                continue;
+                            };
+                            if !drops.load(Ordering::SeqCst) {
+                                let _ = outside.send_to(&bytes[..length], peer);
+                            }
+                        }
+                    });
+                    socket
+                });
+                let _ = socket.send_to(&bytes[..length], process);
+            }
+        });
+        Ok(Self {
+            address,
+            drops_sent,
+        })
+    }
+}
