test(review): show tasks that run twice after a reset channel

Cause: an entry does not read a channel of a caller while the next request of the caller is in its buffer, so it does not notice that the channel is reset.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -10,7 +10,7 @@
 
 use crate::http::{self, NoResponse};
 use crate::minion::Minion;
-use crate::proxy::{DatagramProxy, Forwarder, Freeze, Resetter};
+use crate::proxy::{Breaker, DatagramProxy, Forwarder, Freeze, Resetter};
 use crate::record::Record;
 use crate::site::{HOST, SERVICE, SIGCONT, SIGSTOP, Site, free_port, kind};
 
@@ -37,6 +37,7 @@
     record.note(&format!("case {case}, disruption: {has_trouble}"));
     match case {
         "frozen-entry" => frozen_entry(new_site()?, record, has_trouble),
+        "unread-channel" => unread_channel(new_site()?, record, has_trouble),
         "cancel-elsewhere" => cancel_elsewhere(new_site()?, record, has_trouble),
         "late-copy" => late_copy(new_site()?, record, has_trouble),
         "other-kind" => other_kind(new_site()?, record, has_trouble),
@@ -141,6 +142,10 @@
     if answers.iter().any(|status| *status != Some(200)) {
         return Ok(Verdict::NotRun(format!("a job was not run: {answers:?}")));
     }
+    Ok(twice_verdict(record))
+}
+
+fn twice_verdict(record: &Record) -> Verdict {
     let overlaps = record.overlaps();
     for (first, second) in &overlaps {
         record.note(&format!(
@@ -154,10 +159,96 @@
             second.end_ms
         ));
     }
-    Ok(match overlaps.len() {
+    match overlaps.len() {
         0 => Verdict::Held("no task ran twice at the same time".into()),
         count => Verdict::Broken(format!("TWICE: {count} tasks ran twice at the same time")),
-    })
+    }
+}
+
+/// Clients send two jobs each on one channel, the second before the first is answered. The channels
+/// are reset; the clients send both jobs again, to the other entry.
+fn unread_channel(mut site: Site, record: &Record, has_trouble: bool) -> Result<Verdict> {
+    for _ in 0..2 {
+        site.add_entry()?;
+    }
+    for _ in 0..4 {
+        site.add_side(kind(&["a"]))?;
+    }
+    if !site.configure(1, &[PREFIX]) {
+        return Ok(Verdict::NotRun("the entries did not become ready".into()));
+    }
+    let listen = SocketAddr::new(site.entry_ip(20), 0);
+    let breaker = Breaker::start(listen, site.entries[0].callers)?;
+    let other = site.entries[1].callers;
+    // The run time of the tasks and the time for which the client waits, in milliseconds.
+    let clients: Vec<_> = (1..)
+        .zip([(1_400, 1_500), (2_500, 4_000)])
+        .map(|(number, (run_ms, wait_ms))| {
+            let (record, address) = (record.clone(), breaker.address);
+            thread::spawn(move || pipeline(&record, number, (run_ms, wait_ms), address, other))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(70));
+    if has_trouble {
+        breaker.reset();
+        record.note("the channels of the clients to front-0 are reset");
+    }
+    let answers: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    thread::sleep(Duration::from_secs(2));
+    if !answers.iter().flatten().any(|status| *status == Some(200)) {
+        return Ok(Verdict::NotRun(format!("no job was run: {answers:?}")));
+    }
+    Ok(twice_verdict(record))
+}
+
+/// Submits two jobs on one channel. Without responses, submits each again at another entry
+/// `RetransmitMs` later. Returns the status of the last responses.
+fn pipeline(
+    record: &Record,
+    number: u64,
+    (run_ms, wait_ms): (u64, u64),
+    first: SocketAddr,
+    other: SocketAddr,
+) -> Vec<Option<u16>> {
+    let id = |place: u64| format!("{:016x}", 0x7d1e_0000_0000_0000 + 16 * number + place);
+    let long = job_body(4, &format!("cpu=500 ms={run_ms}"), &[run_ms], "");
+    let jobs = [(id(0), long), (id(1), job_body(1, "cpu=500 ms=60", &[60], ""))];
+    let wait = Duration::from_millis(wait_ms);
+    let Ok(mut channel) = TcpStream::connect(first) else {
+        return Vec::new();
+    };
+    let _ = channel.set_nodelay(true);
+    for (id, body) in &jobs {
+        let text = http::request_text("POST", &format!("{PREFIX}{id}"), HOST, wait_ms, body);
+        record.note(&format!("sent: POST {id} to front-0"));
+        if channel.write_all(text.as_bytes()).is_err() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut unanswered = Vec::new();
+    let mut statuses = Vec::new();
+    for (id, body) in jobs {
+        let answer = match unanswered.is_empty() {
+            true => http::read_response(&channel, wait),
+            false => Err(NoResponse::Broken),
+        };
+        record.note(&format!("answered: POST {id} by front-0: {answer:?}"));
+        match answer {
+            Ok((status, _)) => statuses.push(Some(status)),
+            Err(_) => unanswered.push((id, body)),
+        }
+    }
+    drop(channel);
+    if unanswered.is_empty() {
+        return statuses;
+    }
+    thread::sleep(RETRANSMIT);
+    for (id, body) in unanswered {
+        let answer = noted_call(record, ("front-1", other), "POST", &id, wait, &body);
+        statuses.push(answer.ok().map(|(status, _)| status));
+    }
+    statuses
 }
 
 /// Submits a job on an open channel. Without a response, closes the channel and submits the job again
--- a/review/standins/proxy.rs
+++ b/review/standins/proxy.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -105,6 +106,69 @@
     }
 }
 
+/// A proxy that passes channels on, and resets both ends of all of them when told to.
+pub struct Breaker {
+    pub address: SocketAddr,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Breaker {
+    pub fn start(listen: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let open = Arc::clone(&streams);
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let Ok(machine) = TcpStream::connect(to) else {
+                    continue;
+                };
+                let _ = (client.set_nodelay(true), machine.set_nodelay(true));
+                let (Ok(from_machine), Ok(to_client)) = (machine.try_clone(), client.try_clone())
+                else {
+                    continue;
+                };
+                let clones = [client.try_clone(), machine.try_clone()];
+                open.lock().unwrap().extend(clones.into_iter().flatten());
+                thread::spawn(move || forward(client, machine, None));
+                thread::spawn(move || forward(from_machine, to_client, None));
+            }
+        });
+        Ok(Self { address, streams })
+    }
+
+    /// Resets all channels.
+    pub fn reset(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            reset(&stream);
+        }
+    }
+}
+
+unsafe extern "C" {
+    fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
+}
+
+/// The head of `struct sockaddr`.
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    rest: [u8; 14],
+}
+
+/// The family of no address; a connection to it resets an open TCP channel.
+const AF_UNSPEC: u16 = 0;
+
+/// Resets a channel, whoever else holds the socket.
+fn reset(stream: &TcpStream) {
+    let nowhere = SocketAddress {
+        family: AF_UNSPEC,
+        rest: [0; 14],
+    };
+    // SAFETY: the address is valid for the call, and its length is right.
+    unsafe { connect(stream.as_raw_fd(), &nowhere, size_of::<SocketAddress>() as u32) };
+}
+
 /// A proxy of the datagrams of one process. Datagrams that the process sends are dropped while
 /// `drops_sent` is set.
 pub struct DatagramProxy {
