test(review): model the retransmission of requests to a frozen entry

Cause: the script let the end of a channel follow its request by a round trip without a reason. Change: the forwarder sends unacknowledged bytes again as a TCP sender does, one segment first; the requests are three segments long.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -125,7 +125,9 @@
             let record = record.clone();
             thread::spawn(move || {
                 let id = format!("{:016x}", 0x5c0e_7a21_d94b_3600_u64 + number);
-                let body = job_body(8, "cpu=500 ms=900", &[900], "");
+                // With its head the request is three segments long.
+                let spec = format!("cpu=500 ms=900 text={}", "x".repeat(3_500));
+                let body = job_body(8, &spec, &[900], "");
                 submit_twice(&record, &id, channel, other, wait, &body)
             })
         })
--- a/review/standins/proxy.rs
+++ b/review/standins/proxy.rs
@@ -19,9 +19,13 @@
 /// The time from a segment to its acknowledgement: clients are 1 ms away.
 const ROUND_TRIP: Duration = Duration::from_millis(2);
 
+/// The bytes of a segment.
+const SEGMENT_BYTES: usize = 1_448;
+
 /// The platform's forwarder: passes channels of clients on to one machine. A machine that stands
 /// still acknowledges nothing, so bytes for it arrive when its peer first sends them again after the
-/// machine is awake. The end of a channel is sent once the bytes before it are acknowledged.
+/// machine is awake: one segment first, then twice as many with each round trip. The end of a channel
+/// follows in the next round trip.
 pub struct Forwarder {
     pub address: SocketAddr,
 }
@@ -53,37 +57,46 @@
     let mut bytes = [0; 16_384];
     loop {
         let length = from.read(&mut bytes).unwrap_or(0);
-        if let Some(freeze) = freeze {
-            wait_for_arrival(freeze);
-        }
+        let is_sent_again = freeze.is_some_and(wait_for_arrival);
         if length == 0 {
             thread::sleep(ROUND_TRIP);
             let _ = to.shutdown(Shutdown::Write);
             return;
         }
-        if to.write_all(&bytes[..length]).is_err() {
-            return;
+        let mut rest = &bytes[..length];
+        let mut flight_bytes = if is_sent_again { SEGMENT_BYTES } else { length };
+        while !rest.is_empty() {
+            let (flight, later) = rest.split_at(flight_bytes.min(rest.len()));
+            if to.write_all(flight).is_err() {
+                return;
+            }
+            if !later.is_empty() {
+                thread::sleep(ROUND_TRIP);
+            }
+            rest = later;
+            flight_bytes *= 2;
         }
     }
 }
 
-/// Waits until bytes that are sent now arrive.
-fn wait_for_arrival(freeze: &Freeze) {
+/// Waits until bytes that are sent now arrive, and returns whether they had to be sent again.
+fn wait_for_arrival(freeze: &Freeze) -> bool {
     let sent_at = Instant::now();
     let is_frozen = || match *freeze.lock().unwrap() {
         None => false,
         Some((_, until)) => until.is_none_or(|until| Instant::now() < until),
     };
     if !is_frozen() {
-        return;
+        return false;
     }
     for pause_ms in RETRANSMISSION_MS {
         let next = sent_at + Duration::from_millis(pause_ms);
         thread::sleep(next.saturating_duration_since(Instant::now()));
         if !is_frozen() {
-            return;
+            break;
         }
     }
+    true
 }
 
 /// A proxy that accepts channels and resets each once a request has begun to arrive.
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -109,7 +109,8 @@
         let mut lines = log.notes.clone();
         for run in &log.runs {
             let (name, minion) = (format!("{} run {}", run.task, run.run), &run.minion);
-            let what = format!("run began: {name} on {minion} {:?}, Spec {}", run.labels, run.spec);
+            let spec: String = run.spec.chars().take(60).collect();
+            let what = format!("run began: {name} on {minion} {:?}, Spec {spec}", run.labels);
             lines.push((run.start_ms, what));
             if let Some(end_ms) = run.end_ms {
                 lines.push((end_ms, format!("run ended: {name} on {minion}: {}", run.how)));
