--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -476,7 +476,7 @@
     let text = "x".repeat(3_900);
     let mut clients = Vec::new();
     // Short jobs with long texts, whose answers are of no interest.
-    for client in 0..40_u64 {
+    for client in 0..70_u64 {
         let text = text.clone();
         clients.push(thread::spawn(move || {
             let spec = format!("cpu=50 ms=30 text={text}");
