refactor(review): the stand-ins lie beside the report

Cause: each folder in review/ is a case, and that of the stand-ins was none. Change: moves the stand-ins and their script up; no line of them changes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/site review/standins/main.rs
+rustc --edition 2024 -O -o target/review/site review/main.rs
