--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// A request.
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standins/minion.rs
+++ b/review/standins/minion.rs
@@ -46,6 +46,9 @@
     sequence: u64,
     is_draining: bool,
     is_up: bool,
+    /// Whether orders to start get no answer and are kept, to be carried out late.
+    keeps_starts: bool,
+    kept: Vec<Request>,
 }
 
 impl State {
@@ -95,6 +98,8 @@
             sequence: 0,
             is_draining: false,
             is_up: true,
+            keeps_starts: false,
+            kept: Vec::new(),
         };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let (handled, log) = (Arc::clone(&shared), record.clone());
@@ -124,6 +129,25 @@
         })
     }
 
+    /// Leaves orders to start unanswered from now on, and keeps them.
+    pub fn keep_starts(&self) {
+        self.shared.0.lock().unwrap().keeps_starts = true;
+    }
+
+    /// Returns the orders that were kept.
+    pub fn kept(&self) -> Vec<Request> {
+        std::mem::take(&mut self.shared.0.lock().unwrap().kept)
+    }
+
+    /// Carries out orders that arrive late.
+    pub fn carry_out(&self, orders: &[Request]) {
+        for order in orders {
+            let answer = handle(&self.shared, &self.record, order);
+            let status = answer.map(|(status, _)| status);
+            self.record.note(&format!("late order carried out: {status:?}"));
+        }
+    }
+
     /// Ends the minion as a crash does: its runs end, its listener and its channels are closed.
     pub fn crash(&self) {
         self.server.stop();
@@ -212,6 +236,12 @@
     if !state.is_up {
         return None;
     }
+    if state.keeps_starts && request.path == "/v1/run-start" {
+        state.kept.push(request.clone());
+        drop(state);
+        thread::sleep(Duration::from_secs(1));
+        return None;
+    }
     let expected = request.headers.get("x-knapweedrill-expect-instance");
     if expected.is_some_and(|id| *id != state.id) {
         return reply(421, "");
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -49,8 +49,7 @@
 
 /// A machine with a minion: its sidecar process and its addresses.
 pub struct Side {
-    /// Killed with the site.
-    _process: Process,
+    pub process: Process,
     pub minion: Option<Minion>,
     pub app: SocketAddr,
     pub control: SocketAddr,
@@ -137,7 +136,7 @@
         let id = format!("i-{index}-1");
         let minion = Minion::start(&id, kind, app, control, &self.record)?;
         self.sides.push(Side {
-            _process: process,
+            process,
             minion: Some(minion),
             app,
             control,
