feat(session): tell how long stop orders go unacknowledged

Change: gauge stop_pending_ms at the entry, a line when an acknowledgement comes after more than 600 ms, a line at the sidecar when an entry stops a run. A message is queued with the time, so Sessions::send takes it.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -159,6 +159,11 @@
         self.sessions.len()
     }
 
+    /// Returns for how long a sidecar has not acknowledged a stop order, at most.
+    pub fn stop_pending_for(&self, now: Instant) -> Duration {
+        self.sessions.stop_pending_for(now)
+    }
+
     /// Returns the directory of all sidecars that this entry knows of.
     pub fn directory(&self) -> &Directory {
         self.subset.directory()
@@ -712,7 +717,7 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        stop_placements(&job, &mut self.fleet, &mut self.sessions);
+        stop_placements(&job, &mut self.fleet, &mut self.sessions, now);
         let Some(answer) = answer else {
             return;
         };
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -167,7 +167,7 @@
             sidecar_stamp_ms: stamp_ms,
             run_number: task.placement_count + 1,
         };
-        let Some(number) = sessions.send(sidecar, Message::Start(order)) else {
+        let Some(number) = sessions.send(sidecar, Message::Start(order), now) else {
             return false;
         };
         self.last_attempt = attempt;
@@ -187,7 +187,7 @@
 }
 
 /// Sends stop orders for all placements of a job and releases their resources.
-pub(super) fn stop_placements(job: &Job, fleet: &mut Fleet, sessions: &mut Sessions) {
+pub(super) fn stop_placements(job: &Job, fleet: &mut Fleet, sessions: &mut Sessions, now: Instant) {
     for (position, task) in job.tasks.iter().enumerate() {
         let TaskState::Placed(sidecar) = task.state else {
             continue;
@@ -197,7 +197,7 @@
             attempt: task.attempt,
         };
         // Without a session the sidecar stops the run by itself.
-        let _ = sessions.send(sidecar, stop);
+        let _ = sessions.send(sidecar, stop, now);
         fleet.record_end(sidecar, job.resources(position));
     }
 }
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -10,6 +10,7 @@
 use super::sessions::Identity;
 use crate::common::Incarnation;
 use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
+use crate::dispatch::units::millis;
 
 /// The maximum number of messages in a datagram. Twelve orders of 4 KB, the longest there are, fit
 /// into the 64 KiB of a datagram.
@@ -22,6 +23,9 @@
 /// datagrams. More than the restarts that a late datagram can span.
 const FORMER_INCARNATION_COUNT_MAX: usize = 8;
 
+/// The time after which an acknowledgement of a stop order counts as late and is logged.
+const LATE_STOP_AFTER: Duration = Duration::from_millis(600);
+
 /// The number of heartbeats that the other side of a session without work may miss.
 const MISSED_IDLE_HEARTBEAT_COUNT_MAX: u32 = 3;
 
@@ -43,6 +47,13 @@
     Status(Incarnation, SidecarStatus, MessageNumber),
 }
 
+/// A stop order that the other side has not acknowledged.
+#[derive(Debug)]
+struct PendingStop {
+    number: MessageNumber,
+    queued_at: Instant,
+}
+
 /// The events caused by one datagram.
 pub(super) type SessionEvents = SmallVec<[SessionEvent; 4]>;
 
@@ -60,6 +71,8 @@
     former_incarnations: VecDeque<Incarnation>,
     /// Unacknowledged messages; the first has the number `acknowledged + 1`.
     outbox: VecDeque<Message>,
+    /// The stop orders among them.
+    pending_stops: VecDeque<PendingStop>,
     acknowledged: MessageNumber,
     sent: MessageNumber,
     retransmit_at: Option<Instant>,
@@ -92,6 +105,7 @@
             remote: None,
             former_incarnations: VecDeque::new(),
             outbox: VecDeque::new(),
+            pending_stops: VecDeque::new(),
             acknowledged: 0,
             sent: 0,
             retransmit_at: None,
@@ -123,9 +137,21 @@
     }
 
     /// Queues a message and returns its number.
-    pub(super) fn push(&mut self, message: Message) -> MessageNumber {
+    pub(super) fn push(&mut self, message: Message, now: Instant) -> MessageNumber {
+        let number = self.acknowledged + self.outbox.len() as MessageNumber + 1;
+        if matches!(message, Message::Stop { .. }) {
+            self.pending_stops.push_back(PendingStop {
+                number,
+                queued_at: now,
+            });
+        }
         self.outbox.push_back(message);
-        self.acknowledged + self.outbox.len() as MessageNumber
+        number
+    }
+
+    /// Returns when the oldest stop order without an acknowledgement was queued.
+    pub(super) fn stop_pending_since(&self) -> Option<Instant> {
+        self.pending_stops.front().map(|stop| stop.queued_at)
     }
 
     /// Sets the status to send to the other side, and returns whether it differs from the last.
@@ -239,6 +265,7 @@
         for _ in self.acknowledged..received {
             self.outbox.pop_front();
         }
+        self.drop_acknowledged_stops(received, now);
         self.acknowledged = received;
         self.sent = self.sent.max(received);
         self.retransmit_delay = self.settings.retransmit_delay;
@@ -246,6 +273,21 @@
         self.unacknowledged_since = self.retransmit_at.map(|_| now);
     }
 
+    fn drop_acknowledged_stops(&mut self, received: MessageNumber, now: Instant) {
+        while let Some(stop) = self
+            .pending_stops
+            .pop_front_if(|stop| stop.number <= received)
+        {
+            let delay = now.saturating_duration_since(stop.queued_at);
+            if delay > LATE_STOP_AFTER {
+                log::warn!(
+                    process:% = self.remote.unwrap_or(0), delay_ms = millis(delay);
+                    "stop order acknowledged late"
+                );
+            }
+        }
+    }
+
     fn accept_messages(
         &mut self,
         first: MessageNumber,
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -119,13 +119,26 @@
     }
 
     /// Queues a message and returns its number, or `None` if there is no session with the process.
-    pub fn send(&mut self, to: Incarnation, message: Message) -> Option<MessageNumber> {
+    pub fn send(
+        &mut self,
+        to: Incarnation,
+        message: Message,
+        now: Instant,
+    ) -> Option<MessageNumber> {
         let address = *self.addresses.get(&to)?;
-        let number = self.peers.get_mut(&address)?.push(message);
+        let number = self.peers.get_mut(&address)?.push(message, now);
         self.mark_dirty(address);
         Some(number)
     }
 
+    /// Returns for how long the oldest stop order without an acknowledgement has been pending.
+    pub fn stop_pending_for(&self, now: Instant) -> Duration {
+        let since = self.peers.values().filter_map(Peer::stop_pending_since);
+        since
+            .min()
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Sets the status to send to a process.
     pub fn set_status(&mut self, to: Incarnation, status: SidecarStatus) {
         self.change(to, |peer| peer.set_status(status));
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -277,6 +277,10 @@
         if let Some(key) = self.runs.find_placement(entry, task, attempt) {
             if let Some(run) = self.runs.get_mut(key) {
                 run.abandoned_at.get_or_insert(now);
+                log::info!(
+                    job:% = task.job, task = task.index, attempt, run = key.number,
+                    age_ms = millis(run.age(now)); "run stopped by its entry"
+                );
             }
             self.begin_stop(key, now);
         }
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -113,7 +113,7 @@
             match action {
                 SidecarAction::Send(entry, message) => {
                     // Fails only for entries whose session has ended.
-                    let _ = self.sessions.send(entry, message);
+                    let _ = self.sessions.send(entry, message, now);
                 }
                 order => outgoing.orders.push(order),
             }
--- a/knapweedrill/tests/dispatch_sessions.rs
+++ b/knapweedrill/tests/dispatch_sessions.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Queues a message of the entry.
+    fn send(&mut self, message: Message) {
+        self.sides[0].send(22, message, self.now);
+    }
+
     /// Advances the time by one step. `copy_count` returns how often each datagram arrives.
     fn step(&mut self, mut copy_count: impl FnMut() -> usize) {
         self.now += STEP;
@@ -106,7 +111,7 @@
         let mut next = 0;
         for count in sends {
             for _ in 0..count {
-                pair.sides[0].send(22, message(next));
+                pair.send(message(next));
                 next += 1;
             }
             pair.step(|| copy_counts.next().unwrap_or(1));
@@ -121,7 +126,7 @@
 fn new_incarnation_ends_the_session_and_late_datagrams_of_the_old_one_are_ignored() {
     let mut pair = Pair::new();
     pair.settle();
-    pair.sides[0].send(22, message(1));
+    pair.send(message(1));
     let (late, _) = pair.sides[0].poll(pair.now);
     let restarted = Identity {
         incarnation: 33,
@@ -140,7 +145,7 @@
         let events = pair.sides[1].receive(address(0), envelope, pair.now);
         assert!(events.is_empty(), "{events:?}");
     }
-    pair.sides[0].send(22, message(2));
+    pair.send(message(2));
     pair.settle();
     assert_eq!(pair.received, [2]);
 }
@@ -154,7 +159,7 @@
         pair.step(|| 0);
     }
     assert!(pair.events.contains(&(0, SessionEvent::Silent(22))));
-    pair.sides[0].send(22, message(1));
+    pair.send(message(1));
     pair.settle();
     assert!(pair.events.contains(&(0, SessionEvent::Resumed(22))));
     assert_eq!(pair.received, [1]);
@@ -167,7 +172,7 @@
     pair.events.clear();
     for number in 0..200 {
         if number % 47 == 0 {
-            pair.sides[0].send(22, message(number));
+            pair.send(message(number));
         }
         pair.step(|| 1);
     }
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -392,6 +392,10 @@
             ("usable_minions", self.entry.usable_minion_count() as u64),
             ("known_sidecars", self.entry.directory().len() as u64),
             ("sessions", self.entry.session_count() as u64),
+            (
+                "stop_pending_ms",
+                self.entry.stop_pending_for(now).as_millis() as u64,
+            ),
             ("ready", u64::from(self.entry.is_ready())),
         ];
         for (name, value) in gauges {
