test(dispatch): stop orders behind lost start orders let a task run twice

What callers see: a job is answered 504, sent again 1,300 ms later to another entry, and runs at both.

Cause, shown: an entry gives the job up, its stop order waits in the session behind start orders that are too long for the link, while heartbeats arrive. The simulation can now lose datagrams by the packets that carry them, lose long ones, and limit the rate of links.

--- a/knapweedrill_lab/tests/dispatch_promises.rs
+++ b/knapweedrill_lab/tests/dispatch_promises.rs
@@ -143,6 +143,7 @@
         failed_task_permille: 30,
         machine_fault_permille: 3_000,
         extra_faults,
+        ..FaultSettings::default()
     });
 }
 
--- a/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
@@ -4,6 +4,14 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct FaultSettings {
     pub(crate) lost_datagram_permille: u32,
+    /// Packets that are lost; a datagram arrives only if all packets that carry it do.
+    pub(crate) lost_packet_permille: u32,
+    /// The length above which datagrams are lost, if there is one.
+    pub(crate) datagram_bytes_max: Option<u64>,
+    /// The rate at which each node sends, if it is limited; datagrams wait for their turn.
+    pub(crate) link_bytes_per_ms: Option<u64>,
+    /// The only node whose link has the three faults above; `None` for all nodes.
+    pub(crate) degraded_link_node: Option<usize>,
     /// The upper bound of the random delay of a datagram, on top of the 1 ms that each takes.
     pub(crate) datagram_delay_max_ms: u64,
     /// Calls to minions that are executed 2 to 6 s late; starts and stops time out before.
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -70,6 +70,12 @@
 /// milliseconds.
 const FREEZE_AFTER_KILL_MS: Range<u64> = 300..600;
 
+/// The bytes of a datagram that one packet carries.
+const PACKET_BYTES: u64 = 1_472;
+
+/// How long a datagram may wait for the link of its sender before it is dropped, in milliseconds.
+const LINK_QUEUE_MAX_MS: u64 = 500;
+
 /// The kinds of faults that are always drawn.
 const USUAL_FAULTS: [Fault; 5] = [
     Fault::Isolate,
@@ -104,6 +110,8 @@
     /// Datagrams in flight, by delivery time in milliseconds and sending order: the receiving node,
     /// the sender and the content.
     datagrams: BTreeMap<(u64, u64), (usize, SocketAddr, Packet)>,
+    /// For each node, until when its link is busy, in milliseconds.
+    links_busy_until_ms: Vec<u64>,
     calls: Vec<PendingCall>,
     /// When most sidecars freeze, and for how long, in milliseconds.
     sidecar_freezes: Vec<(u64, u64)>,
@@ -122,6 +130,8 @@
     /// The profiles of tasks that differ from the default.
     task_profiles: HashMap<TaskName, TaskProfile>,
     default_profile: TaskProfile,
+    /// The specification of new jobs.
+    spec: String,
     pub(crate) deadly_jobs: DeadlyJobs,
     /// Events by time in milliseconds, for the messages of failed assertions; those without a job
     /// concern a node or a minion.
@@ -173,6 +183,7 @@
             hanging_minions: HashSet::new(),
             late_order_minions: HashMap::new(),
             datagrams: BTreeMap::new(),
+            links_busy_until_ms: vec![0; entry_count + sidecar_count],
             calls: Vec::new(),
             sidecar_freezes: Vec::new(),
             process_generations: vec![0; entry_count + sidecar_count],
@@ -184,6 +195,7 @@
             started_jobs: HashSet::new(),
             task_profiles: HashMap::new(),
             default_profile,
+            spec: "what to run".into(),
             deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
         };
@@ -240,6 +252,29 @@
         self.default_profile.run_ms = run_ms;
     }
 
+    /// Sets the run time of the first tasks of a job of one step.
+    pub(crate) fn set_run_ms_of(&mut self, job: JobName, tasks: u32, run_ms: u64) {
+        let profile = TaskProfile {
+            run_ms,
+            ..self.default_profile
+        };
+        for index in 0..tasks {
+            self.set_task_profile(
+                TaskName {
+                    job,
+                    step: 0,
+                    index,
+                },
+                profile,
+            );
+        }
+    }
+
+    /// Sets the length of the specification of new jobs.
+    pub(crate) fn set_spec_bytes(&mut self, spec_bytes: usize) {
+        self.spec = "x".repeat(spec_bytes);
+    }
+
     /// Sets how much slower than real time the clocks of all minions run. Called before time
     /// advances.
     pub(crate) fn slow_minion_clocks(&mut self, drift_permille: u64) {
@@ -360,7 +395,7 @@
             name,
             host: "host".into(),
             path: format!("{path_prefix}{name}"),
-            spec: "what to run".into(),
+            spec: self.spec.clone(),
             steps: vec![StepRequest {
                 task_count: tasks,
                 resources: task_resources(),
@@ -878,11 +913,16 @@
     fn send_datagram(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         self.observations.sent_counts[from] += 1;
         let bytes = postcard::to_stdvec(&packet).expect("packets can be encoded");
-        self.observations.sent_bytes[from] += bytes.len() as u64;
-        let is_lost = self.random.random_range(0..1_000) < self.faults.lost_datagram_permille;
+        let bytes_count = bytes.len() as u64;
+        self.observations.sent_bytes[from] += bytes_count;
+        let is_lost = self.random.random_range(0..1_000) < self.faults.lost_datagram_permille
+            || self.draw_is_packet_lost(from, bytes_count);
         if is_lost || self.nodes[from].isolated_until_ms > self.now_ms {
             return;
         }
+        let Some(queue_ms) = self.wait_for_link(from, bytes_count) else {
+            return;
+        };
         let Some(to) = node_index(to).filter(|to| *to < self.nodes.len()) else {
             return;
         };
@@ -890,10 +930,45 @@
             .random
             .random_range(0..=self.faults.datagram_delay_max_ms);
         self.next_id += 1;
-        let key = (self.now_ms + delay_ms, self.next_id);
+        let key = (self.now_ms + queue_ms + delay_ms, self.next_id);
         self.datagrams.insert(key, (to, address(from), packet));
     }
 
+    fn is_link_degraded(&self, node: usize) -> bool {
+        let degraded = self.faults.degraded_link_node;
+        degraded.is_none_or(|degraded| degraded == node)
+    }
+
+    /// Draws whether any packet of a datagram is lost.
+    fn draw_is_packet_lost(&mut self, node: usize, datagram_bytes: u64) -> bool {
+        if !self.is_link_degraded(node) {
+            return false;
+        }
+        let is_too_long = |bytes_max| datagram_bytes > bytes_max;
+        if self.faults.datagram_bytes_max.is_some_and(is_too_long) {
+            return true;
+        }
+        let permille = self.faults.lost_packet_permille;
+        permille > 0
+            && (0..datagram_bytes.div_ceil(PACKET_BYTES))
+                .any(|_| self.random.random_range(0..1_000) < permille)
+    }
+
+    /// Returns how long a datagram takes to leave its node in milliseconds, or `None` if it is
+    /// dropped because too much waits.
+    fn wait_for_link(&mut self, node: usize, datagram_bytes: u64) -> Option<u64> {
+        let bytes_per_ms = self.faults.link_bytes_per_ms;
+        let Some(bytes_per_ms) = bytes_per_ms.filter(|_| self.is_link_degraded(node)) else {
+            return Some(0);
+        };
+        let begins_ms = self.links_busy_until_ms[node].max(self.now_ms);
+        if begins_ms - self.now_ms > LINK_QUEUE_MAX_MS {
+            return None;
+        }
+        self.links_busy_until_ms[node] = begins_ms + datagram_bytes / bytes_per_ms;
+        Some(self.links_busy_until_ms[node] - self.now_ms)
+    }
+
     fn run_process(&mut self, index: usize) {
         if self.nodes[index].down_until_ms == self.now_ms {
             self.start_process(index);
