fix(dispatch): notice the end of a connection behind a pipelined request

Seen by callers: a caller sends a second request on its connection before the first is answered. The connection breaks or is closed, the caller submits its job to another entry 1,300 ms later, and the task runs twice at the same time: the first entry lets it run on until the caller's deadline.

Cause: the HTTP library reads a connection with a request in flight only while its buffer is empty. With bytes of the next request in it, neither a reset nor the end of the stream is read, the handler is not dropped, and the event loop is not told that the caller has left. The entry echoes heartbeats all the while, so the sidecar has no reason to end the run.

Change: the server shares the stream with its HTTP connection and drops the connection once the read side is closed, whether or not received data is still unread. The connection is polled first, so that requests that can be answered at once still are. The end of the peer's stream means that the caller has left, as it did with one request in flight.

Ruled out: a busy loop on the readiness of unread data.

Left: a caller that has sent more than the receive window takes and closes its connection is noticed only when its data is read, as the end of the stream follows the data.

--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 
 use super::metrics::{METRICS_PATH, METRICS_PORT, Metrics};
+use super::shared_stream::SharedStream;
 
 /// The timeout for the header of a request, including the idle time of the connection before it. It
 /// is longer than the pauses of callers, which keep their connections open.
@@ -32,7 +33,8 @@
 /// A response whose whole body is in memory.
 pub(super) type FullResponse = Response<Full<Bytes>>;
 
-/// Serves requests at an address. The future of a handler is dropped when its caller disconnects.
+/// Serves requests at an address. The future of a handler is dropped when its caller disconnects,
+/// also while further requests of the caller wait on the connection.
 ///
 /// # Errors
 ///
@@ -57,6 +59,7 @@
         // With Nagle's algorithm the end of a response may wait for an acknowledgement. A failure
         // to disable it only delays responses.
         let _ = stream.set_nodelay(true);
+        let stream = SharedStream::new(stream);
         let handler = handler.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
@@ -67,9 +70,15 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
                 .max_buf_size(HEADER_BYTES_MAX.max(MIN_BUFFER_BYTES))
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "connection ended");
+                .serve_connection(TokioIo::new(stream.clone()), service);
+            // The HTTP library does not read the stream, and so does not see its end, while it has
+            // bytes of the next request. What can be answered at once is answered first.
+            tokio::select! {
+                biased;
+                result = connection => if let Err(error) = result {
+                    log::debug!(error:% = error; "connection ended");
+                },
+                () = stream.read_closed() => log::debug!("connection closed by the peer"),
             }
         });
     }
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod process_clock;
 mod process_signals;
 mod settings_watcher;
+mod shared_stream;
 mod sidecar;
 mod sidecar_http;
 mod store;
