fix(dispatch): don't prove an entry alive while it may not know that callers left

Seen in a trial with real processes: the connections of callers are read by the traffic thread, while the event loop echoes the stamps of sidecars. The caller is back 1,300 ms after it left. A slower processor prolongs the lag, and nothing measured it. Two runs were not seen with real processes in this way.

Cause: the sidecar's rule that silence of the entry ends its runs does not cover a traffic thread that is behind, as the echo proves only that the event loop is alive.

Change: while there are jobs, the event loop probes the traffic thread every 40 ms. The answer shows that everything that had arrived when the probe was sent has been read. Stamps that arrived more than 80 ms after that are neither echoed nor put into start orders, so the sidecar ends the runs as if the entry had stood still since then. From a lag of 300 ms on, and for 200 ms after it, nothing is placed. The gauge traffic_lag_ms shows the lag; from 150 ms on a warning is logged.

Ruled out: withholding echoes only while a probe is late. Between two late answers it lets stamps through that are newer than a departure that is not read yet (by reasoning, not run).

With more than 1,024 sockets ready at once the runtime reads them in several rounds, and one probe may be answered after the first of them.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -241,6 +241,22 @@
         self.refuses_backlog = is_suspension || (had_backlog && self.refuses_backlog);
     }
 
+    /// Handles the news that all departures of callers until `known_at` have been reported.
+    ///
+    /// Later stamps of sidecars are not echoed, but for a tolerance. So the runs of a caller that has
+    /// left unnoticed end in time, as if this process had stood still since. Nothing is placed while
+    /// start orders would carry a stamp that is about to become too old.
+    pub fn set_callers_known_at(&mut self, known_at: Instant, now: Instant) {
+        self.sessions
+            .set_stamp_limit(known_at + self.settings.caller_lag_max);
+        let lag = now.saturating_duration_since(known_at);
+        if lag > self.settings.pause_max / 2 {
+            self.refuses_backlog &= self.has_backlog(now);
+            let until = now + self.settings.backlog_time;
+            self.backlog_until = self.backlog_until.max(Some(until));
+        }
+    }
+
     /// Returns whether something that arrived during a long pause of this process may be unread.
     fn has_backlog(&self, now: Instant) -> bool {
         self.backlog_until.is_some_and(|until| now < until)
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -17,6 +17,9 @@
     pub pause_max: Duration,
     /// How long it may take after a longer pause until everything that arrived meanwhile is read.
     pub backlog_time: Duration,
+    /// How long after the departure of a caller that it has not noticed an entry may prove to
+    /// sidecars that it is alive. Part of the margin of [`RunTiming`].
+    pub caller_lag_max: Duration,
     /// How long before a caller's deadline the answer has to be sent.
     pub answer_margin: Duration,
     /// The multiple of its latency objective after which the result of a job is of no use.
@@ -37,6 +40,7 @@
             resubmission_delay,
             pause_max: timing.entry_silence_timeout(),
             backlog_time: Duration::from_millis(200),
+            caller_lag_max: Duration::from_millis(80),
             answer_margin: Duration::from_millis(40),
             objective_multiple_max: 3,
             answer_retention: Duration::from_secs(5),
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -68,8 +68,13 @@
     unacknowledged_since: Option<Instant>,
     received: MessageNumber,
     acknowledge_at: Option<Instant>,
-    /// The newest stamp of the other side, and its time of arrival.
+    /// The newest stamp of the other side that was within the limit when the next one arrived, and
+    /// its time of arrival.
     remote_stamp: Option<(StampMs, Instant)>,
+    /// The first newer stamp, which counts once its arrival is within the limit.
+    next_remote_stamp: Option<(StampMs, Instant)>,
+    /// The newest stamp of the other side that has arrived.
+    newest_stamp_ms: StampMs,
     /// The newest of our own stamps that the other side has echoed.
     echo_ms: StampMs,
     last_received_at: Option<Instant>,
@@ -100,6 +105,8 @@
             received: 0,
             acknowledge_at: None,
             remote_stamp: None,
+            next_remote_stamp: None,
+            newest_stamp_ms: 0,
             echo_ms: 0,
             last_received_at: None,
             busy_since: None,
@@ -118,8 +125,30 @@
         self.echo_ms
     }
 
-    pub(super) fn remote_stamp(&self) -> Option<(StampMs, Instant)> {
-        self.remote_stamp
+    /// Returns the newest known stamp of the other side that arrived before a limit, and its time of
+    /// arrival. Without a limit it is the newest of all.
+    pub(super) fn remote_stamp(&self, limit: Option<Instant>) -> Option<(StampMs, Instant)> {
+        let is_within =
+            |(_, arrived_at): &(StampMs, Instant)| limit.is_none_or(|limit| *arrived_at <= limit);
+        self.next_remote_stamp
+            .filter(is_within)
+            .or(self.remote_stamp)
+    }
+
+    /// Records the arrival of a stamp.
+    ///
+    /// Of those beyond the limit only the first is kept: later ones would move ahead of a limit that
+    /// lags by a constant time, so that none would ever count.
+    fn record_stamp(&mut self, stamp_ms: StampMs, limit: Option<Instant>, now: Instant) {
+        if stamp_ms <= self.newest_stamp_ms {
+            return;
+        }
+        self.newest_stamp_ms = stamp_ms;
+        let counting = self.remote_stamp(limit);
+        if self.next_remote_stamp.is_none() || counting == self.next_remote_stamp {
+            self.remote_stamp = counting;
+            self.next_remote_stamp = Some((stamp_ms, now));
+        }
     }
 
     /// Queues a message and returns its number.
@@ -159,6 +188,7 @@
         &mut self,
         envelope: Envelope,
         own: &Identity,
+        stamp_limit: Option<Instant>,
         now: Instant,
     ) -> SessionEvents {
         let mut events = SessionEvents::new();
@@ -174,15 +204,8 @@
             return events;
         }
         self.record_arrival(envelope.from, now, &mut events);
-        let is_newest = self
-            .remote_stamp
-            .is_none_or(|(stamp, _)| envelope.stamp_ms >= stamp);
-        if self
-            .remote_stamp
-            .is_none_or(|(stamp, _)| envelope.stamp_ms > stamp)
-        {
-            self.remote_stamp = Some((envelope.stamp_ms, now));
-        }
+        let is_newest = envelope.stamp_ms >= self.newest_stamp_ms;
+        self.record_stamp(envelope.stamp_ms, stamp_limit, now);
         // Ignores an echo of a stamp that this process can't have sent yet.
         if envelope.echo_ms <= own.stamp_ms(now) {
             self.echo_ms = self.echo_ms.max(envelope.echo_ms);
@@ -339,11 +362,17 @@
     }
 
     /// Returns the datagrams that are due.
-    pub(super) fn poll(&mut self, own: &Identity, now: Instant) -> SmallVec<[Envelope; 1]> {
+    pub(super) fn poll(
+        &mut self,
+        own: &Identity,
+        stamp_limit: Option<Instant>,
+        now: Instant,
+    ) -> SmallVec<[Envelope; 1]> {
+        let echo_ms = self.remote_stamp(stamp_limit).map_or(0, |(stamp, _)| stamp);
         let mut envelopes = SmallVec::new();
         if self.remote.is_none() || self.is_silent {
             if self.has_passed(self.settings.hello_interval, now) {
-                envelopes.push(self.envelope(own, now, 0, 0));
+                envelopes.push(self.envelope(own, echo_ms, now, 0, 0));
             }
             return envelopes;
         }
@@ -356,7 +385,7 @@
         while self.has_unsent() {
             let from = usize::try_from(self.sent - self.acknowledged).unwrap_or(usize::MAX);
             let count = (self.outbox.len() - from).min(DATAGRAM_MESSAGE_COUNT_MAX);
-            envelopes.push(self.envelope(own, now, from, count));
+            envelopes.push(self.envelope(own, echo_ms, now, from, count));
             self.sent += count as MessageNumber;
             self.retransmit_at
                 .get_or_insert(now + self.retransmit_delay);
@@ -366,7 +395,7 @@
             || self.has_passed(self.heartbeat_period(own), now)
             || (self.is_status_new && self.has_passed(self.status_interval(own), now));
         if envelopes.is_empty() && is_due {
-            envelopes.push(self.envelope(own, now, 0, 0));
+            envelopes.push(self.envelope(own, echo_ms, now, 0, 0));
         }
         envelopes
     }
@@ -382,7 +411,14 @@
             .is_none_or(|at| now.saturating_duration_since(at) >= interval)
     }
 
-    fn envelope(&mut self, own: &Identity, now: Instant, from: usize, count: usize) -> Envelope {
+    fn envelope(
+        &mut self,
+        own: &Identity,
+        echo_ms: StampMs,
+        now: Instant,
+        from: usize,
+        count: usize,
+    ) -> Envelope {
         self.sent_at = Some(now);
         self.acknowledge_at = None;
         self.is_status_new = false;
@@ -393,7 +429,7 @@
             session: self.session,
             is_closing: false,
             stamp_ms: own.stamp_ms(now),
-            echo_ms: self.remote_stamp.map_or(0, |(stamp, _)| stamp),
+            echo_ms,
             received: self.received,
             first: self.acknowledged + from as MessageNumber + 1,
             messages: self.outbox.iter().skip(from).take(count).cloned().collect(),
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -60,6 +60,8 @@
     schedule: Schedule,
     /// Closing datagrams that are yet to be sent.
     closing_datagrams: Vec<(SocketAddr, Envelope)>,
+    /// The latest arrival of stamps that may be echoed; unlimited without one.
+    stamp_limit: Option<Instant>,
 }
 
 impl Sessions {
@@ -74,6 +76,7 @@
             dirty: Vec::new(),
             schedule: Schedule::default(),
             closing_datagrams: Vec::new(),
+            stamp_limit: None,
         }
     }
 
@@ -143,9 +146,18 @@
         (peer.echo_ms() > 0).then(|| self.own.instant_from_stamp(peer.echo_ms(), now))
     }
 
-    /// Returns the newest stamp of a process, and its time of arrival.
+    /// Limits the stamps that are echoed, and returned by [`newest_stamp`](Self::newest_stamp), to
+    /// those that arrived until an instant.
+    ///
+    /// An echo proves that this process was alive after the stamp was sent. A process that has not
+    /// handled the rest of its input up to then must not give that proof.
+    pub fn set_stamp_limit(&mut self, limit: Instant) {
+        self.stamp_limit = Some(limit);
+    }
+
+    /// Returns the newest stamp of a process that may be echoed, and its time of arrival.
     pub fn newest_stamp(&self, from: Incarnation) -> Option<(StampMs, Instant)> {
-        self.peer(from)?.remote_stamp()
+        self.peer(from)?.remote_stamp(self.stamp_limit)
     }
 
     /// Returns whether there is a session with an address, established or being opened.
@@ -204,7 +216,7 @@
             .entry(address)
             .or_insert_with(|| Peer::new(settings, session, now));
         let before = peer.remote();
-        events = peer.receive(envelope, &self.own, now);
+        events = peer.receive(envelope, &self.own, self.stamp_limit, now);
         if peer.remote() != before {
             if let Some(old) = before {
                 self.addresses.remove(&old);
@@ -256,7 +268,7 @@
             }
             peer.is_dirty = false;
             events.extend(peer.check_silence(&self.own, now));
-            for envelope in peer.poll(&self.own, now) {
+            for envelope in peer.poll(&self.own, self.stamp_limit, now) {
                 datagrams.push((address, envelope));
             }
             let due = peer
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -32,6 +32,7 @@
     ENTRIES_TOPIC, ReadTiming, SIDECARS_TOPIC, follow_topic, parse_entry_address,
     parse_sidecar_record, publish_entry_address,
 };
+use super::traffic_probe::TrafficProbe;
 
 /// The read timing of the configuration. A dead connection is detected within this wait and the
 /// call timeout, well before a new configuration has to be in force.
@@ -80,7 +81,11 @@
     let address = process.address();
     let metrics = Metrics::new()?;
     let traffic_metrics = metrics.clone();
-    spawn_traffic_thread(move || run_traffic(settings, address, service, traffic_metrics, sender))?;
+    let (traffic_probe, probe_answers) = TrafficProbe::new(process.clock.now());
+    spawn_traffic_thread(move || async move {
+        tokio::spawn(probe_answers);
+        run_traffic(settings, address, service, traffic_metrics, sender).await
+    })?;
     let mut entry = Entry::new(
         EntrySettings {
             seed: rand::random(),
@@ -97,6 +102,7 @@
         socket,
         published,
         metrics,
+        traffic_probe,
         callers: HashMap::new(),
         active_at: process.clock.now(),
         suspended: Duration::ZERO,
@@ -197,6 +203,7 @@
     socket: PacketSocket,
     published: Arc<PublishedState>,
     metrics: Metrics,
+    traffic_probe: TrafficProbe,
     callers: HashMap<CallerId, WaitingCaller>,
     /// When the event loop last read the time; much older after a pause of the process.
     active_at: Instant,
@@ -243,6 +250,8 @@
                 next_gauge_update = now + GAUGE_UPDATE_INTERVAL;
                 self.update_gauges(now);
             }
+            let callers_known_at = self.traffic_probe.poll(self.entry.job_count() > 0, now);
+            self.entry.set_callers_known_at(callers_known_at, now);
             self.entry.place_waiting(now);
             self.flush(now);
             if process.signals.take_stop_request(now) {
@@ -381,7 +390,8 @@
     }
 
     /// Updates the gauges.
-    fn update_gauges(&self, now: Instant) {
+    fn update_gauges(&mut self, now: Instant) {
+        let traffic_lag = self.traffic_probe.take_lag_max();
         let configured_at = self.entry.configured_at();
         let age = configured_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let gauges = [
@@ -393,6 +403,7 @@
             ("known_sidecars", self.entry.directory().len() as u64),
             ("sessions", self.entry.session_count() as u64),
             ("ready", u64::from(self.entry.is_ready())),
+            ("traffic_lag_ms", traffic_lag.as_millis() as u64),
         ];
         for (name, value) in gauges {
             self.metrics.set_gauge(name, value);
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod sidecar;
 mod sidecar_http;
 mod store;
+mod traffic_probe;
 
 use std::process::ExitCode;
 
--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -92,6 +92,35 @@
     }
 }
 
+/// Guards against an entry that proves to sidecars that it is alive, while it has not learned for
+/// long that callers have left because its traffic thread is behind.
+#[test]
+fn runs_end_before_disconnected_callers_return_although_the_traffic_thread_is_behind() {
+    for seed in 1..=20 {
+        let mut simulation = warm_simulation(seed);
+        let (_, entry) = start_long_job(&mut simulation);
+        simulation.stall_traffic(entry, 4_000);
+        simulation.disconnect_callers(entry);
+        simulation.advance(2_000 + LONG_RUN_MS);
+    }
+}
+
+/// Guards against runs that end because the traffic thread is behind for less than the time in which
+/// callers could be back.
+#[test]
+fn jobs_of_waiting_callers_outlast_a_short_lag_of_the_traffic_thread() {
+    for seed in 1..=20 {
+        let mut simulation = warm_simulation(seed);
+        let (job, entry) = start_long_job(&mut simulation);
+        let before = simulation.minions_of(job);
+        simulation.stall_traffic(entry, 300);
+        simulation.advance(1_000);
+        assert_eq!(simulation.minions_of(job), before);
+        simulation.advance(LONG_RUN_MS);
+        simulation.assert_completed(job);
+    }
+}
+
 /// Guards against leases that are renewed while stops of the same minion get no answer, after the
 /// entry of the runs was killed.
 #[test]
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -195,6 +195,7 @@
                 sidecar: None,
                 isolated_until_ms: 0,
                 frozen_until_ms: 0,
+                traffic_stall_ms: 0..0,
                 suspended_since_ms: None,
                 suspended_ms: 0,
                 down_until_ms: 0,
@@ -268,6 +269,16 @@
         node.suspended_since_ms.get_or_insert(self.now_ms);
     }
 
+    /// Stalls the traffic thread of an entry: it does not notice that callers leave, while the event
+    /// loop goes on.
+    pub(crate) fn stall_traffic(&mut self, entry: usize, for_ms: u64) {
+        self.record_event(
+            None,
+            format!("traffic of entry {entry} stalls for {for_ms} ms"),
+        );
+        self.nodes[entry].traffic_stall_ms = self.now_ms..self.now_ms + for_ms;
+    }
+
     pub(crate) fn isolate(&mut self, node: usize, for_ms: u64) {
         self.record_event(None, format!("node {node} isolated for {for_ms} ms"));
         self.nodes[node].isolated_until_ms = self.now_ms + for_ms;
@@ -925,6 +936,13 @@
         node.suspended_before_ms = node.suspended_ms;
         if let Some(entry) = &mut node.entry {
             entry.handle_pause(pause, now);
+            let stall_ms = &node.traffic_stall_ms;
+            let stalled = Duration::from_millis(if stall_ms.contains(&self.now_ms) {
+                self.now_ms - stall_ms.start
+            } else {
+                0
+            });
+            entry.set_callers_known_at(now.checked_sub(stalled).unwrap_or(now), now);
             for (from, packet) in inbox {
                 entry.receive(from, packet, now);
             }
@@ -1016,8 +1034,9 @@
     fn notice_departures(&mut self) {
         for mut departure in std::mem::take(&mut self.departures) {
             let node = &self.nodes[departure.entry];
-            if node.frozen_until_ms > self.now_ms {
-                departure.due_ms = node.frozen_until_ms + departure.delay_ms;
+            let blocked_until_ms = node.frozen_until_ms.max(node.traffic_stall_ms.end);
+            if blocked_until_ms > self.now_ms {
+                departure.due_ms = blocked_until_ms + departure.delay_ms;
             }
             if departure.due_ms > self.now_ms {
                 self.departures.push(departure);
--- a/knapweedrill_lab/tests/dispatch_simulation/node.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/node.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use knapweedrill::dispatch::Packet;
 use knapweedrill::dispatch::entry::{CallerId, Entry, Submission};
@@ -14,6 +15,8 @@
     pub(super) sidecar: Option<SidecarEndpoint>,
     pub(super) isolated_until_ms: u64,
     pub(super) frozen_until_ms: u64,
+    /// From when until when the traffic thread of an entry is behind while its event loop goes on.
+    pub(super) traffic_stall_ms: Range<u64>,
     /// Since when the machine has been suspended, if it is.
     pub(super) suspended_since_ms: Option<u64>,
     /// How long earlier suspensions lasted, in milliseconds.
