--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -9,9 +9,11 @@
 mod process_clock;
 mod process_signals;
 mod settings_watcher;
+mod shared_stream;
 mod sidecar;
 mod sidecar_http;
 mod store;
+mod traffic_probe;
 
 use std::process::ExitCode;
 
