fix(sidecar): an answer read late does not shorten a recorded lease

What callers see: a task may run twice. A sidecar reports a run as stopped while the minion has it, and its entry places the task elsewhere at once.

Cause: the estimate of the minion's clock is replaced by the reading in each answer to a hold call. If the reading was behind, the recorded end of the lease was lowered to the reading plus the longest lease, as after an odd reading that was ahead. An answer that was read late is behind as well. The next answer to an order set the clock right again, the recorded end was in the past, and runs whose stop had no answer were reported as stopped, although an order with a later end was in flight.

Change: the end is lowered only if the reading can't be explained by the time since the call was sent.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -435,7 +435,7 @@
             self.stats = MinionStats::default();
             // Until a call brings it the new fencing token, this incarnation may still start runs
             // of late orders to the last one. The next answer tells which runs are there.
-            minion.correct_clock(answer.clock_ms, self.settings.lease_max, now);
+            minion.correct_clock(answer.clock_ms, self.settings.lease_max, hold.sent_at, now);
             self.crashes.recovered();
             self.holds.record_answer(now);
             return;
@@ -446,7 +446,7 @@
             log::info!(instance = minion.profile.instance.as_str(); "minion reachable again");
         }
         self.clock_lead = minion.clock_lead(answer.clock_ms, now);
-        minion.correct_clock(answer.clock_ms, self.settings.lease_max, now);
+        minion.correct_clock(answer.clock_ms, self.settings.lease_max, hold.sent_at, now);
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -123,15 +123,26 @@
         }
     }
 
-    /// Replaces the estimate of the clock by a reading in the answer to a hold call, even if it is
-    /// behind: at most one such call is in flight, so these readings are in order.
-    pub(super) fn correct_clock(&mut self, clock_ms: StampMs, lease_max: Duration, now: Instant) {
-        if self.clock_ms(now).is_some_and(|known| clock_ms < known) {
+    /// Replaces the estimate of the clock by a reading in the answer to a hold call that was sent at
+    /// `sent_at`, even if it is behind: at most one such call is in flight, so these readings are in
+    /// order.
+    pub(super) fn correct_clock(
+        &mut self,
+        clock_ms: StampMs,
+        lease_max: Duration,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        if let Some(known_ms) = self.clock_ms(now).filter(|known_ms| clock_ms < *known_ms) {
             self.clock = None;
-            // The minion has shortened a lease that ended later.
-            self.lease_end_ms = self
-                .lease_end_ms
-                .min(clock_ms.saturating_add(millis(lease_max)));
+            // The answer may have been read late, after orders that the minion has yet to receive.
+            let latest_ms = clock_ms + millis(now.saturating_duration_since(sent_at)) + 1;
+            if known_ms > latest_ms {
+                // An odd reading was ahead. The minion has shortened a lease that ended later.
+                self.lease_end_ms = self
+                    .lease_end_ms
+                    .min(clock_ms.saturating_add(millis(lease_max)));
+            }
         }
         self.set_clock(clock_ms, now);
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1107,3 +1107,30 @@
         panic!("{:?}", fixture.outcomes);
     };
 }
+
+/// Guards against a run that is reported as stopped while its start order is in flight: a sidecar
+/// that stood still reads an old answer after it has sent the order, and takes the end of its lease
+/// for earlier.
+#[test]
+fn answer_that_was_read_late_does_not_shorten_the_lease_of_an_order_in_flight() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    let old_clock_ms = fixture.clock_ms;
+    for _ in 0..200 {
+        fixture.advance(10 * MS);
+    }
+    fixture.order_start(1, 2);
+    fixture.sidecar.stop(ENTRY, task(1), 2, fixture.now);
+    fixture.collect_actions();
+    fixture.answer_hold_with(|answer| {
+        answer.clock_ms = old_clock_ms;
+        answer.running = vec![(run(0), 20)];
+    });
+    fixture.order_start(2, 3);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    assert_eq!(fixture.outcomes, []);
+    assert_eq!(fixture.sidecar.run_count(), 3);
+}
