fix(sidecar): send no lease on the clock of an unconfirmed incarnation

What callers see: a task may run twice. A run goes on for up to 1,000 ms after its entry and its sidecar are lost, instead of 561 ms, so it meets the run that the returning caller starts elsewhere.

Cause: a minion that restarts under its name begins its clock anew. Until the sidecar notices, it sends lease ends on the clock of the last incarnation, which is far ahead; the minion shortens them to its longest lease only. That happened at each quick restart: the hold call in flight breaks, and the next one, with the old clock, reaches the next incarnation. The lease is that of all runs, so runs that start later have it too. Start orders, and a sidecar that stood still during the restart, do the same.

Change: after a hold call without an answer, and after a pause of the process of more than 200 ms, the sidecar asks with a hold call that carries no lease and is answered at once. Until the answer, start orders are deferred; a run that is not ordered within 160 ms is refused, or stopped if an earlier order had no answer. A start order while the clock is unknown was dropped, and its run kept its resources; it is deferred now, too.

Evidence: found by a random test of the sidecar against a minion model (hold call with the end 1,316 at the clock reading 6, run over its bound of 614 ms).

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -34,6 +34,10 @@
 /// tasks. The lease is not renewed meanwhile, and a new task would end with it.
 const UNCONFIRMED_STOP_TIME_MAX: Duration = Duration::from_millis(100);
 
+/// The time between two ticks after which the process counts as having stood still. Four times the
+/// longest interval of ticks.
+const PAUSE_MIN: Duration = Duration::from_millis(200);
+
 /// The state machine of a sidecar, without input and output of its own.
 ///
 /// Starts tasks that match the service of the minion and fit into its free resources, renews the
@@ -55,6 +59,7 @@
     /// Whether the stop of an abandoned run has been without an answer for too long.
     is_lease_ending: bool,
     is_draining: bool,
+    ticked_at: Option<Instant>,
     actions: Vec<SidecarAction>,
 }
 
@@ -77,6 +82,7 @@
             clock_lead: Duration::ZERO,
             is_lease_ending: false,
             is_draining: false,
+            ticked_at: None,
             actions: Vec::new(),
         }
     }
@@ -267,6 +273,7 @@
             abandoned_at: None,
             unanswered_count: 0,
             order_count: 0,
+            is_order_deferred: false,
         };
         self.runs.insert(run);
         self.order_start(key, now);
@@ -452,20 +459,32 @@
         }
         self.acknowledge_malformed_ends(&answer, now);
         self.reconcile_running(&answer, hold.sent_at, now);
+        for key in self.runs.keys_where(Run::awaits_order) {
+            self.order_start(key, now);
+        }
     }
 
     /// Runs all timers that are due.
     pub fn tick(&mut self, now: Instant) {
+        self.note_pause(now);
         self.recent_entries.expire(now);
         self.stop_runs_of_silent_entries(now);
         self.retry_stops(now);
         self.settle_expired_runs(now);
+        self.give_up_deferred_orders(now);
         self.update_lease_ending(now);
         if self.holds.is_due(!self.runs.is_empty(), now) {
             self.order_hold(now);
         }
     }
 
+    fn note_pause(&mut self, now: Instant) {
+        let last = self.ticked_at.replace(now).unwrap_or(now);
+        if now.saturating_duration_since(last) > PAUSE_MIN {
+            self.holds.handle_pause(now);
+        }
+    }
+
     fn availability(&self) -> MinionAvailability {
         let Some(minion) = &self.minion else {
             return MinionAvailability::Unavailable;
@@ -538,11 +557,18 @@
         None
     }
 
+    /// Orders a run, or defers the order until the next answer to a hold call if another incarnation
+    /// than the one whose clock is known may be there: the lease in the order would end much later
+    /// on its clock.
     fn order_start(&mut self, key: RunKey, now: Instant) {
         let renews = self.may_renew_lease(now);
         let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(key)) else {
             return;
         };
+        run.is_order_deferred = !self.holds.is_incarnation_confirmed() || !minion.is_clock_known();
+        if run.is_order_deferred {
+            return;
+        }
         let call = self.orders.start(run, minion, renews, &self.settings, now);
         self.actions.extend(call.map(SidecarAction::Start));
     }
@@ -551,8 +577,12 @@
     ///
     /// It has to expire if the minion is unreachable, so that the outcome of its runs becomes
     /// certain, and while an abandoned run may still be there, since the lease is that of all runs.
+    /// After a hold call without an answer, another incarnation may be there, on whose clock the
+    /// lease would end much later.
     fn may_renew_lease(&self, now: Instant) -> bool {
-        self.holds.is_reachable() && self.runs.unconfirmed_stop_since(now).is_none()
+        self.holds.is_incarnation_confirmed()
+            && self.holds.is_reachable()
+            && self.runs.unconfirmed_stop_since(now).is_none()
     }
 
     fn order_stop(&mut self, key: RunKey, now: Instant) {
@@ -752,6 +782,17 @@
         }
     }
 
+    /// Gives up runs whose deferred order comes too late.
+    fn give_up_deferred_orders(&mut self, now: Instant) {
+        for key in self.runs.keys_where(|run| run.has_missed_order(now)) {
+            if self.runs.get(key).is_some_and(Run::may_have_started) {
+                self.begin_stop(key, now);
+            } else {
+                self.refuse_run(key, RefusalCause::NoMinion);
+            }
+        }
+    }
+
     fn settle_expired_runs(&mut self, now: Instant) {
         let have_ended = self
             .minion
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -46,6 +46,9 @@
     /// Whether the connection for the last failed call was refused.
     is_refused: bool,
     next_at: Option<Instant>,
+    /// Whether this process has stood still since the last answer, so that the minion may have
+    /// restarted unnoticed.
+    has_paused: bool,
 }
 
 impl HoldSchedule {
@@ -85,6 +88,21 @@
         self.failure_count > 0
     }
 
+    /// Returns whether the minion that answered the last call is known to be there still: a restart
+    /// would have broken the call in flight.
+    pub(super) fn is_incarnation_confirmed(&self) -> bool {
+        !self.has_paused && !self.is_failing()
+    }
+
+    /// Handles a pause of this process: abandons the call in flight, whose answer may be old, and
+    /// schedules the next one.
+    pub(super) fn handle_pause(&mut self, now: Instant) {
+        if self.next_at.is_some() {
+            self.has_paused = true;
+            self.reschedule(now);
+        }
+    }
+
     /// Returns whether another call is due.
     pub(super) fn is_due(&mut self, has_runs: bool, now: Instant) -> bool {
         if self
@@ -105,7 +123,7 @@
         has_runs: bool,
         now: Instant,
     ) -> Duration {
-        if self.is_failing() {
+        if !self.is_incarnation_confirmed() {
             return Duration::ZERO;
         }
         if !has_runs {
@@ -150,6 +168,7 @@
         self.failure_count = 0;
         self.is_refused = false;
         self.unanswered_since = None;
+        self.has_paused = false;
         self.next_at = Some(now);
         std::mem::take(&mut self.is_unreachable)
     }
--- a/knapweedrill/src/dispatch/sidecar/run.rs
+++ b/knapweedrill/src/dispatch/sidecar/run.rs
@@ -44,6 +44,8 @@
     pub(super) unanswered_count: u32,
     /// Number of start orders sent.
     pub(super) order_count: u32,
+    /// Whether its next start order waits until the minion has answered a hold call.
+    pub(super) is_order_deferred: bool,
 }
 
 /// How many times slower than its estimate a run may progress before it counts as stalled.
@@ -89,6 +91,11 @@
         u128::from(percent) * STALL_FACTOR * self.estimate.as_millis() < 100 * age.as_millis()
     }
 
+    /// Returns whether its start order waits for the minion.
+    pub(super) fn awaits_order(&self) -> bool {
+        self.phase == Phase::Starting && self.is_order_deferred
+    }
+
     /// Returns the outcome of a run that has ended.
     pub(super) fn outcome(&self, end: RunEnd, now: Instant) -> PlacementOutcome {
         PlacementOutcome::Ended {
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -46,6 +46,12 @@
         self.ordered.keys().copied().collect()
     }
 
+    /// Returns the keys of the runs that fulfil a condition.
+    pub(super) fn keys_where(&self, condition: impl Fn(&Run) -> bool) -> Vec<RunKey> {
+        let runs = self.iter().filter(|run| condition(run));
+        runs.map(|run| run.key).collect()
+    }
+
     /// Returns the runs that this process has ordered.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Run> {
         self.ordered.values()
--- a/knapweedrill/src/dispatch/sidecar/start_step.rs
+++ b/knapweedrill/src/dispatch/sidecar/start_step.rs
@@ -37,6 +37,13 @@
 }
 
 impl Run {
+    /// Returns whether its deferred start order comes too late, so that the task is placed
+    /// elsewhere.
+    pub(super) fn has_missed_order(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.ordered_at);
+        self.awaits_order() && age >= START_ANSWER_TIME_MAX
+    }
+
     /// Decides the next step after an answer to the start order of this run. An order without an
     /// answer has to be counted before.
     pub(super) fn step_after(&self, answer: OrderAnswer, now: Instant) -> StartStep {
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1134,3 +1134,59 @@
     assert_eq!(fixture.outcomes, []);
     assert_eq!(fixture.sidecar.run_count(), 3);
 }
+
+/// Guards against a lease of up to the longest that the minion grants, instead of a usual one: a
+/// call that follows a broken one may reach the next incarnation, whose clock is far behind.
+#[test]
+fn hold_after_one_without_an_answer_carries_no_lease() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.fail_hold();
+    fixture.advance(20 * MS);
+    assert_eq!(fixture.last_hold().lease_end_ms, None);
+    fixture.answer_hold(vec![(run(0), 50)], Vec::new());
+    fixture.advance(MS);
+    assert!(fixture.last_hold().lease_end_ms.is_some());
+}
+
+/// Guards against a run that gets the longest lease because its order is sent on the clock of an
+/// incarnation that is gone: a hold call had no answer, or the sidecar stood still.
+#[test_case(false; "after a hold without an answer")]
+#[test_case(true; "after a pause")]
+fn start_is_ordered_only_after_the_incarnation_is_confirmed(has_paused: bool) {
+    let mut fixture = Fixture::new();
+    if has_paused {
+        fixture.advance(500 * MS);
+    } else {
+        fixture.advance(MS);
+        fixture.fail_hold();
+    }
+    fixture.order_start(0, 1);
+    assert_eq!(fixture.starts.len(), 0);
+    fixture.advance(20 * MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.starts.len(), 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    assert_eq!(fixture.outcomes, []);
+}
+
+/// Guards against a task that waits at a minion that does not answer.
+#[test]
+fn start_that_was_not_ordered_in_time_is_refused() {
+    let mut fixture = Fixture::new();
+    fixture.advance(MS);
+    fixture.fail_hold();
+    fixture.order_start(0, 1);
+    for _ in 0..16 {
+        assert_eq!(fixture.outcomes, []);
+        fixture.advance(10 * MS);
+    }
+    assert_eq!(
+        fixture.outcomes,
+        [PlacementOutcome::Refused(RefusalCause::NoMinion)]
+    );
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.starts.len(), 0);
+}
