--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -195,6 +195,16 @@
         self.collect_actions();
     }
 
+    /// Lets 500 ms pass in which the minion has these runs, after which no lease that earlier orders
+    /// have granted a restarted minion is longer than a new one.
+    fn outlast_earlier_leases(&mut self, running: &[(RunKey, u8)]) {
+        assert_eq!(self.availability(), MinionAvailability::Unavailable);
+        for _ in 0..50 {
+            self.advance(10 * MS);
+            self.answer_hold(running.to_vec(), Vec::new());
+        }
+    }
+
     fn last_hold(&self) -> &HoldCall {
         self.holds.last().expect("a hold was sent")
     }
@@ -904,6 +914,7 @@
     fixture.answer_hold(vec![(run(0), 20)], Vec::new());
     fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 9);
     fixture.advance(MS);
+    fixture.outlast_earlier_leases(&[(run(0), 90)]);
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
     assert_eq!(fixture.sidecar.run_count(), 1);
     assert_eq!(fixture.outcomes, []);
@@ -923,6 +934,7 @@
     fixture.advance(MS);
     fixture.answer_hold(vec![(run(0), 20)], Vec::new());
     fixture.send_heartbeat_with(|heartbeat| heartbeat.sequence = 9);
+    fixture.outlast_earlier_leases(&[(run(0), 90)]);
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
     assert_eq!(fixture.outcomes, []);
 }
@@ -947,6 +959,7 @@
     assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
     fixture.advance(MS);
     fixture.answer_hold(Vec::new(), Vec::new());
+    fixture.outlast_earlier_leases(&[]);
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
 
@@ -1108,6 +1121,70 @@
     };
 }
 
+/// Restarts the minion under its name, and answers the first call to the next incarnation when the
+/// clock of that has this reading.
+fn restart_minion(fixture: &mut Fixture, clock_ms: u64) {
+    fixture.started_unix_ms = 90_000;
+    fixture.send_heartbeat();
+    fixture.advance(MS);
+    fixture.clock_ms = clock_ms;
+    fixture.answer_hold(Vec::new(), Vec::new());
+    fixture.advance(MS);
+}
+
+/// Guards against a lease of up to the longest that the minion grants, instead of a usual one: a
+/// call that follows a broken one may reach the next incarnation, whose clock is far behind.
+#[test]
+fn hold_after_one_without_an_answer_carries_no_lease() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(MS);
+    fixture.fail_hold();
+    fixture.advance(20 * MS);
+    assert_eq!(fixture.last_hold().lease_end_ms, None);
+    fixture.answer_hold(vec![(run(0), 50)], Vec::new());
+    fixture.advance(MS);
+    assert!(fixture.last_hold().lease_end_ms.is_some());
+}
+
+/// Guards against a run that outlives its entry because an order to the last incarnation has
+/// granted the next one the longest lease.
+#[test]
+fn restarted_minion_takes_no_runs_while_a_lease_of_earlier_orders_is_longer_than_a_new_one() {
+    let mut fixture = Fixture::new();
+    restart_minion(&mut fixture, 10);
+    let settings = SidecarSettings::default();
+    let longest_end_ms = 10 + settings.lease_max.as_millis() as u64;
+    while fixture.availability() == MinionAvailability::Unavailable {
+        fixture.advance(10 * MS);
+        fixture.answer_hold(Vec::new(), Vec::new());
+        assert!(fixture.clock_ms < longest_end_ms);
+    }
+    let new_end_ms = fixture.clock_ms + settings.lease.as_millis() as u64;
+    assert!(new_end_ms >= longest_end_ms, "{}", fixture.clock_ms);
+}
+
+/// Guards against runs that are reported as lost while the minion has them: the next incarnation
+/// may have carried out an order to the last one just before its first answer, long after its start.
+#[test]
+fn runs_of_a_restarted_minion_are_not_lost_before_the_longest_lease_is_over() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::NoAnswer);
+    restart_minion(&mut fixture, 5_000);
+    for _ in 0..100 {
+        fixture.fail_hold();
+        fixture.advance(10 * MS);
+        assert_eq!(fixture.outcomes, [], "at {}", fixture.clock_ms);
+    }
+    for _ in 0..30 {
+        fixture.fail_hold();
+        fixture.advance(10 * MS);
+    }
+    assert_eq!(fixture.outcomes.len(), 1);
+}
+
 /// Guards against a run that is reported as stopped while its start order is in flight: a sidecar
 /// that stood still reads an old answer after it has sent the order, and takes the end of its lease
 /// for earlier.
@@ -1135,22 +1212,6 @@
     assert_eq!(fixture.sidecar.run_count(), 3);
 }
 
-/// Guards against a lease of up to the longest that the minion grants, instead of a usual one: a
-/// call that follows a broken one may reach the next incarnation, whose clock is far behind.
-#[test]
-fn hold_after_one_without_an_answer_carries_no_lease() {
-    let mut fixture = Fixture::new();
-    fixture.order_start(0, 1);
-    fixture.answer_start(OrderAnswer::Accepted);
-    fixture.advance(MS);
-    fixture.fail_hold();
-    fixture.advance(20 * MS);
-    assert_eq!(fixture.last_hold().lease_end_ms, None);
-    fixture.answer_hold(vec![(run(0), 50)], Vec::new());
-    fixture.advance(MS);
-    assert!(fixture.last_hold().lease_end_ms.is_some());
-}
-
 /// Guards against a run that gets the longest lease because its order is sent on the clock of an
 /// incarnation that is gone: a hold call had no answer, or the sidecar stood still.
 #[test_case(false; "after a hold without an answer")]
