test(dispatch): let disruptions meet at close moments in the simulated system

The simulated system had no links that fail in one direction, no datagrams that are late by seconds or doubled, no process that stands still after it has read its clock, no entry that stops on SIGTERM and no machine that is replaced at its address. These are added, in files of their own; other draws of a seed stay as they are.

--- /dev/null
+++ b/knapweedrill_lab/tests/dispatch_close_moments.rs
@@ -0,0 +1,229 @@
+//! Runs of a task at two minions, on a simulated system in which disruptions meet at close moments.
+//!
+//! The simulation checks at each millisecond that no task runs twice at the same time.
+
+mod dispatch_simulation;
+
+use dispatch_simulation::{FaultSettings, Simulation};
+use test_case::test_case;
+
+/// The run time of tasks, in milliseconds; longer than all disruptions that meet at one job.
+const RUN_MS: u64 = 3_000;
+
+/// The timeout of callers, in milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 9_000;
+
+/// The time after which all disruptions of a job have ended and its callers are back, in
+/// milliseconds.
+const SETTLING_MS: u64 = 4_000;
+
+/// Delays of a second disruption, in milliseconds; a sidecar stops the runs of a silent entry after
+/// 600 ms.
+const PAUSES_MS: [u64; 4] = [1, 150, 300, 590];
+
+/// A disruption of the processes and links that a job uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disruption {
+    KillEntry,
+    StopEntry,
+    FreezeEntry,
+    SuspendEntry,
+    StallEntry,
+    IsolateEntry,
+    DisconnectCallers,
+    KillSidecars,
+    FreezeSidecars,
+    SuspendSidecars,
+    StallSidecars,
+    IsolateSidecars,
+    CutToSidecars,
+    CutFromSidecars,
+    RestartMinions,
+    DelayOrders,
+    DrainMinions,
+    ReplaceMachines,
+}
+
+/// A job and the processes that it used when it was disrupted first.
+#[derive(Debug)]
+struct Target {
+    entry: usize,
+    minions: Vec<usize>,
+}
+
+/// Returns a simulation of three entries and six sidecars with sessions.
+fn warm_simulation(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(3, 6, seed, FaultSettings::default());
+    simulation.set_run_ms(RUN_MS);
+    simulation.warm_up();
+    simulation
+}
+
+/// Submits a job of two tasks and returns it after `age_ms`. Jobs whose tasks have not started use
+/// all minions.
+fn submit_job(simulation: &mut Simulation, age_ms: u64) -> Target {
+    let job = simulation.submit(2, CALLER_TIMEOUT_MS);
+    let entry = simulation.entry_of(job).expect("the caller waits");
+    simulation.advance(age_ms);
+    let mut minions = simulation.minions_of(job);
+    if minions.is_empty() {
+        minions = (0..6).collect();
+    }
+    Target { entry, minions }
+}
+
+fn disrupt(simulation: &mut Simulation, target: &Target, disruption: Disruption, for_ms: u64) {
+    let entry = target.entry;
+    match disruption {
+        Disruption::KillEntry => return simulation.kill(entry, for_ms),
+        Disruption::StopEntry => return simulation.stop_entry(entry, for_ms),
+        Disruption::FreezeEntry => return simulation.freeze(entry, for_ms),
+        Disruption::SuspendEntry => return simulation.suspend(entry, for_ms),
+        Disruption::StallEntry => return simulation.stall_after_clock_reading(entry, for_ms),
+        Disruption::IsolateEntry => return simulation.isolate(entry, for_ms),
+        Disruption::DisconnectCallers => return simulation.disconnect_callers(entry),
+        _ => {}
+    }
+    for &minion in &target.minions {
+        let sidecar = simulation.sidecar_node(minion);
+        match disruption {
+            Disruption::KillSidecars => simulation.kill(sidecar, for_ms),
+            Disruption::FreezeSidecars => simulation.freeze(sidecar, for_ms),
+            Disruption::SuspendSidecars => simulation.suspend(sidecar, for_ms),
+            Disruption::StallSidecars => simulation.stall_after_clock_reading(sidecar, for_ms),
+            Disruption::IsolateSidecars => simulation.isolate(sidecar, for_ms),
+            Disruption::CutToSidecars => simulation.cut_link(entry, sidecar, for_ms),
+            Disruption::CutFromSidecars => simulation.cut_link(sidecar, entry, for_ms),
+            Disruption::RestartMinions => simulation.restart_minion_under_its_name(minion),
+            Disruption::DelayOrders => simulation.delay_orders(minion, for_ms),
+            Disruption::DrainMinions => simulation.drain(minion),
+            Disruption::ReplaceMachines => {
+                simulation.deregister(minion);
+                simulation.replace_machine(minion, for_ms);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The seeds of a run by hand stand in `DISPATCH_SEEDS`, separated by commas.
+fn seeds() -> Vec<u64> {
+    let seeds = std::env::var("DISPATCH_SEEDS").unwrap_or_else(|_| "1".into());
+    let seeds = seeds.split(',').map(str::parse);
+    seeds.collect::<Result<_, _>>().expect("seeds are numbers")
+}
+
+/// Guards against terms of the bound on a run's end that a second disruption prolongs: at the
+/// sending of an order, its arrival, the call to the minion, a stop, or the renewal of a lease.
+#[test_case(Disruption::KillEntry, 2_500; "entry killed")]
+#[test_case(Disruption::StopEntry, 2_500; "entry stopped")]
+#[test_case(Disruption::SuspendEntry, 2_500; "entry suspended")]
+#[test_case(Disruption::FreezeEntry, 560; "entry frozen")]
+#[test_case(Disruption::StallEntry, 300; "entry stalled")]
+#[test_case(Disruption::DisconnectCallers, 0; "callers disconnected")]
+#[test_case(Disruption::KillSidecars, 300; "sidecars killed")]
+#[test_case(Disruption::StallSidecars, 300; "sidecars stalled")]
+#[test_case(Disruption::SuspendSidecars, 300; "sidecars suspended")]
+#[test_case(Disruption::CutToSidecars, 560; "links to sidecars cut")]
+#[test_case(Disruption::CutFromSidecars, 560; "links from sidecars cut")]
+#[test_case(Disruption::RestartMinions, 0; "minions restarted")]
+#[test_case(Disruption::ReplaceMachines, 300; "machines replaced")]
+fn no_task_runs_twice_when_two_disruptions_meet(first: Disruption, first_ms: u64) {
+    let seconds = [
+        Disruption::FreezeSidecars,
+        Disruption::KillSidecars,
+        Disruption::KillEntry,
+        Disruption::IsolateEntry,
+    ];
+    for seed in seeds() {
+        let mut simulation = warm_simulation(seed);
+        for second in seconds {
+            for (job_age_ms, pause_ms) in job_ages_and_pauses_ms() {
+                let target = submit_job(&mut simulation, job_age_ms);
+                if first == Disruption::ReplaceMachines {
+                    disrupt(&mut simulation, &target, Disruption::DrainMinions, 0);
+                    simulation.advance(1);
+                }
+                disrupt(&mut simulation, &target, first, first_ms);
+                simulation.advance(pause_ms);
+                disrupt(&mut simulation, &target, second, 2_500);
+                simulation.advance(SETTLING_MS);
+            }
+        }
+    }
+}
+
+/// Returns the age of a job at the first disruption, with its orders in flight or its tasks
+/// running, and the pause before the second disruption, in milliseconds.
+fn job_ages_and_pauses_ms() -> impl Iterator<Item = (u64, u64)> {
+    let in_flight = [(1, 1), (1, 590), (2, 1), (2, 590)];
+    in_flight
+        .into_iter()
+        .chain(PAUSES_MS.map(|pause_ms| (300, pause_ms)))
+}
+
+/// Guards against datagrams that are late by seconds, doubled or overtaken and count as signs of
+/// life or as fresh orders.
+#[test_case(Disruption::KillEntry; "entry killed")]
+#[test_case(Disruption::DisconnectCallers; "callers disconnected")]
+#[test_case(Disruption::CutToSidecars; "links to sidecars cut")]
+#[test_case(Disruption::CutFromSidecars; "links from sidecars cut")]
+fn late_and_doubled_datagrams_prolong_no_runs(first: Disruption) {
+    for (seed, pause_ms) in (1..).zip(PAUSES_MS) {
+        for second in [Disruption::FreezeSidecars, Disruption::KillSidecars] {
+            let mut simulation = warm_simulation(seed);
+            simulation.links.late_permille = 100;
+            simulation.links.duplicate_permille = 300;
+            let target = submit_job(&mut simulation, 300);
+            disrupt(&mut simulation, &target, first, 600);
+            simulation.advance(pause_ms);
+            disrupt(&mut simulation, &target, second, 2_500);
+            simulation.advance(SETTLING_MS);
+        }
+    }
+}
+
+/// Guards against a task that its own entry places again, as its sidecar is unreachable or gone,
+/// beside the return of its caller, to the same entry or another.
+#[test_case(Disruption::IsolateSidecars; "sidecars isolated")]
+#[test_case(Disruption::KillSidecars; "sidecars killed")]
+#[test_case(Disruption::CutFromSidecars; "links from sidecars cut")]
+fn task_placed_again_ends_before_its_caller_returns(first: Disruption) {
+    for (seed, pause_ms) in (1..).zip([1_000, 1_290, 1_310]) {
+        for second in [Disruption::DisconnectCallers, Disruption::StopEntry] {
+            for returns_to_same_entry in [false, true] {
+                let mut simulation = warm_simulation(seed);
+                let target = submit_job(&mut simulation, 300);
+                disrupt(&mut simulation, &target, first, 2_500);
+                simulation.advance(pause_ms);
+                simulation.choose_entry(returns_to_same_entry.then_some(target.entry));
+                disrupt(&mut simulation, &target, second, 20);
+                simulation.advance(SETTLING_MS);
+            }
+        }
+    }
+}
+
+/// Guards against a stalled run whose stop has no answer and whose lease is renewed after its entry
+/// or its caller has gone.
+#[test_case(Disruption::KillEntry; "entry killed")]
+#[test_case(Disruption::IsolateEntry; "entry isolated")]
+#[test_case(Disruption::DisconnectCallers; "callers disconnected")]
+fn stalled_run_without_an_answer_to_its_stop_ends_in_time(second: Disruption) {
+    for (seed, stalled_for_ms) in (1..).zip([60, 100, 130, 200]) {
+        for freeze_after_ms in [300, 590] {
+            let mut simulation = warm_simulation(seed);
+            simulation.set_run_ms(100);
+            for minion in 0..6 {
+                simulation.hang_tasks_at(minion);
+            }
+            let target = submit_job(&mut simulation, 30);
+            disrupt(&mut simulation, &target, Disruption::DelayOrders, 3_000);
+            simulation.advance(stalled_for_ms);
+            disrupt(&mut simulation, &target, second, 3_000);
+            simulation.advance(freeze_after_ms);
+            disrupt(&mut simulation, &target, Disruption::FreezeSidecars, 2_500);
+            simulation.advance(SETTLING_MS);
+        }
+    }
+}
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -8,10 +8,13 @@
 
 mod call_content;
 mod caller;
+mod clock_reading;
+mod close_moments;
 mod deadly_jobs;
 mod departure;
 mod fault;
 mod fault_settings;
+mod link_faults;
 mod node;
 mod observations;
 mod pending_call;
@@ -42,10 +45,12 @@
 
 use call_content::CallContent;
 use caller::Caller;
+pub(crate) use clock_reading::ClockReading;
 use deadly_jobs::DeadlyJobs;
 use departure::Departure;
 pub(crate) use fault::Fault;
 pub(crate) use fault_settings::FaultSettings;
+use link_faults::LinkFaults;
 use node::Node;
 use observations::Observations;
 use pending_call::PendingCall;
@@ -88,6 +93,8 @@
     pub(crate) faults: FaultSettings,
     pub(crate) observations: Observations,
     pub(crate) process_clock: ProcessClock,
+    pub(crate) clock_reading: ClockReading,
+    pub(crate) links: LinkFaults,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -117,6 +124,8 @@
     /// Callers that left before they were answered.
     departed_callers: HashSet<CallerId>,
     resubmissions: Vec<Resubmission>,
+    /// The entry that callers choose as long as it runs.
+    chosen_entry: Option<usize>,
     /// Jobs of which at least one task has started.
     started_jobs: HashSet<JobName>,
     /// The profiles of tasks that differ from the default.
@@ -163,6 +172,8 @@
                 ..Observations::default()
             },
             process_clock: ProcessClock::default(),
+            clock_reading: ClockReading::default(),
+            links: LinkFaults::default(),
             epoch,
             now_ms: 0,
             random,
@@ -181,6 +192,7 @@
             departures: Vec::new(),
             departed_callers: HashSet::new(),
             resubmissions: Vec::new(),
+            chosen_entry: None,
             started_jobs: HashSet::new(),
             task_profiles: HashMap::new(),
             default_profile,
@@ -205,6 +217,7 @@
                 next_tick_ms: 0,
                 last_run_ms: 0,
                 suspended_before_ms: 0,
+                clock_reading_ms: None,
             });
             simulation.start_process(index);
         }
@@ -433,6 +446,9 @@
     /// Returns the time on the clock of the process on a node, in milliseconds.
     fn process_now_ms(&self, node: usize) -> u64 {
         let node = &self.nodes[node];
+        if let Some(reading_ms) = node.clock_reading_ms {
+            return reading_ms;
+        }
         let since_ms = node.suspended_since_ms.unwrap_or(self.now_ms);
         match self.process_clock {
             ProcessClock::Steady => since_ms - node.suspended_ms,
@@ -645,11 +661,14 @@
     /// which arrive on other connections, may overtake responses.
     fn read_waiting_input(&mut self) {
         for index in 0..self.nodes.len() {
-            let now = self.process_now(index);
-            let node = &mut self.nodes[index];
-            if node.frozen_until_ms > self.now_ms {
+            if self.nodes[index].frozen_until_ms > self.now_ms {
                 continue;
             }
+            if self.clock_reading == ClockReading::PerEvent {
+                self.act_by_old_clock_reading(index);
+            }
+            let now = self.process_now(index);
+            let node = &mut self.nodes[index];
             let heartbeats = std::mem::take(&mut node.unread_heartbeats);
             let responses = std::mem::take(&mut node.unread_responses);
             let Some(endpoint) = &mut node.sidecar else {
@@ -886,12 +905,15 @@
         let Some(to) = node_index(to).filter(|to| *to < self.nodes.len()) else {
             return;
         };
-        let delay_ms = 1 + self
-            .random
-            .random_range(0..=self.faults.datagram_delay_max_ms);
-        self.next_id += 1;
-        let key = (self.now_ms + delay_ms, self.next_id);
-        self.datagrams.insert(key, (to, address(from), packet));
+        if self.is_link_cut(from, to) {
+            return;
+        }
+        for delay_ms in self.draw_delays_ms() {
+            self.next_id += 1;
+            let key = (self.now_ms + delay_ms, self.next_id);
+            let datagram = (to, address(from), packet.clone());
+            self.datagrams.insert(key, datagram);
+        }
     }
 
     fn run_process(&mut self, index: usize) {
@@ -901,6 +923,7 @@
         if self.nodes[index].frozen_until_ms > self.now_ms {
             return;
         }
+        self.act_by_old_clock_reading(index);
         let now = self.process_now(index);
         let now_ms = self.process_now_ms(index);
         let node = &mut self.nodes[index];
@@ -958,9 +981,13 @@
                 SidecarAction::Send(..) => panic!("the endpoint sends messages itself"),
             }
         }
-        for action in entry_actions {
+        self.carry_out(index, entry_actions);
+    }
+
+    fn carry_out(&mut self, entry: usize, actions: Vec<EntryAction>) {
+        for action in actions {
             if let EntryAction::Answer { caller, answer, .. } = action {
-                self.handle_answer(index, caller, answer);
+                self.handle_answer(entry, caller, answer);
             }
         }
     }
@@ -1055,6 +1082,11 @@
         if running.len() > 1 {
             running.retain(|index| Some(*index) != avoided_entry);
         }
+        if let Some(chosen) = self.chosen_entry
+            && self.nodes[chosen].entry.is_some()
+        {
+            running = vec![chosen];
+        }
         if running.is_empty() {
             return;
         }
@@ -1091,6 +1123,7 @@
         node.unread_submissions.clear();
         node.unread_heartbeats.clear();
         node.unread_responses.clear();
+        node.clock_reading_ms = None;
         node.down_until_ms = self.now_ms + down_ms.max(1);
         self.process_generations[index] += 1;
         // Its callers lose their connections.
--- a/knapweedrill_lab/tests/dispatch_simulation/node.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/node.rs
@@ -30,4 +30,7 @@
     pub(super) last_run_ms: u64,
     /// `suspended_ms` when the process last ran.
     pub(super) suspended_before_ms: u64,
+    /// What the process read from its clock before it stood still, if it has not acted since, in
+    /// milliseconds.
+    pub(super) clock_reading_ms: Option<u64>,
 }
