test(dispatch): show old orders that a sidecar takes for fresh ones after a stall

Hypothesis H6: the event loop of a sidecar reads its clock once and handles all events that it finds in its queue by that reading, also those that arrived after it. An entry reads its clock for each event.

If the sidecar stands still for over 1,300 ms after the reading, an order in its queue looks fresh, although its entry has placed the task elsewhere. A hold answer handled in the same batch pairs the minion's clock with the old reading, so that the estimate of that clock is ahead by up to the wait of the hold call, 1,000 ms on an idle minion, and the lease of the order has not ended. The task runs twice until its stop is carried out. One disruption is enough. The run lasts until the stop that follows at once, so some 40 ms.

--- a/knapweedrill_lab/tests/dispatch_close_moments.rs
+++ b/knapweedrill_lab/tests/dispatch_close_moments.rs
@@ -4,7 +4,7 @@
 
 mod dispatch_simulation;
 
-use dispatch_simulation::{FaultSettings, Simulation};
+use dispatch_simulation::{ClockReading, FaultSettings, Simulation};
 use test_case::test_case;
 
 /// The run time of tasks, in milliseconds; longer than all disruptions that meet at one job.
@@ -21,6 +21,9 @@
 /// 600 ms.
 const PAUSES_MS: [u64; 4] = [1, 150, 300, 590];
 
+/// The number of sidecars that stall with orders unread.
+const STALLED_SIDECAR_COUNT: usize = 4;
+
 /// A disruption of the processes and links that a job uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Disruption {
@@ -227,3 +230,39 @@
         }
     }
 }
+
+/// Lets sidecars stall with unread orders until after their entry has placed the tasks elsewhere.
+/// The idle minions answer a hold call shortly before the stall ends.
+fn stall_sidecars_with_orders(clock_reading: ClockReading) {
+    for seed in 1..=3 {
+        for (stall_ms, uptime_ms) in [(1_320, 550), (1_400, 540)] {
+            for job_age_ms in 0..3 {
+                let mut simulation = warm_simulation(seed);
+                simulation.clock_reading = clock_reading;
+                simulation.advance(uptime_ms);
+                simulation.submit(6, CALLER_TIMEOUT_MS);
+                simulation.advance(job_age_ms);
+                for minion in 0..STALLED_SIDECAR_COUNT {
+                    let node = simulation.sidecar_node(minion);
+                    simulation.stall_after_clock_reading(node, stall_ms);
+                }
+                simulation.advance(SETTLING_MS);
+            }
+        }
+    }
+}
+
+/// Shows that the simulation finds what a reading of the clock for each event prevents: an order
+/// that looks fresh, and a lease by a reading of the minion's clock that counts as an old one.
+#[test]
+#[should_panic(expected = "runs at both minion")]
+fn old_orders_run_twice_by_one_clock_reading_for_a_batch() {
+    stall_sidecars_with_orders(ClockReading::PerBatch);
+}
+
+/// Guards against orders and clocks of a minion that a sidecar handles by a reading of its clock
+/// from before a stall.
+#[test]
+fn stalled_sidecar_refuses_old_orders_by_a_clock_reading_for_each_event() {
+    stall_sidecars_with_orders(ClockReading::PerEvent);
+}
