fix(sidecar): each event is handled by a reading of the clock of its own

A sidecar stood still between the reading of its clock and the end of its queue, read on by the old reading, and started a run whose order had been given up, while its entry had placed the task elsewhere.

Cause: the event loop read its clock once for a batch of up to 128 events, also for those that arrived after the reading. An order looked fresh; a hold answer paired the minion's clock with the old reading, so that the estimate of that clock was ahead by up to the wait of the call, and the lease of the order had not ended. The entry has read its clock for each event before.

Change: the event loop takes an event, reads the clock, runs overdue timers and handles the event. The simulated sidecar does the same by default.

The event loop itself has no test of its own for this: a stall between two of its lines can't be produced from outside.

--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -126,15 +126,12 @@
             let timeout = event_timeout(next_tick, self.endpoint.next_session_due(), clock.now());
             match events.recv_timeout(timeout) {
                 Ok(event) => {
-                    let now = clock.now();
                     // The event may end an idle phase, in which ticks are rare.
-                    next_tick = next_tick.min(now + TICK_INTERVAL);
-                    // Timeouts are handled first, since they may be overdue after a pause of the
-                    // process.
-                    self.endpoint.sidecar_mut().tick(now);
-                    self.handle(event, now);
+                    next_tick = next_tick.min(clock.now() + TICK_INTERVAL);
+                    self.handle(event, clock.now());
                     for event in events.try_iter().take(EVENT_BATCH_COUNT_MAX) {
-                        self.handle(event, now);
+                        // An older reading would make orders look fresh that arrived after it.
+                        self.handle(event, clock.now());
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
@@ -175,6 +172,8 @@
     }
 
     fn handle(&mut self, event: SidecarEvent, now: Instant) {
+        // Timeouts may be overdue after a pause of the process.
+        self.endpoint.sidecar_mut().tick(now);
         match event {
             SidecarEvent::Heartbeat(heartbeat, handled) => {
                 self.endpoint
--- a/knapweedrill_lab/tests/dispatch_simulation/clock_reading.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/clock_reading.rs
@@ -2,8 +2,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum ClockReading {
     /// Before it handles each event.
+    #[default]
     PerEvent,
     /// Once before it handles all events that have arrived by then or arrive meanwhile.
-    #[default]
     PerBatch,
 }
