fix(session): a pending stop order pins the stamp that could be echoed then

Found in review: the stamp that a stop order pins was the newest that had arrived, also while the limit on stamps was behind because callers may have left unnoticed.

Change: the pinned stamp is the one that the entry could echo when it queued the order.

--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -52,7 +52,7 @@
 struct PendingStop {
     number: MessageNumber,
     queued_at: Instant,
-    /// The newest stamp of the other side when the order was queued, or 0 if there was none.
+    /// The stamp to echo when the order was queued, or 0 if there was none.
     stamp_ms: StampMs,
 }
 
@@ -168,13 +168,18 @@
     }
 
     /// Queues a message and returns its number.
-    pub(super) fn push(&mut self, message: Message, now: Instant) -> MessageNumber {
+    pub(super) fn push(
+        &mut self,
+        message: Message,
+        stamp_limit: Option<Instant>,
+        now: Instant,
+    ) -> MessageNumber {
         let number = self.acknowledged + self.outbox.len() as MessageNumber + 1;
         if matches!(message, Message::Stop { .. }) {
             self.pending_stops.push_back(PendingStop {
                 number,
                 queued_at: now,
-                stamp_ms: self.newest_stamp_ms,
+                stamp_ms: self.echo_stamp_ms(stamp_limit),
             });
         }
         self.outbox.push_back(message);
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -129,7 +129,10 @@
         now: Instant,
     ) -> Option<MessageNumber> {
         let address = *self.addresses.get(&to)?;
-        let number = self.peers.get_mut(&address)?.push(message, now);
+        let number = self
+            .peers
+            .get_mut(&address)?
+            .push(message, self.stamp_limit, now);
         self.mark_dirty(address);
         Some(number)
     }
--- a/knapweedrill/tests/dispatch_sessions.rs
+++ b/knapweedrill/tests/dispatch_sessions.rs
@@ -229,3 +229,24 @@
     assert_eq!(pair.received, [1]);
     assert!(pair.now.duration_since(echoed_at(&pair)) < Duration::from_millis(2_000));
 }
+
+/// Guards against a stop order that vouches for stamps which arrived while callers may have left
+/// unnoticed.
+#[test]
+fn echo_with_a_pending_stop_order_stays_within_the_limit_in_force_when_it_was_queued() {
+    let mut pair = Pair::new();
+    pair.settle();
+    let known_at = pair.now;
+    pair.sides[0].set_busy(22, true, known_at);
+    pair.sides[0].set_stamp_limit(known_at);
+    for _ in 0..60 {
+        pair.step(|| 1);
+    }
+    pair.send(message(1));
+    pair.sides[0].set_stamp_limit(pair.now);
+    for _ in 0..100 {
+        pair.step_with_loss(|envelope| !envelope.messages.is_empty());
+    }
+    let echoed_at = pair.sides[1].echoed_at(11, pair.now);
+    assert!(echoed_at.expect("stamps were echoed") <= known_at);
+}
