fix(sidecar): an odd first reading does not shut a restarted minion out

Found in review: the end of the lease that orders to earlier incarnations may have granted was computed from the raw reading of the minion's clock in the first answer.

Change: only a reading that was taken over as the clock counts, and the end is lowered when a later answer shows that a reading was ahead.

Evidence: restarted_minion_is_served_after_an_odd_reading_of_its_clock, two cases, fails on the commit before and passes; dispatch_sidecar passes.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -473,7 +473,7 @@
         }
         self.clock_lead = minion.clock_lead(answer.clock_ms, now);
         minion.correct_clock(answer.clock_ms, self.settings.lease_max, hold.sent_at, now);
-        minion.confirm_fence(answer.clock_ms, self.settings.lease_max);
+        minion.confirm_fence(self.settings.lease_max);
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -89,15 +89,15 @@
         self.has_foreign_lease = true;
     }
 
-    /// Records that the minion has answered a call that was sent after its restart was noticed,
-    /// with the reading of its clock in the answer.
+    /// Records that the minion has answered a call that was sent after its restart was noticed.
+    /// Called after the reading of its clock in the answer was taken over, if it was plausible.
     ///
     /// Orders to earlier incarnations carry ends on the clocks of those, which the minion shortens
     /// to `lease_max`. It has carried out the last of them before this answer.
-    pub(super) fn confirm_fence(&mut self, clock_ms: StampMs, lease_max: Duration) {
-        if self.is_fenced {
+    pub(super) fn confirm_fence(&mut self, lease_max: Duration) {
+        let Some((clock_ms, _)) = self.clock.filter(|_| !self.is_fenced) else {
             return;
-        }
+        };
         self.is_fenced = true;
         self.foreign_lease_end_ms = clock_ms.saturating_add(millis(lease_max));
         self.extend_lease(self.foreign_lease_end_ms);
@@ -177,9 +177,9 @@
             let latest_ms = clock_ms + millis(now.saturating_duration_since(sent_at)) + 1;
             if known_ms > latest_ms {
                 // An odd reading was ahead. The minion has shortened a lease that ended later.
-                self.lease_end_ms = self
-                    .lease_end_ms
-                    .min(clock_ms.saturating_add(millis(lease_max)));
+                let end_max_ms = clock_ms.saturating_add(millis(lease_max));
+                self.lease_end_ms = self.lease_end_ms.min(end_max_ms);
+                self.foreign_lease_end_ms = self.foreign_lease_end_ms.min(end_max_ms);
             }
         }
         self.set_clock(clock_ms, now);
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1081,6 +1081,23 @@
     assert_eq!(fixture.sidecar.run_count(), 0);
 }
 
+/// Guards against a restarted minion that is shut out, or whose runs never count as ended, because
+/// the first reading of its clock is odd.
+#[test_case(90_000_000; "a day ahead")]
+#[test_case(u64::MAX; "out of range")]
+fn restarted_minion_is_served_after_an_odd_reading_of_its_clock(odd_clock_ms: u64) {
+    let mut fixture = Fixture::new();
+    fixture.started_unix_ms += 1_000;
+    fixture.clock_ms = 5;
+    fixture.send_heartbeat();
+    fixture.advance(MS);
+    fixture.answer_hold_with(|answer| answer.clock_ms = odd_clock_ms);
+    fixture.advance(MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    fixture.outlast_earlier_leases(&[]);
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
+
 /// Guards against a job that is shown as failed because minions crashed beside a task that they had
 /// never started.
 #[test]
