fix(sidecar): an incomplete answer does not end the runs of an earlier process

Found in review: a list of runs that is not complete, as it can't be read or is too long, removed orphaned runs that it does not name. Their stops were no longer repeated and the lease was renewed for all runs, so a task whose entry had long placed it elsewhere could run on.

Change: an incomplete list only adds orphaned runs.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -740,7 +740,7 @@
     fn reconcile_running(&mut self, answer: &HoldAnswer, hold_sent_at: Instant, now: Instant) {
         let running: HashSet<RunKey> = answer.running.iter().map(|(key, _)| *key).collect();
         self.runs.confirm(&running);
-        for key in self.runs.update_orphans(&running) {
+        for key in self.runs.update_orphans(&running, answer.has_more) {
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number;
                 "stopping orphaned run of an earlier sidecar process"
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -150,14 +150,21 @@
     }
 
     /// Updates the orphaned runs from what runs at the minion and returns those found for the first
-    /// time.
-    pub(super) fn update_orphans(&mut self, running: &HashSet<RunKey>) -> Vec<RunKey> {
-        let unknown: HashSet<RunKey> = running
+    /// time. An incomplete list does not show which ones have ended.
+    pub(super) fn update_orphans(
+        &mut self,
+        running: &HashSet<RunKey>,
+        is_incomplete: bool,
+    ) -> Vec<RunKey> {
+        let mut unknown: HashSet<RunKey> = running
             .iter()
             .filter(|key| !self.ordered.contains_key(key))
             .copied()
             .collect();
         let newly_found = unknown.difference(&self.orphaned).copied().collect();
+        if is_incomplete {
+            unknown.extend(&self.orphaned);
+        }
         self.orphaned = unknown;
         newly_found
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1098,6 +1098,25 @@
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
 
+/// Guards against a lease that is renewed for a run of an earlier sidecar process, because an
+/// answer that is not complete did not list it.
+#[test]
+fn incomplete_answer_does_not_end_orphaned_runs() {
+    let mut fixture = Fixture::new();
+    fixture.answer_hold(vec![(run(7), 20)], Vec::new());
+    fixture.advance(MS);
+    let lease_end_ms = fixture.latest_lease_end();
+    fixture.answer_hold_with(|answer| answer.has_more = true);
+    for _ in 0..10 {
+        fixture.advance(20 * MS);
+        fixture.answer_hold_with(|answer| answer.has_more = true);
+    }
+    assert_eq!(fixture.latest_lease_end(), lease_end_ms);
+    fixture.advance(MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
+
 /// Guards against a job that is shown as failed because minions crashed beside a task that they had
 /// never started.
 #[test]
