fix(sidecar): a minion that returns under its name refuses orders to its last life

Found in review: when a minion left and returned under its name, the fencing token stayed as it was, so an order from before, without an answer, could still be carried out seconds later, with a lease of up to 1,000 ms.

Change: the token is raised whenever a minion is removed.

Evidence: minion_that_returns_under_its_name_gets_a_higher_fencing_token fails on the commit before and passes; dispatch_sidecar 66 of 66.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -657,6 +657,8 @@
         self.minion = None;
         self.runs.remove_orphans(None);
         self.orders.clear();
+        // The next incarnation may have the same name, and refuses late orders by the token.
+        self.orders.begin_incarnation();
         self.holds.reset();
     }
 
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1117,6 +1117,22 @@
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
 
+/// Guards against late orders to a minion that has left, carried out by the next one of its name.
+#[test]
+fn minion_that_returns_under_its_name_gets_a_higher_fencing_token() {
+    let mut fixture = Fixture::new();
+    let token = fixture.last_hold().fencing_token;
+    fixture.send_heartbeat_with(|heartbeat| {
+        heartbeat.sequence = 30;
+        heartbeat.is_draining = true;
+    });
+    fixture.sidecar.minion_left("minion", fixture.now);
+    fixture.started_unix_ms += 1_000;
+    fixture.send_heartbeat();
+    fixture.advance(MS);
+    assert!(fixture.last_hold().fencing_token > token);
+}
+
 /// Guards against a job that is shown as failed because minions crashed beside a task that they had
 /// never started.
 #[test]
