--- a/knapweedrill/src/dispatch/run_timing.rs
+++ b/knapweedrill/src/dispatch/run_timing.rs
@@ -8,15 +8,16 @@
 /// bounds require less. Four heartbeats of a session with work.
 const ENTRY_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The duration of the lease of runs, unless the platform's bounds require less. Four hold calls,
-/// of which three may be lost.
+/// The duration of the lease of runs, unless the platform's bounds require less. Four hold calls;
+/// after a lost one, the next answer is needed before another call renews the lease.
 const LEASE: Duration = Duration::from_millis(550);
 
 /// How much slower a minion's clock may run than the sidecar's, in thousandths. The platform
 /// guarantees this bound.
 const CLOCK_DRIFT_PERMILLE: u32 = 20;
 
-/// The margin for timers that fire late and for orders in transit.
+/// The margin for departures of callers that an entry has not noticed, for timers that fire late and
+/// for orders in transit.
 const MARGIN: Duration = Duration::from_millis(89);
 
 /// The smallest factor on these times with which heartbeats and calls still work, in thousandths.
@@ -73,7 +74,7 @@
         }
     }
 
-    /// Returns how long runs continue after the last proof that their entry was alive.
+    /// Returns how long runs continue after the last proof that their entry still wanted them.
     pub fn entry_silence_timeout(&self) -> Duration {
         self.entry_silence_timeout
     }
@@ -88,8 +89,8 @@
         self.run_stop_time_max
     }
 
-    /// Returns how long runs may continue after the last proof that their entry was alive, even if
-    /// the sidecar is frozen when it has to stop them.
+    /// Returns how long runs may continue after the last proof that their entry still wanted them,
+    /// even if the sidecar is frozen when it has to stop them.
     pub fn orphan_run_max(&self) -> Duration {
         self.entry_silence_timeout + with_drift(self.lease) + self.run_stop_time_max + MARGIN
     }
