refactor(dispatch): names for stamps that arrived and leases that were inherited

Review: two names for stamps could be mistaken for each other, and a foreign lease did not say whose. The echo's documentation names both limits.

--- a/knapweedrill/src/dispatch/entry/unreachable_sidecars.rs
+++ b/knapweedrill/src/dispatch/entry/unreachable_sidecars.rs
@@ -28,7 +28,7 @@
 
 impl UnreachableSidecars {
     /// Collects the sidecars that are silent or gone. The bound counts from the arrival of the last
-    /// stamp of a silent sidecar, or from the time when a sidecar was found to be gone.
+    /// stamp of a silent sidecar that may have been echoed, or from the time when a sidecar was found to be gone.
     pub(super) fn new(fleet: &Fleet, sessions: &Sessions, settings: &EntrySettings) -> Self {
         let run_end_bounds = fleet.views().filter_map(|view| {
             let sidecar = view.incarnation();
--- a/knapweedrill/src/dispatch/session/envelope.rs
+++ b/knapweedrill/src/dispatch/session/envelope.rs
@@ -28,9 +28,9 @@
     pub is_closing: bool,
     /// The sender's monotonic clock when it sent the datagram.
     pub stamp_ms: StampMs,
-    /// The newest `stamp_ms` that the sender had received from the receiver when it queued the
-    /// oldest stop order without an acknowledgement; the newest of all if none is pending, and 0 if
-    /// it has received none.
+    /// The newest `stamp_ms` of the receiver up to which the sender vouches for its runs, or 0 if
+    /// none: no newer than the oldest stop order without an acknowledgement, and at an entry no newer
+    /// than what it knows of its callers.
     pub echo_ms: StampMs,
     /// Cumulative acknowledgement: the sender has received all messages up to this number.
     pub received: MessageNumber,
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -89,7 +89,7 @@
     /// The first newer stamp, which counts once its arrival is within the limit.
     next_remote_stamp: Option<(StampMs, Instant)>,
     /// The newest stamp of the other side that has arrived.
-    newest_stamp_ms: StampMs,
+    arrived_stamp_ms: StampMs,
     /// The newest of our own stamps that the other side has echoed.
     echo_ms: StampMs,
     last_received_at: Option<Instant>,
@@ -122,7 +122,7 @@
             acknowledge_at: None,
             remote_stamp: None,
             next_remote_stamp: None,
-            newest_stamp_ms: 0,
+            arrived_stamp_ms: 0,
             echo_ms: 0,
             last_received_at: None,
             busy_since: None,
@@ -156,10 +156,10 @@
     /// Of those beyond the limit only the first is kept: later ones would move ahead of a limit that
     /// lags by a constant time, so that none would ever count.
     fn record_stamp(&mut self, stamp_ms: StampMs, limit: Option<Instant>, now: Instant) {
-        if stamp_ms <= self.newest_stamp_ms {
+        if stamp_ms <= self.arrived_stamp_ms {
             return;
         }
-        self.newest_stamp_ms = stamp_ms;
+        self.arrived_stamp_ms = stamp_ms;
         let counting = self.remote_stamp(limit);
         if self.next_remote_stamp.is_none() || counting == self.next_remote_stamp {
             self.remote_stamp = counting;
@@ -246,7 +246,7 @@
             return events;
         }
         self.record_arrival(envelope.from, now, &mut events);
-        let is_newest = envelope.stamp_ms >= self.newest_stamp_ms;
+        let is_newest = envelope.stamp_ms >= self.arrived_stamp_ms;
         self.record_stamp(envelope.stamp_ms, stamp_limit, now);
         // Ignores an echo of a stamp that this process can't have sent yet.
         if envelope.echo_ms <= own.stamp_ms(now) {
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -489,7 +489,7 @@
         self.note_pause(now);
         self.recent_entries.expire(now);
         if let Some(minion) = &mut self.minion {
-            minion.expire_foreign_lease(&self.settings, now);
+            minion.expire_inherited_lease(&self.settings, now);
         }
         self.stop_runs_of_silent_entries(now);
         self.retry_stops(now);
@@ -516,7 +516,7 @@
         let is_reachable = self.holds.is_reachable() && minion.is_clock_known();
         let is_known = minion.is_profile_current && !self.runs.has_orphans();
         let is_stopping = self.is_draining || minion.is_draining || minion.has_left;
-        let is_lease_unsafe = self.is_lease_ending || minion.has_foreign_lease;
+        let is_lease_unsafe = self.is_lease_ending || minion.has_inherited_lease;
         if is_stopping || !is_reachable || !is_known || is_lease_unsafe {
             MinionAvailability::Unavailable
         } else if self.stats.is_suspect() {
@@ -592,7 +592,7 @@
         };
         run.is_order_deferred = !self.holds.is_incarnation_confirmed()
             || !minion.is_clock_known()
-            || minion.has_foreign_lease;
+            || minion.has_inherited_lease;
         if run.is_order_deferred {
             return;
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -41,11 +41,11 @@
     /// Whether this incarnation has answered a call with a fencing token of its own, after which it
     /// refuses orders to earlier incarnations.
     is_fenced: bool,
-    /// The latest lease end that orders to earlier incarnations may have granted before, on this
-    /// incarnation's clock.
-    foreign_lease_end_ms: StampMs,
+    /// The latest lease end that orders to earlier incarnations may have granted this one, on its
+    /// clock.
+    inherited_lease_end_ms: StampMs,
     /// Whether such a lease may last longer than a new one, and with it any run.
-    pub(super) has_foreign_lease: bool,
+    pub(super) has_inherited_lease: bool,
 }
 
 impl MinionState {
@@ -61,8 +61,8 @@
             acknowledged_end: 0,
             lease_end_ms: 0,
             is_fenced: true,
-            foreign_lease_end_ms: 0,
-            has_foreign_lease: false,
+            inherited_lease_end_ms: 0,
+            has_inherited_lease: false,
         }
     }
 
@@ -86,7 +86,7 @@
         self.acknowledged_end = 0;
         self.lease_end_ms = 0;
         self.is_fenced = false;
-        self.has_foreign_lease = true;
+        self.has_inherited_lease = true;
     }
 
     /// Records that the minion has answered a call that was sent after its restart was noticed.
@@ -99,17 +99,17 @@
             return;
         };
         self.is_fenced = true;
-        self.foreign_lease_end_ms = clock_ms.saturating_add(millis(lease_max));
-        self.extend_lease(self.foreign_lease_end_ms);
+        self.inherited_lease_end_ms = clock_ms.saturating_add(millis(lease_max));
+        self.extend_lease(self.inherited_lease_end_ms);
     }
 
     /// Notes when a lease that an order to an earlier incarnation may have granted no longer lasts
     /// longer than a new one.
-    pub(super) fn expire_foreign_lease(&mut self, settings: &SidecarSettings, now: Instant) {
+    pub(super) fn expire_inherited_lease(&mut self, settings: &SidecarSettings, now: Instant) {
         let new_end_ms = self.new_lease_end_ms(settings, now);
-        let foreign_end_ms = self.foreign_lease_end_ms;
-        let has_expired = new_end_ms.is_some_and(|end_ms| end_ms >= foreign_end_ms);
-        self.has_foreign_lease &= !self.is_fenced || !has_expired;
+        let inherited_end_ms = self.inherited_lease_end_ms;
+        let has_expired = new_end_ms.is_some_and(|end_ms| end_ms >= inherited_end_ms);
+        self.has_inherited_lease &= !self.is_fenced || !has_expired;
     }
 
     /// Applies a heartbeat of this incarnation and returns whether the profile or the draining
@@ -179,7 +179,7 @@
                 // An odd reading was ahead. The minion has shortened a lease that ended later.
                 let end_max_ms = clock_ms.saturating_add(millis(lease_max));
                 self.lease_end_ms = self.lease_end_ms.min(end_max_ms);
-                self.foreign_lease_end_ms = self.foreign_lease_end_ms.min(end_max_ms);
+                self.inherited_lease_end_ms = self.inherited_lease_end_ms.min(end_max_ms);
             }
         }
         self.set_clock(clock_ms, now);
