--- a/knapweedrill_lab/tests/sidecar_world/mod.rs
+++ b/knapweedrill_lab/tests/sidecar_world/mod.rs
@@ -49,7 +49,7 @@
 /// How long a run may go on that the next incarnation of the minion has started from an order to the
 /// last one, once it has got a call of a sidecar that knows of it: the longest lease on a clock that
 /// is 2 % slow, 50 ms for the stop, and 3 ms for the steps of the simulation.
-const FOREIGN_LEASE_MAX_MS: u64 = 1_021 + 50 + 3;
+const INHERITED_LEASE_MAX_MS: u64 = 1_021 + 50 + 3;
 
 /// How long the sidecar lets the runs of a silent entry go on, in milliseconds.
 const ENTRY_SILENCE_MS: u64 = 600;
@@ -733,12 +733,12 @@
         for (run, started_ms) in self.minion.running_since().collect::<Vec<_>>() {
             let (index, sent_ms) = self.runs[&run];
             // The order went to an earlier incarnation.
-            let is_foreign = sent_ms < self.minion.started_unix_ms;
+            let is_of_earlier_incarnation = sent_ms < self.minion.started_unix_ms;
             let placement = &self.placements[index];
             if let Some((reported_ms, outcome)) = &placement.reported {
                 let learned_ms = self.learned_ms.get(&self.minion.started_unix_ms);
                 let is_unknown = learned_ms.is_none_or(|learned_ms| reported_ms < learned_ms);
-                if !is_foreign || !is_unknown {
+                if !is_of_earlier_incarnation || !is_unknown {
                     panic!(
                         "placement {index}, reported as {outcome:?} at {reported_ms} ms, has run \
                          {run:?} since {started_ms} ms, now {} ms\n{}",
@@ -755,10 +755,10 @@
             if self.now_ms <= abandoned_ms + RUN_OVERTIME_MAX_MS {
                 continue;
             }
-            let has_foreign_lease = self
+            let has_inherited_lease = self
                 .fenced_ms
-                .is_none_or(|fenced_ms| self.now_ms <= fenced_ms + FOREIGN_LEASE_MAX_MS);
-            if !is_foreign || !has_foreign_lease {
+                .is_none_or(|fenced_ms| self.now_ms <= fenced_ms + INHERITED_LEASE_MAX_MS);
+            if !is_of_earlier_incarnation || !has_inherited_lease {
                 panic!(
                     "placement {index} had to end since {abandoned_ms} ms and has run {run:?} since \
                      {started_ms} ms, now {} ms\n{}",
