fix(sidecar): refuse tasks whose required label the minion does not have

Ruled out: an order that was held back across a restart under the same name. It is given up after 160 ms, while a restarted minion takes no orders for some 450 ms; a test of it passed before the change and was left out.

Change: StartOrder carries the required label, and a sidecar refuses the task with OtherLabels by the profile of the minion that is there. The check of labels moves from the fleet to MinionProfile, where both use it.

Before, with the check taken out (trial): task_is_refused_by_a_minion_without_the_label_that_it_requires fails, one start is ordered. After: passes, 68 of 68 tests of dispatch_sidecar.

Conclusion: the life of the minion that is there decides, whatever its entry has heard.

--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -231,7 +231,7 @@
         self.of_service(service)
             .filter(|view| view.is_usable())
             .filter_map(SidecarView::profile)
-            .any(|profile| has_label(&profile.labels, Some(label)))
+            .any(|profile| profile.has_label(Some(label)))
     }
 
     /// Returns whether some known minion could run the task when idle.
@@ -240,7 +240,7 @@
             .filter_map(SidecarView::profile)
             .any(|profile| {
                 requirements.resources.fits_into(profile.capacity)
-                    && has_label(&profile.labels, requirements.required_label)
+                    && profile.has_label(requirements.required_label)
             })
     }
 
@@ -264,16 +264,18 @@
                 trusts_all || !view.is_suspect() || view.may_be_probed(now, probe_interval)
             })
             .filter_map(|view| {
-                let labels = &view.profile()?.labels;
+                let profile = view.profile()?;
                 let mut time = view.run_time(requirements.estimate) + penalty(view.incarnation())?;
-                if !has_label(labels, requirements.preferred_label) {
+                if !profile.has_label(requirements.preferred_label) {
                     time += requirements.estimate / 2;
                 }
-                has_label(labels, requirements.required_label).then_some(Candidate {
-                    time,
-                    free_millicores: view.free().cpu_millicores,
-                    incarnation: view.incarnation(),
-                })
+                profile
+                    .has_label(requirements.required_label)
+                    .then_some(Candidate {
+                        time,
+                        free_millicores: view.free().cpu_millicores,
+                        incarnation: view.incarnation(),
+                    })
             })
             .collect();
         let best = candidates.iter().map(|candidate| candidate.time).min()?;
@@ -312,7 +314,3 @@
         suspects.len() * SUSPECTS_DIVISOR > suspects.len() + others.len()
     }
 }
-
-fn has_label(labels: &[String], wanted: Option<&str>) -> bool {
-    wanted.is_none_or(|wanted| labels.iter().any(|label| label == wanted))
-}
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -163,6 +163,7 @@
             queue: job.queue_tag,
             is_trial: lane == Lane::Trial,
             service: job.service.clone(),
+            required_label: step.required_label.clone(),
             spec: job.spec.clone(),
             sidecar_stamp_ms: stamp_ms,
             run_number: task.placement_count + 1,
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -68,6 +68,8 @@
     pub is_trial: bool,
     /// The service that the minion has to belong to.
     pub service: ServiceName,
+    /// A label that the minion must have.
+    pub required_label: Option<String>,
     /// The work to run, as given by the caller and passed on to the minion.
     pub spec: String,
     /// The newest stamp of the sidecar that the entry had received. The sidecar refuses the order
@@ -114,6 +116,8 @@
     NoMinion,
     /// The minion belongs to another service.
     OtherService,
+    /// The minion does not have the label that the task requires.
+    OtherLabels,
     /// The stamp in the order was too old on arrival.
     Stale,
     /// The minion rejected the start.
@@ -152,6 +156,13 @@
     pub labels: Vec<String>,
 }
 
+impl MinionProfile {
+    /// Returns whether the minion has a label, if one is required.
+    pub fn has_label(&self, required: Option<&str>) -> bool {
+        required.is_none_or(|required| self.labels.iter().any(|label| label == required))
+    }
+}
+
 /// Whether a minion accepts tasks.
 #[key]
 pub enum MinionAvailability {
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -584,6 +584,9 @@
         if minion.profile.service != order.service {
             return Some(RefusalCause::OtherService);
         }
+        if !minion.profile.has_label(order.required_label.as_deref()) {
+            return Some(RefusalCause::OtherLabels);
+        }
         if order.is_trial && self.runs.has_other_job(order.task.job) {
             return Some(RefusalCause::NotAlone);
         }
--- a/knapweedrill/tests/dispatch_malformed.rs
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -95,6 +95,7 @@
                     queue: 1,
                     is_trial: true,
                     service: "service".into(),
+                    required_label: None,
                     spec,
                     sidecar_stamp_ms,
                     run_number,
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -104,7 +104,13 @@
     }
 
     fn order_start(&mut self, index: u32, attempt: u64) {
-        let order = start_order(index, attempt);
+        self.order_start_with(index, attempt, |_| {});
+    }
+
+    /// Orders a start that `change` may alter.
+    fn order_start_with(&mut self, index: u32, attempt: u64, change: impl FnOnce(&mut StartOrder)) {
+        let mut order = start_order(index, attempt);
+        change(&mut order);
         self.sidecar.start(ENTRY, order, self.now, self.now);
         self.collect_actions();
     }
@@ -244,6 +250,7 @@
         queue: 1,
         is_trial: false,
         service: "service".into(),
+        required_label: None,
         spec: String::new(),
         sidecar_stamp_ms: 0,
         run_number: 1,
@@ -1247,6 +1254,17 @@
 
 /// Restarts the minion under its name, and answers the first call to the next incarnation when the
 /// clock of that has this reading.
+/// Guards against a task on a minion without the label that it requires: the minion has come back as
+/// another kind, and the entry that placed the task does not know yet.
+#[test]
+fn task_is_refused_by_a_minion_without_the_label_that_it_requires() {
+    let mut fixture = Fixture::new();
+    fixture.order_start_with(0, 1, |order| order.required_label = Some("large".into()));
+    assert_eq!(fixture.starts.len(), 0);
+    let refused = PlacementOutcome::Refused(RefusalCause::OtherLabels);
+    assert_eq!(fixture.outcomes, [refused]);
+}
+
 fn restart_minion(fixture: &mut Fixture, clock_ms: u64) {
     fixture.started_unix_ms = 90_000;
     fixture.send_heartbeat();
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -161,6 +161,7 @@
         RefusalCause::Draining => "refused-draining",
         RefusalCause::NoMinion => "refused-no-minion",
         RefusalCause::OtherService => "refused-other-service",
+        RefusalCause::OtherLabels => "refused-other-labels",
         RefusalCause::Stale => "refused-stale",
         RefusalCause::Unhealthy => "refused-unhealthy",
         RefusalCause::NotAlone => "refused-not-alone",
--- a/knapweedrill_lab/tests/sidecar_world/mod.rs
+++ b/knapweedrill_lab/tests/sidecar_world/mod.rs
@@ -361,6 +361,7 @@
             queue: 1,
             is_trial: false,
             service: "service".into(),
+            required_label: None,
             spec: String::new(),
             sidecar_stamp_ms: 0,
             run_number: self.random.random_range(1..3),
