fix(entry): refuse requests that may have been sent during a long pause

Callers whose entry had stood still got their tasks run twice for some 40 ms: what a sender has sent to a VM that stands still arrives up to a retransmission delay after the VM is awake, and the end of the connection can come a round trip later.

Ruled out: a longer time without placement, since the delay grows with the pause and all callers would wait for it; closing all connections on waking up, since the traffic thread may have read a request before the event loop knows of the pause.

Change: each connection knows when it was accepted. The connection is closed after the response, so that a caller that is still there is served on its next one.

Conclusion: whether a request is old is told by its connection, not by the end of the connection, which may come at any time.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -14,6 +14,7 @@
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
 use super::pause::Pause;
+use super::paused_connections::PausedConnections;
 use super::placer::{Placer, Targets, stop_placements};
 use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
@@ -71,6 +72,8 @@
     backlog_until: Option<Instant>,
     /// Whether requests are refused until then.
     refuses_backlog: bool,
+    /// The connections on which requests may arrive that were sent during a long pause.
+    paused_connections: Option<PausedConnections>,
     is_draining: bool,
     actions: Vec<EntryAction>,
 }
@@ -93,6 +96,7 @@
             answer_cache: AnswerCache::default(),
             backlog_until: None,
             refuses_backlog: false,
+            paused_connections: None,
             is_draining: false,
             actions: Vec::new(),
         }
@@ -239,7 +243,13 @@
             pause_ms = millis(pause.duration), is_suspension, jobs = self.jobs.len();
             "process stood still, placement is held back"
         );
-        self.backlog_until = Some(now + self.settings.backlog_time);
+        let backlog_until = now + self.settings.backlog_time;
+        self.backlog_until = Some(backlog_until);
+        let paused = PausedConnections::new(pause.duration, backlog_until, now);
+        self.paused_connections = Some(match self.paused_connections {
+            Some(earlier) => paused.join(earlier),
+            None => paused,
+        });
         if is_suspension {
             self.give_up_all(RefusalReason::StoodStill, now);
         }
@@ -267,6 +277,30 @@
         self.backlog_until.is_some_and(|until| now < until)
     }
 
+    /// Refuses a submission if its request may have been sent during a long pause of this process, so
+    /// that its caller may be back at another entry. Returns whether it was refused.
+    ///
+    /// `connected_at` is when the connection of the caller was accepted.
+    pub fn refuse_paused(
+        &mut self,
+        caller: CallerId,
+        name: JobName,
+        connected_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let is_paused = |paused: PausedConnections| paused.contains(connected_at, now);
+        if !self.paused_connections.is_some_and(is_paused) {
+            return false;
+        }
+        log::info!(job:% = name; "refused: its connection is older than a pause of this process");
+        let answer = Answer::Refused {
+            reason: RefusalReason::StoodStill,
+            retry_after: retry_after(name),
+        };
+        self.answer(caller, answer, String::new());
+        true
+    }
+
     /// Handles the submission of a job: answers it at once, attaches the caller to the running job
     /// of the same name, or applies admission control.
     pub fn submit(&mut self, caller: CallerId, submission: Submission, now: Instant) {
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -12,6 +12,7 @@
 mod job;
 mod jobs;
 mod pause;
+mod paused_connections;
 mod placer;
 mod queue;
 mod retry_after;
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -21,7 +21,7 @@
 use tokio::sync::oneshot;
 
 use super::entry_http::{CallerService, PendingRequest, PublishedState};
-use super::http::{json_response, serve, serve_metrics};
+use super::http::{json_response, serve, serve_connections, serve_metrics};
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
 use super::process::{
     EVENT_BATCH_COUNT_MAX, IDLE_TICK_INTERVAL, Process, TICK_INTERVAL, event_timeout,
@@ -81,12 +81,13 @@
     })?;
     let settings = process.settings.clone();
     let address = process.address();
+    let clock = process.clock;
     let metrics = Metrics::new()?;
     let traffic_metrics = metrics.clone();
     let (traffic_probe, probe_answers) = TrafficProbe::new(sender.clone(), process.clock.now());
     spawn_traffic_thread(move || async move {
         tokio::spawn(probe_answers);
-        run_traffic(settings, address, service, traffic_metrics, sender).await
+        run_traffic(settings, address, service, clock, traffic_metrics, sender).await
     })?;
     let mut entry = Entry::new(
         EntrySettings {
@@ -118,6 +119,7 @@
     settings: ProcessSettings,
     address: SocketAddr,
     service: CallerService,
+    clock: ProcessClock,
     metrics: Metrics,
     events: Sender<EntryEvent>,
 ) -> eyre::Result<()> {
@@ -186,10 +188,7 @@
     let callers_address = settings.callers_address.ok_or_else(|| {
         eyre::eyre!("the settings have no address for callers (Listen.Front), which an entry needs")
     })?;
-    serve(callers_address, move |request| {
-        service.clone().handle(request)
-    })
-    .await
+    serve_connections(callers_address, move || service.on_connection(clock.now())).await
 }
 
 /// A caller that waits for the outcome of its job.
@@ -320,6 +319,15 @@
                     received_at: now,
                 };
                 self.callers.insert(pending.caller, waiting);
+                let (connection, name) = (&pending.connection, submission.name);
+                if self
+                    .entry
+                    .refuse_paused(pending.caller, name, connection.accepted_at, now)
+                {
+                    // A caller that is still there connects again, and is served then.
+                    connection.close();
+                    return;
+                }
                 self.entry.submit(pending.caller, submission, now);
                 return;
             }
--- a/knapweedrill_daemon/src/dispatch/entry_http.rs
+++ b/knapweedrill_daemon/src/dispatch/entry_http.rs
@@ -1,7 +1,10 @@
 //! HTTP requests of callers to an entry.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Instant;
 
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
@@ -17,6 +20,9 @@
 use super::entry::EntryEvent;
 use super::http::{FullResponse, json_response, read_body};
 
+/// The response to a request, once it is ready.
+type ResponseFuture = Pin<Box<dyn Future<Output = FullResponse> + Send>>;
+
 /// State that the event loop publishes to the traffic thread.
 #[derive(Debug, Default)]
 pub(super) struct PublishedState {
@@ -29,9 +35,25 @@
     pub(super) body_bytes_max: AtomicU32,
 }
 
+/// A connection of a caller, known to the event loop and the traffic thread.
+#[derive(Debug)]
+pub(super) struct CallerConnection {
+    pub(super) accepted_at: Instant,
+    /// Whether it is closed after the next response.
+    is_closing: AtomicBool,
+}
+
+impl CallerConnection {
+    /// Closes the connection after the next response.
+    pub(super) fn close(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A request of a caller that waits for its response from the event loop.
 pub(super) struct PendingRequest {
     pub(super) caller: CallerId,
+    pub(super) connection: Arc<CallerConnection>,
     pub(super) host: String,
     pub(super) path: String,
     pub(super) request: CallerRequest,
@@ -84,18 +106,40 @@
         json_response(status, String::new())
     }
 
+    /// Returns the handler of a connection that was accepted at `accepted_at`.
+    pub(super) fn on_connection(
+        &self,
+        accepted_at: Instant,
+    ) -> impl Fn(Request<Incoming>) -> ResponseFuture + Send + use<> {
+        let service = self.clone();
+        let connection = Arc::new(CallerConnection {
+            accepted_at,
+            is_closing: AtomicBool::new(false),
+        });
+        move |request| Box::pin(service.clone().handle(Arc::clone(&connection), request))
+    }
+
     /// Returns the response to a request of a caller.
-    pub(super) async fn handle(self, request: Request<Incoming>) -> FullResponse {
+    async fn handle(
+        self,
+        connection: Arc<CallerConnection>,
+        request: Request<Incoming>,
+    ) -> FullResponse {
         let published = Arc::clone(&self.published);
-        let mut response = self.respond(request).await;
-        if published.closes_connections.load(Ordering::Relaxed) {
+        let mut response = self.respond(&connection, request).await;
+        let is_closing = connection.is_closing.load(Ordering::Relaxed);
+        if is_closing || published.closes_connections.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
         response
     }
 
-    async fn respond(self, request: Request<Incoming>) -> FullResponse {
+    async fn respond(
+        self,
+        connection: &Arc<CallerConnection>,
+        request: Request<Incoming>,
+    ) -> FullResponse {
         let bytes_max = self.published.body_bytes_max.load(Ordering::Relaxed);
         if bytes_max == 0 {
             return json_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
@@ -111,11 +155,17 @@
         let path = head.uri.path().to_owned();
         let deadline = head.headers.get(DEADLINE_HEADER).and_then(text);
         let request = parse_request(&head.method, &host, &path, deadline.as_deref(), &body);
-        self.forward(host, path, request).await
+        self.forward(connection, host, path, request).await
     }
 
     /// Passes a request to the event loop and waits for its response.
-    async fn forward(self, host: String, path: String, request: CallerRequest) -> FullResponse {
+    async fn forward(
+        self,
+        connection: &Arc<CallerConnection>,
+        host: String,
+        path: String,
+        request: CallerRequest,
+    ) -> FullResponse {
         let caller = self.next_caller.fetch_add(1, Ordering::Relaxed);
         let job = match &request {
             CallerRequest::Submit(submission) => Some(submission.name),
@@ -124,6 +174,7 @@
         let (response_sender, response_receiver) = oneshot::channel();
         let pending = PendingRequest {
             caller,
+            connection: Arc::clone(connection),
             host,
             path,
             request,
--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -33,8 +33,7 @@
 /// A response whose whole body is in memory.
 pub(super) type FullResponse = Response<Full<Bytes>>;
 
-/// Serves requests at an address. The future of a handler is dropped when its caller disconnects,
-/// also while further requests of the caller wait on the connection.
+/// Serves requests at an address, with one handler for all connections.
 ///
 /// # Errors
 ///
@@ -43,6 +42,22 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
+{
+    serve_connections(address, move || handler.clone()).await
+}
+
+/// Serves requests at an address. `accept` creates the handler of each connection. The future of a
+/// handler is dropped when its caller disconnects, also while further requests of the caller wait on
+/// the connection.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub(super) async fn serve_connections<A, H, F>(address: SocketAddr, accept: A) -> eyre::Result<()>
+where
+    A: Fn() -> H,
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
 {
     let listener = TcpListener::bind(address)
         .await
@@ -60,7 +75,7 @@
         // to disable it only delays responses.
         let _ = stream.set_nodelay(true);
         let stream = SharedStream::new(stream);
-        let handler = handler.clone();
+        let handler = accept();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let response = handler(request);
