--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -104,7 +104,13 @@
     }
 
     fn order_start(&mut self, index: u32, attempt: u64) {
-        let order = start_order(index, attempt);
+        self.order_start_with(index, attempt, |_| {});
+    }
+
+    /// Orders a start that `change` may alter.
+    fn order_start_with(&mut self, index: u32, attempt: u64, change: impl FnOnce(&mut StartOrder)) {
+        let mut order = start_order(index, attempt);
+        change(&mut order);
         self.sidecar.start(ENTRY, order, self.now, self.now);
         self.collect_actions();
     }
@@ -244,6 +250,7 @@
         queue: 1,
         is_trial: false,
         service: "service".into(),
+        required_label: None,
         spec: String::new(),
         sidecar_stamp_ms: 0,
         run_number: 1,
@@ -1117,6 +1124,27 @@
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
 
+/// Guards against two runs of a task that leave no trace: a run that is still at its minion after it
+/// was reported as over must show in the metrics.
+#[test]
+fn run_that_was_reported_as_over_and_is_found_at_the_minion_is_counted() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
+    fixture.collect_actions();
+    while fixture.outcomes.is_empty() {
+        fixture.advance(10 * MS);
+        fixture.answer_hold(vec![(run(0), 20)], Vec::new());
+    }
+    assert_eq!(fixture.only_end(), RunEnd::Stopped);
+    fixture.advance(MS);
+    fixture.answer_hold(vec![(run(0), 20), (run(7), 20)], Vec::new());
+    fixture.advance(MS);
+    fixture.answer_hold(vec![(run(0), 20), (run(7), 20)], Vec::new());
+    assert_eq!(fixture.sidecar.false_report_count(), 1);
+}
+
 /// Guards against late orders to a minion that has left, carried out by the next one of its name.
 #[test]
 fn minion_that_returns_under_its_name_gets_a_higher_fencing_token() {
@@ -1226,6 +1254,17 @@
 
 /// Restarts the minion under its name, and answers the first call to the next incarnation when the
 /// clock of that has this reading.
+/// Guards against a task on a minion without the label that it requires: the minion has come back as
+/// another kind, and the entry that placed the task does not know yet.
+#[test]
+fn task_is_refused_by_a_minion_without_the_label_that_it_requires() {
+    let mut fixture = Fixture::new();
+    fixture.order_start_with(0, 1, |order| order.required_label = Some("large".into()));
+    assert_eq!(fixture.starts.len(), 0);
+    let refused = PlacementOutcome::Refused(RefusalCause::OtherLabels);
+    assert_eq!(fixture.outcomes, [refused]);
+}
+
 fn restart_minion(fixture: &mut Fixture, clock_ms: u64) {
     fixture.started_unix_ms = 90_000;
     fixture.send_heartbeat();
