test(dispatch): links with a rate and a queue in the simulated system

Datagrams that wait for seconds in the queue of their sender's link, in order, while the other direction is free, were in no test.

Change: a link with a rate in bits a second and a FIFO queue bounded in bytes for each node; a datagram has the size of its encoding, with the headers of its packets. dispatch_narrow_links submits bursts of jobs with specifications of up to 4,000 bytes to three entries on links of 0.8 to 3.2 Mbit/s, while processes freeze, die or are cut off.

The test does not check the claims of sidecars by themselves.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -15,6 +15,7 @@
 mod fault;
 mod fault_settings;
 mod link_faults;
+pub(crate) mod link_rate;
 mod node;
 mod observations;
 mod pending_call;
@@ -51,6 +52,7 @@
 pub(crate) use fault::Fault;
 pub(crate) use fault_settings::FaultSettings;
 use link_faults::LinkFaults;
+use link_rate::LinkRates;
 use node::Node;
 use observations::Observations;
 use pending_call::PendingCall;
@@ -105,6 +107,7 @@
     pub(crate) process_clock: ProcessClock,
     pub(crate) clock_reading: ClockReading,
     pub(crate) links: LinkFaults,
+    link_rates: LinkRates,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -188,6 +191,7 @@
             process_clock: ProcessClock::default(),
             clock_reading: ClockReading::default(),
             links: LinkFaults::default(),
+            link_rates: LinkRates::default(),
             epoch,
             now_ms: 0,
             random,
@@ -959,6 +963,10 @@
         let Some(queue_ms) = self.wait_for_link(from, bytes_count) else {
             return;
         };
+        let Some(rate_delay_ms) = self.enqueue_at_link(from, &packet, bytes_count) else {
+            return;
+        };
+        let queue_ms = queue_ms + rate_delay_ms;
         let Some(to) = node_index(to).filter(|to| *to < self.nodes.len()) else {
             return;
         };
