fix(session): start orders that are void by the time they arrive are withdrawn

Cause: a session repeated a start order with its whole specification until it was acknowledged, although its sidecar refuses it as stale 600 ms after the stamp in it, and although a stop order for the same placement was queued behind it. On a narrow link these repeats delay the orders that are still wanted until those are void as well.

Ruled out: to drop the order, which would leave a gap in the numbers; to send it without its specification, as a sidecar whose clock stood still may still take it for fresh.

Change: an order whose stamp is older than the silence time, or whose placement has been stopped, is replaced in the outbox by Message::Withdrawn, which keeps its number. Whichever of the two arrives first counts. The sidecar answers a withdrawal as a stale order, which is true, as the order with this number is then never handed on.

Conclusion: what is repeated is what can still be carried out. The overload of a narrow link is not over with this alone.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -535,7 +535,7 @@
                     view.set_profile(profile);
                 }
             }
-            Message::Start(_) | Message::Stop { .. } => {
+            Message::Start(_) | Message::Stop { .. } | Message::Withdrawn { .. } => {
                 log::warn!(process:% = from; "unexpected message: an entry takes no orders");
             }
         }
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -45,6 +45,14 @@
     Report(TaskReport),
     /// Sidecar to entry: the profile of the minion, or `None` if the sidecar has no minion.
     Minion(Option<MinionProfile>),
+    /// Entry to sidecar: takes the place of a start order that was void before it had arrived. The
+    /// sidecar answers as to a stale order.
+    Withdrawn {
+        /// The task.
+        task: TaskName,
+        /// The placement of the task that the order would have made.
+        attempt: Attempt,
+    },
 }
 
 /// An order to run a task.
--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -7,6 +7,7 @@
 
 mod envelope;
 mod peer;
+mod queued_message;
 mod schedule;
 mod sessions;
 mod settings;
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -7,6 +7,7 @@
 
 use super::SessionSettings;
 use super::envelope::{Envelope, MessageNumber, SessionNumber};
+use super::queued_message::QueuedMessage;
 use super::sessions::Identity;
 use crate::common::Incarnation;
 use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
@@ -72,7 +73,7 @@
     remote: Option<Incarnation>,
     former_incarnations: VecDeque<Incarnation>,
     /// Unacknowledged messages; the first has the number `acknowledged + 1`.
-    outbox: VecDeque<Message>,
+    outbox: VecDeque<QueuedMessage>,
     /// The stop orders among them.
     pending_stops: VecDeque<PendingStop>,
     acknowledged: MessageNumber,
@@ -175,14 +176,18 @@
         now: Instant,
     ) -> MessageNumber {
         let number = self.acknowledged + self.outbox.len() as MessageNumber + 1;
-        if matches!(message, Message::Stop { .. }) {
+        if let Message::Stop { task, attempt } = message {
+            let mut orders = self.outbox.iter_mut().rev();
+            orders.any(|queued| queued.cancel_start(task, attempt, now));
             self.pending_stops.push_back(PendingStop {
                 number,
                 queued_at: now,
                 stamp_ms: self.echo_stamp_ms(stamp_limit),
             });
         }
-        self.outbox.push_back(message);
+        let stamp = self.remote_stamp(stamp_limit);
+        let void_at = stamp.map(|(_, arrived_at)| arrived_at + self.settings.order_age_max);
+        self.outbox.push_back(QueuedMessage::new(message, void_at));
         number
     }
 
@@ -480,6 +485,11 @@
         self.sent_at = Some(now);
         self.acknowledge_at = None;
         self.is_status_new = false;
+        let mut messages = Vec::with_capacity(count);
+        for queued in self.outbox.iter_mut().skip(from).take(count) {
+            queued.withdraw_if_void(now);
+            messages.push(queued.message().clone());
+        }
         Envelope {
             from: own.incarnation,
             role: own.role,
@@ -490,7 +500,7 @@
             echo_ms,
             received: self.received,
             first: self.acknowledged + from as MessageNumber + 1,
-            messages: self.outbox.iter().skip(from).take(count).cloned().collect(),
+            messages,
             status: self.status,
         }
     }
--- a/knapweedrill/src/dispatch/session/settings.rs
+++ b/knapweedrill/src/dispatch/session/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::dispatch::RunTiming;
+
 /// Timing settings of a session.
 #[derive(Debug, Clone, Copy)]
 pub struct SessionSettings {
@@ -33,6 +35,9 @@
     /// The silence of an entry after which its sidecar drops the session. Longer than the platform
     /// lets a VM freeze, so that sessions seldom have to be reopened.
     pub expiry_timeout: Duration,
+    /// The age of its stamp from which a start order is no longer sent. As long as the silence after
+    /// which sidecars refuse it.
+    pub order_age_max: Duration,
 }
 
 impl Default for SessionSettings {
@@ -48,6 +53,7 @@
             hello_interval: Duration::from_millis(400),
             status_interval_min: Duration::from_millis(40),
             expiry_timeout: Duration::from_millis(9_000),
+            order_age_max: RunTiming::default().entry_silence_timeout(),
         }
     }
 }
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -294,6 +294,16 @@
         self.order_start(key, now);
     }
 
+    /// Handles the withdrawal of a start order, which was stale before it arrived.
+    pub fn refuse_withdrawn(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt) {
+        let cause = RefusalCause::Stale;
+        log::info!(
+            job:% = task.job, task = task.index, attempt, cause:? = cause;
+            "withdrawn start refused"
+        );
+        self.report(entry, task, attempt, PlacementOutcome::Refused(cause));
+    }
+
     /// Handles an order of an entry to stop a task.
     pub fn stop(&mut self, entry: Incarnation, task: TaskName, attempt: Attempt, now: Instant) {
         if let Some(key) = self.runs.find_placement(entry, task, attempt) {
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -189,6 +189,9 @@
             SessionEvent::Message(process, Message::Stop { task, attempt }) => {
                 self.sidecar.stop(process, task, attempt, now);
             }
+            SessionEvent::Message(process, Message::Withdrawn { task, attempt }) => {
+                self.sidecar.refuse_withdrawn(process, task, attempt);
+            }
             SessionEvent::Message(process, message) => {
                 log::warn!(process:% = process, message:? = message; "unexpected message ignored");
             }
--- a/knapweedrill/tests/dispatch_malformed.rs
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -124,7 +124,9 @@
         }))
     });
     let stop = (task(), boundary_u64()).prop_map(|(task, attempt)| Message::Stop { task, attempt });
-    prop_oneof![start(), report, minion, stop]
+    let withdrawn =
+        (task(), boundary_u64()).prop_map(|(task, attempt)| Message::Withdrawn { task, attempt });
+    prop_oneof![start(), report, minion, stop, withdrawn]
 }
 
 fn status() -> impl Strategy<Value = Option<SidecarStatus>> {
--- a/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
@@ -108,7 +108,9 @@
         match messages.first() {
             Some(Message::Start(_)) => self.start_bytes += bytes,
             Some(Message::Stop { .. }) => self.stop_bytes += bytes,
-            Some(Message::Report(_) | Message::Minion(_)) | None => self.other_bytes += bytes,
+            Some(Message::Report(_) | Message::Minion(_) | Message::Withdrawn { .. }) | None => {
+                self.other_bytes += bytes
+            }
         }
     }
 }
