fix(session): retransmission follows the round trip and repeats what is missing

Cause: an unacknowledged message was repeated after 40 ms, and with it the whole window of up to 120 messages, as the receiver dropped what arrived after a gap. Once datagrams wait for longer than that in the queue of the sender's link, each order is sent several times, the repeats lengthen the wait, orders arrive stale, and their tasks are ordered again.

Ruled out: the repeat of void orders alone. Karn's rule, which takes no sample from a repeated message, would keep a timeout that is backed off on links that lose much; the echoed stamp tells which transmission had arrived.

Change: the timeout is the smoothed round trip plus four variations (RFC 6298), 40 ms at the least, and doubles up to 320 ms or the timeout itself. It repeats one datagram. The receiver keeps what arrives after a gap, up to the window, and hands it on in order. An acknowledgement that echoes the stamp of the repeat, and still lacks something sent before it, has the next gap repeated at once. An order is withdrawn if it would be void after another round trip, of which at most half its validity counts.

--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -8,6 +8,7 @@
 mod envelope;
 mod peer;
 mod queued_message;
+mod round_trip;
 mod schedule;
 mod sessions;
 mod settings;
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -1,6 +1,6 @@
 //! The local end of one session.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
@@ -8,6 +8,7 @@
 use super::SessionSettings;
 use super::envelope::{Envelope, MessageNumber, SessionNumber};
 use super::queued_message::QueuedMessage;
+use super::round_trip::RoundTrip;
 use super::sessions::Identity;
 use crate::common::Incarnation;
 use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
@@ -79,10 +80,18 @@
     acknowledged: MessageNumber,
     sent: MessageNumber,
     retransmit_at: Option<Instant>,
-    retransmit_delay: Duration,
+    /// By how often the retransmission timeout has been doubled since the last progress.
+    backoff_count: u32,
+    round_trip: RoundTrip,
+    /// The message whose round trip is measured, and when it was first sent.
+    timed: Option<(MessageNumber, Instant)>,
+    /// The stamp of the last retransmission, and the last message that was sent before it.
+    repeated: Option<(StampMs, MessageNumber)>,
     /// Since when a sent message has been waiting for an acknowledgement.
     unacknowledged_since: Option<Instant>,
     received: MessageNumber,
+    /// Messages that arrived before an earlier one.
+    early: BTreeMap<MessageNumber, Message>,
     acknowledge_at: Option<Instant>,
     /// The newest stamp of the other side that was within the limit when the next one arrived, and
     /// its time of arrival.
@@ -117,9 +126,13 @@
             acknowledged: 0,
             sent: 0,
             retransmit_at: None,
-            retransmit_delay: settings.retransmit_delay,
+            backoff_count: 0,
+            round_trip: RoundTrip::default(),
+            timed: None,
+            repeated: None,
             unacknowledged_since: None,
             received: 0,
+            early: BTreeMap::new(),
             acknowledge_at: None,
             remote_stamp: None,
             next_remote_stamp: None,
@@ -257,7 +270,7 @@
         if envelope.echo_ms <= own.stamp_ms(now) {
             self.echo_ms = self.echo_ms.max(envelope.echo_ms);
         }
-        self.handle_acknowledgement(envelope.received, now);
+        self.handle_acknowledgement(&envelope, own, now);
         self.accept_messages(envelope.first, envelope.messages, now, &mut events);
         if let Some(status) = envelope.status.filter(|_| is_newest) {
             events.push(SessionEvent::Status(
@@ -301,7 +314,8 @@
         }
     }
 
-    fn handle_acknowledgement(&mut self, received: MessageNumber, now: Instant) {
+    fn handle_acknowledgement(&mut self, envelope: &Envelope, own: &Identity, now: Instant) {
+        let received = envelope.received;
         let known = self.acknowledged + self.outbox.len() as MessageNumber;
         if received <= self.acknowledged || received > known {
             return;
@@ -312,11 +326,48 @@
         self.drop_acknowledged_stops(received, now);
         self.acknowledged = received;
         self.sent = self.sent.max(received);
-        self.retransmit_delay = self.settings.retransmit_delay;
-        self.retransmit_at = (self.sent > self.acknowledged).then(|| now + self.retransmit_delay);
+        self.measure_round_trip(received, envelope.echo_ms, own, now);
+        self.backoff_count = 0;
+        let is_next_lost = self
+            .repeated
+            .is_some_and(|(stamp_ms, last)| envelope.echo_ms >= stamp_ms && received < last);
+        let delay = if is_next_lost {
+            Duration::ZERO
+        } else {
+            self.retransmit_delay()
+        };
+        self.retransmit_at = (self.sent > self.acknowledged).then(|| now + delay);
         self.unacknowledged_since = self.retransmit_at.map(|_| now);
     }
 
+    /// Measures the round trip of the timed message once it is acknowledged. The newest stamp that
+    /// the other side echoes tells which transmission of a repeated message had arrived.
+    fn measure_round_trip(
+        &mut self,
+        received: MessageNumber,
+        echo_ms: StampMs,
+        own: &Identity,
+        now: Instant,
+    ) {
+        let Some((_, sent_at)) = self.timed.take_if(|(number, _)| *number <= received) else {
+            return;
+        };
+        let sent_at = match echo_ms {
+            0 => sent_at,
+            _ => sent_at.max(own.instant_from_stamp(echo_ms, now)),
+        };
+        self.round_trip
+            .record(now.saturating_duration_since(sent_at));
+    }
+
+    /// Returns how long to wait for the acknowledgement of a message before it is repeated.
+    fn retransmit_delay(&self) -> Duration {
+        let delay = self.round_trip.timeout(self.settings.retransmit_delay);
+        let delay_max = self.settings.retransmit_delay_max.max(delay);
+        let factor = 2_u32.saturating_pow(self.backoff_count);
+        delay.saturating_mul(factor).min(delay_max)
+    }
+
     fn drop_acknowledged_stops(&mut self, received: MessageNumber, now: Instant) {
         while let Some(stop) = self
             .pending_stops
@@ -344,12 +395,13 @@
         };
         self.acknowledge_at
             .get_or_insert(now + self.settings.acknowledgement_delay);
-        if first > self.received + 1 {
-            // An earlier message was lost. The sender retransmits it and everything after it.
-            return;
+        let last = self.received + SEND_WINDOW_MESSAGE_COUNT as MessageNumber;
+        for (number, message) in (first..=last).zip(messages) {
+            if number > self.received {
+                self.early.entry(number).or_insert(message);
+            }
         }
-        let known_count = usize::try_from(self.received + 1 - first).unwrap_or(usize::MAX);
-        for message in messages.into_iter().skip(known_count) {
+        while let Some(message) = self.early.remove(&(self.received + 1)) {
             self.received += 1;
             events.push(SessionEvent::Message(from, message));
         }
@@ -440,18 +492,21 @@
             return envelopes;
         }
         if self.retransmit_at.is_some_and(|at| at <= now) {
-            self.sent = self.acknowledged;
-            self.retransmit_delay =
-                (self.retransmit_delay * 2).min(self.settings.retransmit_delay_max);
-            self.retransmit_at = None;
+            let sent = usize::try_from(self.sent - self.acknowledged).unwrap_or(usize::MAX);
+            let count = sent.min(DATAGRAM_MESSAGE_COUNT_MAX);
+            envelopes.push(self.envelope(own, echo_ms, now, 0, count));
+            self.repeated = Some((own.stamp_ms(now), self.sent));
+            self.backoff_count += 1;
+            self.retransmit_at = Some(now + self.retransmit_delay());
         }
         while self.has_unsent() {
             let from = usize::try_from(self.sent - self.acknowledged).unwrap_or(usize::MAX);
             let count = (self.outbox.len() - from).min(DATAGRAM_MESSAGE_COUNT_MAX);
             envelopes.push(self.envelope(own, echo_ms, now, from, count));
             self.sent += count as MessageNumber;
-            self.retransmit_at
-                .get_or_insert(now + self.retransmit_delay);
+            self.timed.get_or_insert((self.sent, now));
+            let retransmit_delay = self.retransmit_delay();
+            self.retransmit_at.get_or_insert(now + retransmit_delay);
             self.unacknowledged_since.get_or_insert(now);
         }
         let is_due = self.acknowledge_at.is_some_and(|at| at <= now)
@@ -486,8 +541,13 @@
         self.acknowledge_at = None;
         self.is_status_new = false;
         let mut messages = Vec::with_capacity(count);
+        // The other direction may be free, so that an order takes as long as a round trip.
+        let transit = self
+            .round_trip
+            .smoothed()
+            .min(self.settings.order_age_max / 2);
         for queued in self.outbox.iter_mut().skip(from).take(count) {
-            queued.withdraw_if_void(now);
+            queued.withdraw_if_void(now + transit);
             messages.push(queued.message().clone());
         }
         Envelope {
--- a/knapweedrill/src/dispatch/session/queued_message.rs
+++ b/knapweedrill/src/dispatch/session/queued_message.rs
@@ -39,7 +39,7 @@
     /// Replaces a start order that is void at an instant by its withdrawal, which keeps its number.
     pub(super) fn withdraw_if_void(&mut self, at: Instant) {
         if let Message::Start(order) = &self.message
-            && self.void_at.is_some_and(|void_at| void_at < at)
+            && self.void_at.is_some_and(|void_at| void_at <= at)
         {
             self.message = Message::Withdrawn {
                 task: order.task,
--- /dev/null
+++ b/knapweedrill_lab/tests/dispatch_link_overload.rs
@@ -0,0 +1,124 @@
+//! One entry behind a link that is too narrow for the jobs that it is offered, on a simulated system.
+
+mod dispatch_simulation;
+
+use dispatch_simulation::link_rate::LinkRate;
+use dispatch_simulation::{FaultSettings, Simulation};
+use knapweedrill::dispatch::JobName;
+use knapweedrill::dispatch::entry::Answer;
+use rand::RngExt;
+use test_case::test_case;
+
+const SIDECAR_COUNT: usize = 55;
+
+/// The rate of the link of the entry.
+const LINK_BITS_PER_S: u64 = 25_000_000;
+
+/// The bytes that may wait at the link; eight seconds.
+const LINK_QUEUE_BYTES_MAX: u64 = 25_000_000;
+
+/// The run time of tasks, in milliseconds.
+const RUN_MS: u64 = 40;
+
+/// The timeout of callers, in milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 1_500;
+
+/// The interval for which served jobs are counted, in milliseconds.
+const INTERVAL_MS: u64 = 1_000;
+
+/// The numbers of intervals before a burst, in it, and after it until the load is served again.
+const USUAL_INTERVAL_COUNT: usize = 3;
+const BURST_INTERVAL_COUNT: usize = 8;
+const SETTLING_INTERVAL_COUNT: usize = 2;
+
+/// The number of jobs a second whose start orders fit into the link.
+const LINK_JOBS_PER_S: u64 = 710;
+
+/// Jobs submitted in one interval.
+#[derive(Debug)]
+struct Interval {
+    jobs: Vec<JobName>,
+}
+
+/// Submits jobs at a rate for one interval.
+fn submit_jobs(simulation: &mut Simulation, jobs_per_s: u64) -> Interval {
+    let mut jobs = Vec::new();
+    let mut due_permille = 0;
+    for _ in 0..INTERVAL_MS {
+        due_permille += jobs_per_s;
+        while due_permille >= 1_000 {
+            due_permille -= 1_000;
+            let spec_bytes = match simulation.random().random_range(0..20) {
+                0 => simulation.random().random_range(1_000..=4_000),
+                _ => simulation.random().random_range(300..=1_000),
+            };
+            let task_count = simulation.random().random_range(2..=8);
+            simulation.set_spec_bytes(spec_bytes);
+            jobs.push(simulation.submit(task_count, CALLER_TIMEOUT_MS));
+        }
+        simulation.advance(1);
+    }
+    Interval { jobs }
+}
+
+/// Returns how many jobs of an interval were completed.
+fn served_count(simulation: &Simulation, interval: &Interval) -> usize {
+    let answers = &simulation.observations.answers;
+    let is_served = |job: &&JobName| {
+        answers
+            .get(job)
+            .is_some_and(|answers| answers.contains(&Answer::Completed))
+    };
+    interval.jobs.iter().filter(is_served).count()
+}
+
+/// Returns how many jobs of each interval were completed, for intervals with these rates.
+fn play(rates_jobs_per_s: &[u64]) -> Vec<usize> {
+    let mut simulation = Simulation::new(1, SIDECAR_COUNT, 1, FaultSettings::default());
+    simulation.set_run_ms(RUN_MS);
+    simulation.warm_up();
+    let rate = LinkRate {
+        bits_per_s: LINK_BITS_PER_S,
+        queue_bytes_max: LINK_QUEUE_BYTES_MAX,
+    };
+    simulation.set_link_rate(0, rate);
+    let mut intervals = Vec::new();
+    for jobs_per_s in rates_jobs_per_s {
+        intervals.push(submit_jobs(&mut simulation, *jobs_per_s));
+    }
+    simulation.advance(CALLER_TIMEOUT_MS);
+    println!("{:?}", simulation.link_use(0));
+    let intervals = intervals.iter();
+    intervals
+        .map(|interval| served_count(&simulation, interval))
+        .collect()
+}
+
+fn mean(counts: &[usize]) -> usize {
+    counts.iter().sum::<usize>() / counts.len()
+}
+
+/// Guards against a link that stays full of void orders and of repeats: the load that was served
+/// before a burst must be served again soon after it, and a burst must not lower what is served.
+#[test_case(300, 2; "less than half of what the link carries, doubled")]
+#[test_case(300, 4; "less than half of what the link carries, four times")]
+#[test_case(300, 10; "less than half of what the link carries, ten times")]
+#[test_case(850, 2; "more than the link carries, doubled")]
+#[test_case(850, 4; "more than the link carries, four times")]
+fn usual_load_is_served_again_after_a_burst(usual_jobs_per_s: u64, factor: u64) {
+    let mut rates_jobs_per_s = vec![usual_jobs_per_s; USUAL_INTERVAL_COUNT];
+    rates_jobs_per_s.extend([usual_jobs_per_s * factor; BURST_INTERVAL_COUNT]);
+    rates_jobs_per_s.extend([usual_jobs_per_s; SETTLING_INTERVAL_COUNT + USUAL_INTERVAL_COUNT]);
+    let served = play(&rates_jobs_per_s);
+    println!("{usual_jobs_per_s} jobs/s times {factor}: served {served:?}");
+    let (before, rest) = served.split_at(USUAL_INTERVAL_COUNT);
+    let (during, after) = rest.split_at(BURST_INTERVAL_COUNT);
+    let after = &after[SETTLING_INTERVAL_COUNT..];
+    let carried_min = usual_jobs_per_s.min(LINK_JOBS_PER_S) as usize * 9 / 10;
+    assert!(mean(before) >= carried_min, "before the burst: {before:?}");
+    assert!(mean(during) >= carried_min, "in the burst: {during:?}");
+    assert!(
+        mean(after) * 100 >= mean(before) * 95,
+        "served {before:?} before the burst and {after:?} after it"
+    );
+}
