--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -7,6 +7,8 @@
 
 mod envelope;
 mod peer;
+mod queued_message;
+mod round_trip;
 mod schedule;
 mod sessions;
 mod settings;
