fix(sidecar): a start that has waited too long in its sidecar is not sent

Cause: a start waits in the traffic thread while six orders are in flight, or while the thread is behind. It was sent however late that was. Meanwhile the end of the lease, on the clock that the order was computed on, lets the sidecar report its run as lost or stopped, and the entry places the task again. If the minion has restarted under its name in between, the old order is valid on the clock of the next incarnation, which knows no fencing token yet, and starts the run for a second time.

Ruled out: slow rounds of the event loops, between two events and between the reading of the clock and the output, did not lead to two runs by themselves.

Change: a start carries the time until which it may be sent, 200 ms after it was made. A later one is answered as overdue, which is no sign about the minion: refused if no copy was sent, stopped otherwise. The simulated system has slow rounds of event loops (step_costs) and traffic threads that are behind, send in another order and have at most six orders in flight (slow_traffic). The event loops of the simulation cost nothing as before unless a test asks for it.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -1,6 +1,6 @@
 //! Actions that a sidecar requests from its process, and the calls to and answers of its minion.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use knapweedrill_derive::{key, value};
 
@@ -37,6 +37,9 @@
     pub instance: String,
     /// How long to wait for the answer.
     pub timeout: Duration,
+    /// When the order has waited too long in this process to be sent. The sidecar may have reported
+    /// the run as lost later on, and the minion may have restarted.
+    pub send_until: Instant,
 }
 
 /// An order to stop a run.
@@ -96,6 +99,8 @@
     NoAnswer,
     /// No connection could be made, so the minion has not received the order.
     NotSent,
+    /// The order waited too long in this process and was not sent.
+    Overdue,
 }
 
 /// How a run ended, as reported by the minion.
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -15,6 +15,10 @@
 /// than the expected backward steps of a wall clock.
 const FENCING_TOKEN_STEP_MS: u64 = 10_000;
 
+/// How long a start order may wait in this process until it is sent. Well within a lease, on whose
+/// end a report that the run is lost may rest.
+const START_SEND_TIME_MAX: Duration = Duration::from_millis(200);
+
 /// An order that was sent and has no answer yet.
 #[derive(Debug)]
 struct OrderInFlight {
@@ -83,6 +87,7 @@
             fencing_token: self.fencing_token,
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now),
+            send_until: now + START_SEND_TIME_MAX,
         })
     }
 
@@ -146,6 +151,8 @@
             OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
                 self.response_times.record_loss(sent_at);
             }
+            // Says nothing about the minion.
+            OrderAnswer::Overdue => {}
             _ => {
                 let response_time = now.saturating_duration_since(sent_at);
                 self.response_times.record_response(response_time);
--- a/knapweedrill/src/dispatch/sidecar/start_step.rs
+++ b/knapweedrill/src/dispatch/sidecar/start_step.rs
@@ -66,7 +66,8 @@
             OrderAnswer::Superseded
             | OrderAnswer::LeaseExpired
             | OrderAnswer::Fenced
-            | OrderAnswer::NotSent => StartStep::Refused(RefusalCause::NoMinion),
+            | OrderAnswer::NotSent
+            | OrderAnswer::Overdue => StartStep::Refused(RefusalCause::NoMinion),
         }
     }
 }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1354,3 +1354,27 @@
     fixture.answer_hold(Vec::new(), Vec::new());
     assert_eq!(fixture.starts.len(), 0);
 }
+
+/// Guards against a start that is sent when the run may have been reported as lost, and against a
+/// minion that counts as silent because of orders that it has not got.
+#[test]
+fn start_that_waits_in_the_process_is_refused_in_good_time() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    let sent_until = fixture.starts[0].send_until;
+    assert!(sent_until <= fixture.now + SidecarSettings::default().lease / 2);
+    fixture.advance(150 * MS);
+    fixture.advance(60 * MS);
+    fixture.answer_start(OrderAnswer::Overdue);
+    assert_eq!(
+        fixture.outcomes,
+        [PlacementOutcome::Refused(RefusalCause::NoMinion)]
+    );
+    // An earlier order may have been carried out.
+    fixture.order_start(1, 2);
+    fixture.answer_start(OrderAnswer::NoAnswer);
+    fixture.advance(150 * MS);
+    fixture.advance(60 * MS);
+    fixture.answer_start(OrderAnswer::Overdue);
+    assert_eq!((fixture.outcomes.len(), fixture.stops.len()), (1, 1));
+}
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -22,6 +22,7 @@
     EVENT_BATCH_COUNT_MAX, IDLE_TICK_INTERVAL, Process, TICK_INTERVAL, event_timeout,
     spawn_traffic_thread, unix_ms,
 };
+use super::process_clock::ProcessClock;
 use super::sidecar_http::{handle_registration, send_orders};
 use super::store::publish_sidecar_records;
 
@@ -53,11 +54,19 @@
     })?;
     let (orders, queued_orders) = mpsc::unbounded_channel();
     let settings = process.settings.clone();
+    let clock = process.clock;
     let metrics = Metrics::new()?;
     let traffic_metrics = metrics.clone();
     let (record, records) = watch::channel(None);
     spawn_traffic_thread(move || {
-        run_traffic(settings, queued_orders, records, traffic_metrics, sender)
+        run_traffic(
+            settings,
+            clock,
+            queued_orders,
+            records,
+            traffic_metrics,
+            sender,
+        )
     })?;
     let settings = SidecarSettings::new(process.run_timing(), process.settings.lease_max);
     let sidecar = Sidecar::new(settings, unix_ms());
@@ -78,6 +87,7 @@
 /// Runs the HTTP servers and clients of a sidecar on the traffic thread.
 async fn run_traffic(
     settings: ProcessSettings,
+    clock: ProcessClock,
     orders: UnboundedReceiver<SidecarAction>,
     records: watch::Receiver<Option<SidecarRecord>>,
     metrics: Metrics,
@@ -95,7 +105,7 @@
         eyre::eyre!("the settings have no minion address (app), which a sidecar needs")
     })?;
     let minion = MinionClient::new(minion_address);
-    tokio::spawn(send_orders(minion, orders, metrics, events.clone()));
+    tokio::spawn(send_orders(minion, orders, clock, metrics, events.clone()));
     let address = settings.registration_address.ok_or_else(|| {
         eyre::eyre!(
             "the settings have no registration address (Listen.Control), which a sidecar needs"
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -6,13 +6,14 @@
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use knapweedrill::dispatch::sidecar::{HoldFailure, SidecarAction};
+use knapweedrill::dispatch::sidecar::{HoldFailure, OrderAnswer, SidecarAction};
 use knapweedrill_platform::{MinionClient, Registration, parse_registration};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Semaphore, oneshot};
 
 use super::http::{FullResponse, json_response, read_body};
 use super::metrics::{Metrics, order_answer_label};
+use super::process_clock::ProcessClock;
 use super::sidecar::SidecarEvent;
 
 /// The maximum size of a heartbeat, in bytes.
@@ -54,6 +55,7 @@
 pub(super) async fn send_orders(
     minion: MinionClient,
     mut orders: UnboundedReceiver<SidecarAction>,
+    clock: ProcessClock,
     metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) {
@@ -63,7 +65,7 @@
         let (minion, permits) = (Arc::clone(&minion), Arc::clone(&permits));
         let (metrics, events) = (metrics.clone(), events.clone());
         tokio::spawn(async move {
-            if let Some(event) = send_order(&minion, &permits, &metrics, order).await {
+            if let Some(event) = send_order(&minion, &permits, clock, &metrics, order).await {
                 // The event loop has ended if this fails, and needs no results.
                 let _ = events.send(event);
             }
@@ -74,13 +76,18 @@
 async fn send_order(
     minion: &MinionClient,
     permits: &Semaphore,
+    clock: ProcessClock,
     metrics: &Metrics,
     order: SidecarAction,
 ) -> Option<SidecarEvent> {
     match order {
         SidecarAction::Start(call) => {
             let _permit = permits.acquire().await.ok()?;
-            let (answer, clock_ms) = minion.start(&call).await;
+            let (answer, clock_ms) = if clock.now() > call.send_until {
+                (OrderAnswer::Overdue, None)
+            } else {
+                minion.start(&call).await
+            };
             metrics.count_minion_call("start", order_answer_label(&answer));
             Some(SidecarEvent::StartAnswered(call.call, answer, clock_ms))
         }
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -312,6 +312,7 @@
         fencing_token: order.fencing_token,
         instance,
         timeout: Duration::ZERO,
+        send_until: Instant::now(),
     };
     let now_ms = state.now_ms();
     if state.random_chance(state.faults.delayed_start_permille) {
@@ -359,9 +360,10 @@
         OrderAnswer::Fenced => respond_json(request, 409, &refused("fence")),
         OrderAnswer::OtherIncarnation => respond_text(request, 421, ""),
         OrderAnswer::Unhealthy => respond_text(request, 503, ""),
-        OrderAnswer::Malformed | OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
-            respond_text(request, 400, "");
-        }
+        OrderAnswer::Malformed
+        | OrderAnswer::NoAnswer
+        | OrderAnswer::NotSent
+        | OrderAnswer::Overdue => respond_text(request, 400, ""),
     }
 }
 
--- a/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
@@ -22,6 +22,8 @@
     pub(crate) failed_task_permille: u32,
     /// The mean number of faults of nodes and minions per second, in thousandths.
     pub(crate) machine_fault_permille: u32,
+    /// Whether minions that restart always change their name.
+    pub(crate) renames_minions: bool,
     /// Kinds of faults of nodes and minions to draw besides the usual ones.
     pub(crate) extra_faults: &'static [Fault],
 }
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -21,6 +21,8 @@
 mod process_clock;
 mod response;
 mod resubmission;
+mod slow_traffic;
+mod step_costs;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -57,6 +59,8 @@
 pub(crate) use process_clock::ProcessClock;
 use response::Response;
 use resubmission::Resubmission;
+use slow_traffic::SlowTraffic;
+use step_costs::{RoundOutput, StepCosts};
 
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
@@ -105,6 +109,8 @@
     pub(crate) process_clock: ProcessClock,
     pub(crate) clock_reading: ClockReading,
     pub(crate) links: LinkFaults,
+    pub(crate) step_costs: StepCosts,
+    pub(crate) slow_traffic: SlowTraffic,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -188,6 +194,8 @@
             process_clock: ProcessClock::default(),
             clock_reading: ClockReading::default(),
             links: LinkFaults::default(),
+            step_costs: StepCosts::default(),
+            slow_traffic: SlowTraffic::default(),
             epoch,
             now_ms: 0,
             random,
@@ -531,6 +539,7 @@
         self.read_waiting_input();
         self.crash_minions_of_deadly_jobs();
         self.send_heartbeats();
+        self.run_traffic();
         self.execute_calls();
         for minion in &mut self.minions {
             minion.advance(self.now_ms);
@@ -653,9 +662,10 @@
         }
     }
 
-    /// Makes a minion crash and start anew; with a chance of one half it keeps its instance name.
+    /// Makes a minion crash and start anew; with a chance of one half it keeps its instance name,
+    /// unless minions change their names.
     fn restart_minion(&mut self, index: usize) {
-        let instance = if self.random.random_bool(0.5) {
+        let instance = if self.random.random_bool(0.5) && !self.faults.renames_minions {
             self.minions[index].instance.clone()
         } else {
             format!("minion-{index}-{}", self.now_ms)
@@ -752,7 +762,7 @@
         is_delaying && !matches!(content, CallContent::Hold(_))
     }
 
-    fn add_call(&mut self, node: usize, content: CallContent) {
+    fn send_call(&mut self, node: usize, content: CallContent) {
         let timeout = match &content {
             CallContent::Start(call) => call.timeout,
             CallContent::Stop(call) => call.timeout,
@@ -864,11 +874,15 @@
     /// Passes a response to the sidecar that made the call, if its process is still the same. A
     /// frozen sidecar reads it when it wakes up.
     fn respond(&mut self, call: &PendingCall, response: Response) {
-        if self.process_generations[call.node] != call.generation {
+        self.respond_to(call.node, call.generation, response);
+    }
+
+    fn deliver_to_process(&mut self, node: usize, generation: u64, response: Response) {
+        if self.process_generations[node] != generation {
             return;
         }
-        let now = self.process_now(call.node);
-        let node = &mut self.nodes[call.node];
+        let now = self.process_now(node);
+        let node = &mut self.nodes[node];
         if node.frozen_until_ms > self.now_ms {
             node.unread_responses.push(response);
         } else if let Some(endpoint) = &mut node.sidecar {
@@ -1015,9 +1029,14 @@
         if self.nodes[index].frozen_until_ms > self.now_ms {
             return;
         }
+        self.end_slow_round(index);
         self.act_by_old_clock_reading(index);
+        if self.stand_still_within_batch(index) {
+            return;
+        }
         let now = self.process_now(index);
         let now_ms = self.process_now_ms(index);
+        let has_step_costs = self.has_step_costs();
         let node = &mut self.nodes[index];
         let inbox = std::mem::take(&mut node.inbox);
         let is_tick = node.next_tick_ms <= now_ms;
@@ -1039,7 +1058,10 @@
         if now_ms - node.last_run_ms > BACKLOG_PAUSE_MIN_MS {
             node.callers_known_again_ms = now_ms + DEPARTURE_DELAY_MS.end() + 1;
         }
-        if now_ms >= node.callers_known_again_ms {
+        if has_step_costs {
+            // The probe of the last round has been answered.
+            node.callers_known_ms = node.last_run_ms;
+        } else if now_ms >= node.callers_known_again_ms {
             node.callers_known_ms = now_ms;
         }
         node.last_run_ms = now_ms;
@@ -1077,10 +1099,19 @@
             datagrams = outgoing.datagrams;
             sidecar_actions = outgoing.orders;
         }
-        for (to, packet) in datagrams {
+        let output = RoundOutput {
+            datagrams,
+            sidecar_actions,
+            entry_actions,
+        };
+        self.end_round(index, output);
+    }
+
+    fn send_output(&mut self, index: usize, output: RoundOutput) {
+        for (to, packet) in output.datagrams {
             self.send_datagram(index, to, packet);
         }
-        for action in sidecar_actions {
+        for action in output.sidecar_actions {
             match action {
                 SidecarAction::Start(call) => self.add_call(index, CallContent::Start(call)),
                 SidecarAction::Stop(call) => self.add_call(index, CallContent::Stop(call)),
@@ -1088,7 +1119,7 @@
                 SidecarAction::Send(..) => panic!("the endpoint sends messages itself"),
             }
         }
-        self.carry_out(index, entry_actions);
+        self.carry_out(index, output.entry_actions);
     }
 
     fn carry_out(&mut self, entry: usize, actions: Vec<EntryAction>) {
--- a/knapweedrill_lab/tests/stand_in_minion_model.rs
+++ b/knapweedrill_lab/tests/stand_in_minion_model.rs
@@ -1,6 +1,6 @@
 //! The model of a platform minion.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::sidecar::{EndKind, HoldCall, OrderAnswer, RunKey, StartCall};
 use knapweedrill::dispatch::{JobName, Resources, TaskName};
@@ -45,6 +45,7 @@
         fencing_token: 1,
         instance: "minion".into(),
         timeout: Duration::ZERO,
+        send_until: Instant::now(),
     };
     let profile = TaskProfile {
         run_ms,
