--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -25,6 +25,8 @@
 mod process_clock;
 mod response;
 mod resubmission;
+mod slow_traffic;
+mod step_costs;
 mod wide_faults;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -65,6 +67,8 @@
 pub(crate) use process_clock::ProcessClock;
 use response::Response;
 use resubmission::Resubmission;
+use slow_traffic::SlowTraffic;
+use step_costs::{RoundOutput, StepCosts};
 
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
@@ -115,6 +119,8 @@
     pub(crate) links: LinkFaults,
     link_rates: LinkRates,
     claims: Claims,
+    pub(crate) step_costs: StepCosts,
+    pub(crate) slow_traffic: SlowTraffic,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -203,6 +209,8 @@
             links: LinkFaults::default(),
             link_rates: LinkRates::default(),
             claims: Claims::new(seed),
+            step_costs: StepCosts::default(),
+            slow_traffic: SlowTraffic::default(),
             epoch,
             now_ms: 0,
             random,
@@ -547,6 +555,7 @@
         self.read_waiting_input();
         self.crash_minions_of_deadly_jobs();
         self.send_heartbeats();
+        self.run_traffic();
         self.execute_calls();
         for minion in &mut self.minions {
             minion.advance(self.now_ms);
@@ -671,9 +680,10 @@
         }
     }
 
-    /// Makes a minion crash and start anew; with a chance of one half it keeps its instance name.
+    /// Makes a minion crash and start anew; with a chance of one half it keeps its instance name,
+    /// unless minions change their names.
     fn restart_minion(&mut self, index: usize) {
-        let instance = if self.random.random_bool(0.5) {
+        let instance = if self.random.random_bool(0.5) && !self.faults.renames_minions {
             self.minions[index].instance.clone()
         } else {
             format!("minion-{index}-{}", self.now_ms)
@@ -775,7 +785,7 @@
         is_delaying && !matches!(content, CallContent::Hold(_))
     }
 
-    fn add_call(&mut self, node: usize, content: CallContent, placement: Option<PlacementId>) {
+    fn send_call(&mut self, node: usize, content: CallContent, placement: Option<PlacementId>) {
         let timeout = match &content {
             CallContent::Start(call) => call.timeout,
             CallContent::Stop(call) => call.timeout,
@@ -901,7 +911,7 @@
             let responses = &mut self.responses;
             responses.push((due_ms, call.node, call.generation, response));
         } else {
-            self.deliver_response_to(call.node, call.generation, response);
+            self.respond_to(call.node, call.generation, response);
         }
     }
 
@@ -915,11 +925,11 @@
         while !due.is_empty() {
             let index = self.random.random_range(0..due.len());
             let (_, node, generation, response) = due.swap_remove(index);
-            self.deliver_response_to(node, generation, response);
+            self.respond_to(node, generation, response);
         }
     }
 
-    fn deliver_response_to(&mut self, node_index: usize, generation: u64, response: Response) {
+    fn deliver_to_process(&mut self, node_index: usize, generation: u64, response: Response) {
         if self.process_generations[node_index] != generation {
             return;
         }
@@ -1076,9 +1086,14 @@
         if self.nodes[index].frozen_until_ms > self.now_ms {
             return;
         }
+        self.end_slow_round(index);
         self.act_by_old_clock_reading(index);
+        if self.stand_still_within_batch(index) {
+            return;
+        }
         let now = self.process_now(index);
         let now_ms = self.process_now_ms(index);
+        let has_step_costs = self.has_step_costs();
         let node = &mut self.nodes[index];
         let inbox = std::mem::take(&mut node.inbox);
         let is_tick = node.next_tick_ms <= now_ms;
@@ -1088,7 +1103,7 @@
         let mut datagrams = Vec::new();
         let mut sidecar_actions = Vec::new();
         let mut entry_actions = Vec::new();
-        let mut output = SidecarOutput::default();
+        let mut claims = SidecarOutput::default();
         let mut lost = Vec::new();
         let pause = Pause {
             duration: Duration::from_millis(now_ms - node.last_run_ms),
@@ -1102,7 +1117,10 @@
         if now_ms - node.last_run_ms > BACKLOG_PAUSE_MIN_MS {
             node.callers_known_again_ms = now_ms + DEPARTURE_DELAY_MS.end() + 1;
         }
-        if now_ms >= node.callers_known_again_ms {
+        if has_step_costs {
+            // The probe of the last round has been answered.
+            node.callers_known_ms = node.last_run_ms;
+        } else if now_ms >= node.callers_known_again_ms {
             node.callers_known_ms = now_ms;
         }
         node.last_run_ms = now_ms;
@@ -1138,18 +1156,29 @@
                 endpoint.receive(from, packet, now);
             }
             endpoint.sidecar_mut().tick(now);
-            output = self.claims.output_of(index, endpoint.sidecar());
+            claims = self.claims.output_of(index, endpoint.sidecar());
             let outgoing = endpoint.poll(now);
             datagrams = outgoing.datagrams;
             sidecar_actions = outgoing.orders;
         }
-        for (to, packet) in datagrams {
+        let output = RoundOutput {
+            datagrams,
+            sidecar_actions,
+            entry_actions,
+            claims,
+            lost,
+        };
+        self.end_round(index, output);
+    }
+
+    fn send_output(&mut self, index: usize, output: RoundOutput) {
+        for (to, packet) in output.datagrams {
             self.send_datagram(index, to, packet);
         }
-        for action in sidecar_actions {
+        for action in output.sidecar_actions {
             match action {
                 SidecarAction::Start(call) => {
-                    let placement = output.starts.get(&call.call).copied();
+                    let placement = output.claims.starts.get(&call.call).copied();
                     self.add_call(index, CallContent::Start(call), placement);
                 }
                 SidecarAction::Stop(call) => self.add_call(index, CallContent::Stop(call), None),
@@ -1157,9 +1186,9 @@
                 SidecarAction::Send(..) => panic!("the endpoint sends messages itself"),
             }
         }
-        self.check_reports(output.reports);
-        self.check_lost(index, lost);
-        self.carry_out(index, entry_actions);
+        self.check_reports(output.claims.reports);
+        self.check_lost(index, output.lost);
+        self.carry_out(index, output.entry_actions);
     }
 
     fn carry_out(&mut self, entry: usize, actions: Vec<EntryAction>) {
--- a/knapweedrill_lab/tests/stand_in_minion_model.rs
+++ b/knapweedrill_lab/tests/stand_in_minion_model.rs
@@ -1,6 +1,6 @@
 //! The model of a platform minion.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::sidecar::{
     EndKind, HoldCall, OrderAnswer, RunKey, StartCall, StopCall,
@@ -47,6 +47,7 @@
         fencing_token: 1,
         instance: "minion".into(),
         timeout: Duration::ZERO,
+        send_until: Instant::now(),
     }
 }
 
