fix(sidecar): a heartbeat of another instance settles no runs of the minion

Cause: a heartbeat of another instance with a later start replaced the minion and reported all its runs as crashed, so that their entries placed the tasks elsewhere within 5 ms. The minion may go on: a predecessor that drains works beside its successor for seconds, another writer may send an odd start, and a wall clock may step back between two starts.

Ruled out: a refused connection as the proof. It is true after a crash, but a cut may refuse the connections of a minion that lives; the lease still ends its runs. A takeover of a silent minion without runs: nothing answers at the address then, and a later takeover costs nothing.

Change: the first heartbeat of another instance is kept (one, the newest) and makes the sidecar ask the minion at once, without a lease. A hold call for the minion that is answered with 421 now says so (HoldFailure::OtherIncarnation) and proves that this incarnation has ended: its runs are settled, and the successor is served. It is also served once its predecessor has left. The simulated minions answer holds for another instance with 421 as the platform does; the world of dispatch_report_truth draws heartbeats of an instance that is not there.

Conclusion: one heartbeat was enough for two runs of one task without a caller that comes back. Whether it is what the users saw is not known.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -146,6 +146,8 @@
 pub enum HoldFailure {
     /// No connection could be made.
     NotSent,
+    /// Another incarnation than the addressed one answered, which has therefore ended.
+    OtherIncarnation,
     /// No valid answer arrived in time.
     NoAnswer,
 }
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -18,6 +18,7 @@
 mod run_table;
 mod settings;
 mod start_step;
+mod successor;
 
 pub use action::{
     CallNumber, EndKind, EndedRun, HoldAnswer, HoldCall, HoldFailure, MinionHeartbeat, OrderAnswer,
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -95,6 +95,7 @@
             let label = match answer {
                 Ok(_) => "accepted",
                 Err(HoldFailure::NotSent) => "not-sent",
+                Err(HoldFailure::OtherIncarnation) => "other-life",
                 Err(HoldFailure::NoAnswer) => "none",
             };
             metrics.count_minion_call("hold", label);
--- a/knapweedrill_lab/tests/dispatch_run_once.rs
+++ b/knapweedrill_lab/tests/dispatch_run_once.rs
@@ -77,6 +77,26 @@
     }
 }
 
+/// Guards against tasks that are placed again while their minion still runs them, because another
+/// instance has sent a heartbeat with a later start.
+#[test_case(true; "successor of a draining minion")]
+#[test_case(false; "writer of odd heartbeats")]
+fn tasks_run_once_although_a_successor_reports_beside_their_minion(is_draining: bool) {
+    for seed in 1..=10 {
+        let mut simulation = warm_simulation(seed);
+        let (job, _) = start_long_job(&mut simulation);
+        for minion in simulation.minions_of(job) {
+            if is_draining {
+                simulation.drain(minion);
+                simulation.advance(10);
+            }
+            simulation.report_successor(minion);
+        }
+        simulation.advance(2_000 + LONG_RUN_MS);
+        simulation.assert_completed(job);
+    }
+}
+
 /// Guards against leases that are renewed while stops of the same minion get no answer, after the
 /// callers of the runs have left.
 #[test]
--- a/knapweedrill_lab/tests/dispatch_simulation/pending_call.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/pending_call.rs
@@ -16,3 +16,10 @@
     /// The end of the wait of a hold; none until the minion has accepted it.
     pub(super) accepted_hold_until_ms: Option<u64>,
 }
+
+impl PendingCall {
+    /// Returns whether the call is a hold that addresses another instance than this one.
+    pub(super) fn is_hold_of_other(&self, instance: &str) -> bool {
+        matches!(&self.content, CallContent::Hold(hold) if hold.instance != instance)
+    }
+}
--- a/knapweedrill_lab/tests/sidecar_world/mod.rs
+++ b/knapweedrill_lab/tests/sidecar_world/mod.rs
@@ -247,6 +247,7 @@
                 self.slow_until_ms = self.now_ms + self.random.random_range(20..800);
             }
             Fault::CrashAtNextCall => self.crashes_at_next_call = true,
+            Fault::ForeignHeartbeat => self.send_foreign_heartbeat(),
         }
     }
 
@@ -407,6 +408,22 @@
         self.send_input(delay_ms, Input::Heartbeat(heartbeat));
     }
 
+    /// Sends a heartbeat of an instance that is not there, with a later start than the minion's.
+    fn send_foreign_heartbeat(&mut self) {
+        let heartbeat = MinionHeartbeat {
+            profile: MinionProfile {
+                instance: "foreign".into(),
+                service: "service".into(),
+                capacity: self.minion.capacity,
+                labels: Vec::new(),
+            },
+            started_unix_ms: self.now_ms + 1,
+            sequence: 1,
+            is_draining: false,
+        };
+        self.send_input(0..4, Input::Heartbeat(heartbeat));
+    }
+
     fn add_call(&mut self, content: CallContent) {
         let placement = match &content {
             CallContent::Start(call) => {
@@ -517,6 +534,10 @@
                 self.record(format!("stop {}: {answer:?} at {clock_ms:?}", call.call));
                 Input::StopAnswered(call.call, answer, clock_ms)
             }
+            CallContent::Hold(call) if call.instance != self.minion.instance => {
+                self.record(format!("hold {}: other incarnation", call.call));
+                Input::HoldFailed(call.call, HoldFailure::OtherIncarnation)
+            }
             CallContent::Hold(call) => {
                 let is_accepted = self.minion.hold(&call, now_ms);
                 self.record(format!("hold {}: {is_accepted} at {clock_ms:?}", call.call));
@@ -574,6 +595,7 @@
         call.hold_until_ms = None;
         let answer = match failure {
             HoldFailure::NotSent => OrderAnswer::NotSent,
+            HoldFailure::OtherIncarnation => OrderAnswer::OtherIncarnation,
             HoldFailure::NoAnswer => OrderAnswer::NoAnswer,
         };
         let input = match &call.content {
