fix(wire): only a refused connection counts as a minion that is gone

Cause: each failure to connect became HttpError::NotSent, and the sidecar took it for "nothing listens at the minion's address". Too many open descriptors, no free local port, an unreachable network or a reset by something in between gave a crash that did not happen, and for a minion that had deregistered the proof that it has ended: its runs were reported as lost after three such calls, some 30 ms, while the minion could run them until its lease ended.

Ruled out: to require the end of the lease for a deregistered minion that refuses connections as well. The minion itself has said that it ends, and DELETE is the last thing that it sends; the wait would delay each of its tasks by up to 611 ms. A refused connection without a deregistration already settles nothing before the lease has ended; only the kind of the end (crashed or lost) rests on it.

Change: HttpError::Refused and HoldFailure::Refused stand for ECONNREFUSED only. NotSent still proves that an order has not reached the minion, which is all that orders need. The metric of calls tells the two apart for holds.

Tests before: - http_client, only_a_refused_connection_shows_that_no_server_listens: left Some(NotSent), right Some(NotSent), for a refused and an unreachable address. - dispatch_sidecar, minion_to_which_no_connection_can_be_made_has_not_crashed: the end was not Lost but a crash. - dispatch_sidecar, runs_of_a_deregistered_minion_are_kept_until_its_lease_ends_if_no_connection_can_be_made: the run was reported at 1,033 ms on the minion's clock, 32 ms after the deregistration. After: all pass. Other tests of refused connections name Refused now; their checks are the same.

Conclusion: a false claim that needs a failure of the sidecar's own machine at the moment a minion leaves.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -144,7 +144,9 @@
 /// Why a hold call has no answer.
 #[key]
 pub enum HoldFailure {
-    /// No connection could be made.
+    /// The connection was refused, as nothing listens at the address of the minion.
+    Refused,
+    /// No connection could be made for another reason, which says nothing about the minion.
     NotSent,
     /// Another incarnation than the addressed one answered, which has therefore ended.
     OtherIncarnation,
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -200,7 +200,7 @@
         // A call that timed out has already waited; one that was refused has not.
         let has_timed_out = now >= hold.sent_at + hold.wait + hold.timeout;
         let interval = unanswered_for.clamp(settings.hold_retry_interval, RETRY_INTERVAL_MAX);
-        self.is_refused = failure == HoldFailure::NotSent && !has_timed_out;
+        self.is_refused = failure == HoldFailure::Refused && !has_timed_out;
         self.next_at = Some(if has_timed_out {
             now
         } else {
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -175,6 +175,14 @@
     /// Lets the connection for the last hold call be refused.
     fn refuse_hold(&mut self) {
         let call = self.holds.last().expect("a hold was sent").call;
+        self.sidecar
+            .hold_failed(call, HoldFailure::Refused, self.now);
+        self.collect_actions();
+    }
+
+    /// Lets the connection for the last hold call fail on the sidecar's own machine.
+    fn fail_to_connect(&mut self) {
+        let call = self.last_hold().call;
         self.sidecar
             .hold_failed(call, HoldFailure::NotSent, self.now);
         self.collect_actions();
@@ -387,7 +395,7 @@
         let call = fixture.holds.last().expect("a hold was sent").call;
         fixture
             .sidecar
-            .hold_failed(call, HoldFailure::NotSent, fixture.now);
+            .hold_failed(call, HoldFailure::Refused, fixture.now);
         fixture.advance(20 * MS);
     }
     let crashes = fixture.sidecar.status().crashes;
@@ -424,6 +432,21 @@
     assert_eq!(fixture.sidecar.status().crashes.count, 0);
 }
 
+/// Guards against a failure to connect on the sidecar's own machine, such as too many open
+/// descriptors, that counts as a crash of the minion.
+#[test]
+fn minion_to_which_no_connection_can_be_made_has_not_crashed() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    for _ in 0..60 {
+        fixture.advance(20 * MS);
+        fixture.fail_to_connect();
+    }
+    assert_eq!(fixture.only_end(), RunEnd::Lost);
+    assert_eq!(fixture.sidecar.status().crashes.count, 0);
+}
+
 /// Guards against a job on trial that takes the runs of other jobs down with it.
 #[test]
 fn job_on_trial_starts_only_where_no_other_job_runs() {
@@ -538,6 +561,22 @@
     assert!(fixture.sidecar.minion().is_none());
 }
 
+/// Guards against a task that is placed elsewhere while a minion that has deregistered still runs
+/// it, because no connection to it could be made.
+#[test]
+fn runs_of_a_deregistered_minion_are_kept_until_its_lease_ends_if_no_connection_can_be_made() {
+    let mut fixture = deregistered_minion_with_a_run();
+    let lease_end_ms = fixture.latest_lease_end();
+    while fixture.clock_ms < lease_end_ms + 40 {
+        fixture.fail_to_connect();
+        assert_eq!(fixture.outcomes, [], "at {}", fixture.clock_ms);
+        fixture.advance(10 * MS);
+    }
+    fixture.advance(100 * MS);
+    assert_eq!(fixture.only_end(), RunEnd::Lost);
+    assert!(fixture.sidecar.minion().is_none());
+}
+
 /// Guards against a lease that outlasts a deregistered minion that no longer answers.
 #[test]
 fn lease_of_a_deregistered_minion_is_not_renewed() {
@@ -1339,7 +1378,7 @@
         let call = fixture.holds.last().expect("a hold was sent").call;
         fixture
             .sidecar
-            .hold_failed(call, HoldFailure::NotSent, fixture.now);
+            .hold_failed(call, HoldFailure::Refused, fixture.now);
         fixture.advance(20 * MS);
     }
     fixture.advance(700 * MS);
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -94,6 +94,7 @@
             let answer = minion.hold(&call).await;
             let label = match answer {
                 Ok(_) => "accepted",
+                Err(HoldFailure::Refused) => "refused",
                 Err(HoldFailure::NotSent) => "not-sent",
                 Err(HoldFailure::OtherIncarnation) => "other-life",
                 Err(HoldFailure::NoAnswer) => "none",
--- a/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
@@ -77,7 +77,7 @@
 
     /// Answers a call to a minion that refuses connections.
     pub(super) fn refuse_call(&mut self, call: &mut PendingCall) {
-        self.fail_hold(call, HoldFailure::NotSent);
+        self.fail_hold(call, HoldFailure::Refused);
         self.deliver_response(call, OrderAnswer::NotSent, None);
     }
 
--- a/knapweedrill_lab/tests/sidecar_world/mod.rs
+++ b/knapweedrill_lab/tests/sidecar_world/mod.rs
@@ -492,7 +492,7 @@
                     self.calls[index].execute_at_ms += 1;
                 } else {
                     self.calls[index].is_executed = true;
-                    self.fail_call(index, HoldFailure::NotSent);
+                    self.fail_call(index, HoldFailure::Refused);
                 }
                 continue;
             }
@@ -594,7 +594,7 @@
         call.is_resolved = true;
         call.hold_until_ms = None;
         let answer = match failure {
-            HoldFailure::NotSent => OrderAnswer::NotSent,
+            HoldFailure::Refused | HoldFailure::NotSent => OrderAnswer::NotSent,
             HoldFailure::OtherIncarnation => OrderAnswer::OtherIncarnation,
             HoldFailure::NoAnswer => OrderAnswer::NoAnswer,
         };
--- a/knapweedrill_wire/src/http_client.rs
+++ b/knapweedrill_wire/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client with a connection pool for a single server.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -49,8 +50,11 @@
 /// The reason why a call has no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HttpError {
-    /// The connection could not be established or the request is not valid, so the server has not
-    /// received it.
+    /// The connection was refused: nothing listens at the address, or something in between refuses
+    /// connections to it. The server has not received the request.
+    Refused,
+    /// The connection could not be established for another reason, such as too many open descriptors
+    /// of this process, or the request is not valid. The server has not received the request.
     NotSent,
     /// The request was sent or may have been sent, but no complete response arrived in time.
     NoResponse,
@@ -59,6 +63,7 @@
 impl fmt::Display for HttpError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Refused => f.write_str("the connection was refused"),
             Self::NotSent => f.write_str("the connection could not be established"),
             Self::NoResponse => f.write_str("no complete response arrived in time"),
         }
@@ -188,9 +193,13 @@
         if let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
-        let stream = TcpStream::connect(self.address)
-            .await
-            .map_err(|_| HttpError::NotSent)?;
+        let stream =
+            TcpStream::connect(self.address)
+                .await
+                .map_err(|error| match error.kind() {
+                    io::ErrorKind::ConnectionRefused => HttpError::Refused,
+                    _ => HttpError::NotSent,
+                })?;
         // Nagle's algorithm would delay small requests until the previous one is acknowledged. A
         // failure to disable it only adds latency.
         let _ = stream.set_nodelay(true);
--- a/knapweedrill_wire/tests/http_client.rs
+++ b/knapweedrill_wire/tests/http_client.rs
@@ -114,3 +114,18 @@
     assert!(client.call(call("/")).await.is_err());
     assert!(client.call(call("/")).await.is_ok());
 }
+
+/// Guards against a local failure to connect that looks like a server that is gone.
+#[tokio::test]
+async fn only_a_refused_connection_shows_that_no_server_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = HttpClient::new(address, IDLE_MAX, 2);
+    let refused = client.call(call("/")).await.err();
+    // The kernel refuses to connect a stream to the broadcast address, and sends nothing.
+    let client = HttpClient::new("255.255.255.255:9".parse().unwrap(), IDLE_MAX, 2);
+    let unreachable = client.call(call("/")).await.err();
+    assert_eq!(unreachable, Some(HttpError::NotSent));
+    assert_eq!(refused, Some(HttpError::Refused));
+}
