fix(sidecar): a new process takes no runs before it has read the ends of earlier ones

Cause: a sidecar process that has just started reads the ends that the minion has kept, 500 in an answer. After the first answer it took runs. An entry's run can have the task and number of a run that an earlier process ordered; an end of that one in the second answer settled the new run, as done even, before the minion had answered its order.

Ruled out: to ignore ends of runs whose order has no answer: the end of a short run may be listed before the answer to its start has arrived. Two runs at once by this way: the minion refuses the new order as old, and the run is renumbered, so what it broke was the count of failed attempts and the report itself.

Change: the minion is unavailable until an answer that is complete, or that lists no end that can be read, has arrived. An answer that is always incomplete because of a malformed row does not shut it out.

Test before: dispatch_sidecar, minion_takes_no_runs_before_the_ends_of_an_earlier_process_have_been_read, 3 of 3 cases failed; in a first form of the test the new run was reported as ended. After: all pass.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -523,10 +523,16 @@
         self.clock_lead = minion.clock_lead(answer.clock_ms, now);
         minion.correct_clock(answer.clock_ms, self.settings.lease_max, hold.sent_at, now);
         minion.confirm_fence(self.settings.lease_max);
+        let acknowledged_before = minion.acknowledged_end;
         for ended in &answer.ended {
             self.process_ended_run(ended, now);
         }
         self.acknowledge_malformed_ends(&answer, now);
+        if let Some(minion) = &mut self.minion {
+            // An answer that is incomplete for another reason lists no further ends.
+            let has_read_ends = minion.acknowledged_end > acknowledged_before;
+            minion.has_unread_ends &= answer.has_more && has_read_ends;
+        }
         self.reconcile_running(&answer, hold.sent_at, now);
         for key in self.runs.keys_where(Run::awaits_order) {
             self.order_start(key, now);
@@ -563,7 +569,8 @@
             return MinionAvailability::Unavailable;
         };
         let is_reachable = self.holds.is_reachable() && minion.is_clock_known();
-        let is_known = minion.is_profile_current && !self.runs.has_orphans();
+        let is_known =
+            minion.is_profile_current && !minion.has_unread_ends && !self.runs.has_orphans();
         let is_stopping = self.is_draining || minion.is_draining || minion.has_left;
         let is_lease_unsafe = self.is_lease_ending || minion.has_inherited_lease;
         if is_stopping || !is_reachable || !is_known || is_lease_unsafe {
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -36,6 +36,9 @@
     clock: Option<(StampMs, Instant)>,
     /// Number of the last ended run that was processed.
     pub(super) acknowledged_end: u64,
+    /// Whether it may list ends of runs of an earlier sidecar process, which can have the names and
+    /// numbers of new runs.
+    pub(super) has_unread_ends: bool,
     /// The latest lease end that any order carried, on the minion's clock.
     lease_end_ms: StampMs,
     /// Whether this incarnation has answered a call with a fencing token of its own, after which it
@@ -59,6 +62,7 @@
             has_left: false,
             clock: None,
             acknowledged_end: 0,
+            has_unread_ends: true,
             lease_end_ms: 0,
             is_fenced: true,
             inherited_lease_end_ms: 0,
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -982,6 +982,55 @@
     assert_eq!(fixture.only_end(), RunEnd::Done);
 }
 
+/// Guards against an end of an earlier sidecar process that settles a run of this one, which has the
+/// same number and whose order the minion has yet to answer.
+#[test_case(EndKind::Done; "done")]
+#[test_case(EndKind::Failed; "failed")]
+#[test_case(EndKind::Lapsed; "lapsed")]
+fn minion_takes_no_runs_before_the_ends_of_an_earlier_process_have_been_read(kind: EndKind) {
+    let mut fixture = Fixture::new();
+    fixture.displace_hold();
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.profile.instance = "next".into());
+    fixture.advance(MS);
+    fixture.answer_hold_with(|answer| {
+        answer.ended = vec![ended_run(500, 9)];
+        answer.has_more = true;
+    });
+    fixture.advance(MS);
+    fixture.order_start(0, 1);
+    let refused = [PlacementOutcome::Refused(RefusalCause::NoMinion)];
+    assert_eq!(fixture.outcomes, refused);
+    fixture.answer_hold_with(|answer| {
+        answer.ended = vec![EndedRun {
+            kind,
+            ..ended_run(501, 0)
+        }];
+    });
+    fixture.order_start(0, 2);
+    fixture.answer_start(OrderAnswer::Superseded);
+    let renumbered = fixture.starts.last().expect("a start was ordered").run;
+    assert!(renumbered.number > run(0).number);
+    fixture.answer_start(OrderAnswer::Accepted);
+    assert_eq!(fixture.sidecar.run_count(), 1);
+    assert_eq!(fixture.outcomes, refused);
+}
+
+/// Guards against a minion that is shut out because its answers are never complete.
+#[test]
+fn minion_with_a_malformed_row_in_each_answer_is_served() {
+    let mut fixture = Fixture::new();
+    fixture.displace_hold();
+    fixture.send_heartbeat_with(|heartbeat| heartbeat.profile.instance = "next".into());
+    for _ in 0..2 {
+        fixture.advance(20 * MS);
+        fixture.answer_hold_with(|answer| {
+            answer.ended = vec![ended_run(1, 9), ended_run(u64::MAX, 8)];
+            answer.has_more = true;
+        });
+    }
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+}
+
 /// Guards against an odd sequence number that makes all later heartbeats look late.
 #[test]
 fn heartbeat_after_one_with_an_odd_sequence_number_is_applied() {
