--- a/knapweedrill_lab/tests/sidecar_world/fault.rs
+++ b/knapweedrill_lab/tests/sidecar_world/fault.rs
@@ -21,11 +21,13 @@
     Leave,
     /// Starts and stops are carried out seconds late and without an answer, holds as usual.
     DelayOrders,
+    /// Another instance sends a heartbeat with a later start.
+    ForeignHeartbeat,
 }
 
 impl Fault {
     /// The faults of worlds in which minions return under their names.
-    pub(super) const USUAL: [Self; 11] = [
+    pub(super) const USUAL: [Self; 12] = [
         Self::FreezeSidecar,
         Self::KillSidecar,
         Self::CrashMinion,
@@ -37,10 +39,11 @@
         Self::LoseAnswers,
         Self::SlowAnswers,
         Self::CrashAtNextCall,
+        Self::ForeignHeartbeat,
     ];
 
     /// The faults of worlds in which minions leave and return under other names.
-    pub(super) const WITH_LEAVES: [Self; 13] = [
+    pub(super) const WITH_LEAVES: [Self; 14] = [
         Self::FreezeSidecar,
         Self::KillSidecar,
         Self::CrashMinion,
@@ -54,5 +57,6 @@
         Self::CrashAtNextCall,
         Self::Leave,
         Self::DelayOrders,
+        Self::ForeignHeartbeat,
     ];
 }
