--- a/knapweedrill_lab/tests/dispatch_simulation/wide_faults.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/wide_faults.rs
@@ -1,5 +1,6 @@
 use knapweedrill_lab::stand_in::platform::TaskProfile;
 use rand::RngExt;
+use rand::seq::SliceRandom;
 
 use super::{JobName, Simulation, TaskName};
 
@@ -7,6 +8,12 @@
 /// milliseconds.
 const USUAL_RESPONSE_DELAY_MAX_MS: u64 = 3;
 
+/// The longest pause between two jobs for each minion, in milliseconds.
+const JOB_PAUSE_MAX_MS: u64 = 1_000;
+
+/// The minions for which the frequency of faults is drawn.
+const FLEET_FACTOR_MINIONS: usize = 12;
+
 /// A fault that is drawn at random on days with many kinds of them.
 #[derive(Debug, Clone, Copy)]
 enum WideFault {
@@ -26,6 +33,10 @@
     RestartSidecar,
     RestartEntry,
     FreezeEntry,
+    /// An entry reads its clock and stands still before it acts.
+    StallEntry,
+    /// The machine of a sidecar stands still, and its minion goes on.
+    SuspendSidecar,
     /// Datagrams between an entry and some sidecars are lost in one direction.
     CutOneWay,
     IsolateSidecar,
@@ -38,7 +49,7 @@
     CutForLong,
 }
 
-const ALL: [WideFault; 16] = [
+const ALL: [WideFault; 18] = [
     WideFault::DelayOrders,
     WideFault::DelayOrdersThenRename,
     WideFault::Rename,
@@ -49,6 +60,8 @@
     WideFault::RestartSidecar,
     WideFault::RestartEntry,
     WideFault::FreezeEntry,
+    WideFault::StallEntry,
+    WideFault::SuspendSidecar,
     WideFault::CutOneWay,
     WideFault::IsolateSidecar,
     WideFault::OddCalls,
@@ -68,22 +81,26 @@
 }
 
 impl Simulation {
-    /// Lets a day pass with clusters of faults, long tasks, tasks that hang and tasks that stall.
+    /// Lets a day pass with clusters of faults of some kinds, long tasks, tasks that hang and tasks that stall.
     pub(crate) fn run_wide_day(&mut self, for_ms: u64) {
         let end_ms = self.now_ms + for_ms;
         self.faults.response_delay_max_ms = USUAL_RESPONSE_DELAY_MAX_MS;
         let mut sequels: Vec<(u64, Sequel)> = Vec::new();
         let mut faults: Vec<(u64, WideFault)> = Vec::new();
         let mut next_job_ms = self.now_ms;
+        let kinds = self.draw_kinds();
+        let fleet_factor = self.minions.len().div_ceil(FLEET_FACTOR_MINIONS) as u64;
+        let cluster_period_ms = self.random.random_range(300..1_500) / fleet_factor;
         while self.now_ms < end_ms {
             if next_job_ms <= self.now_ms {
                 self.submit_wide_job();
-                next_job_ms = self.now_ms + self.random.random_range(20..160);
+                let pause_max_ms = JOB_PAUSE_MAX_MS / self.minions.len() as u64;
+                next_job_ms = self.now_ms + self.random.random_range(1..pause_max_ms);
             }
-            if self.random.random_range(0..900) == 0 {
+            if self.random.random_range(0..cluster_period_ms) == 0 {
                 for _ in 0..self.random.random_range(1..=5) {
                     let at_ms = self.now_ms + self.random.random_range(0..900);
-                    faults.push((at_ms, ALL[self.random.random_range(0..ALL.len())]));
+                    faults.push((at_ms, kinds[self.random.random_range(0..kinds.len())]));
                 }
             }
             let now_ms = self.now_ms;
@@ -99,6 +116,14 @@
         }
     }
 
+    /// Returns the kinds of faults of a day. Few kinds meet each other more often.
+    fn draw_kinds(&mut self) -> Vec<WideFault> {
+        let mut kinds = ALL.to_vec();
+        kinds.shuffle(&mut self.random);
+        kinds.truncate(self.random.random_range(2..=ALL.len()));
+        kinds
+    }
+
     fn submit_wide_job(&mut self) {
         let run_ms = [60, 300, 1_000, 2_000, 4_000][self.random.random_range(0..5)];
         self.set_run_ms(run_ms);
@@ -177,6 +202,14 @@
                 let for_ms = self.random.random_range(300..3_500);
                 self.freeze(entry, for_ms);
             }
+            WideFault::StallEntry => {
+                let for_ms = self.random.random_range(100..2_500);
+                self.stall_after_clock_reading(entry, for_ms);
+            }
+            WideFault::SuspendSidecar => {
+                let for_ms = self.random.random_range(300..3_500);
+                self.suspend(sidecar, for_ms);
+            }
             WideFault::CutOneWay => {
                 let for_ms = self.random.random_range(300..5_000);
                 let is_outwards = self.random.random_bool(0.5);
