feat(metrics): messages and bytes sent to sidecars by kind

Change: sessions count the messages that they send, with their encoded size: start orders, repeated start orders, withdrawals, stop orders, others. Not counted: heartbeats and pure acknowledgements, gossip, answers to callers.

Figures: repeated_starts_are_counted_apart; on a link that loses what carries messages, the repeats in the counters are those that the test saw.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -22,7 +22,7 @@
 use crate::common::{Incarnation, ServiceName};
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::message::{Message, PlacementOutcome, RunEnd, TaskReport};
-use crate::dispatch::session::{Envelope, SessionEvent, Sessions};
+use crate::dispatch::session::{Envelope, SentMessages, SessionEvent, Sessions};
 use crate::dispatch::units::millis;
 use crate::dispatch::{JobName, Notice, Packet, SidecarRecord};
 
@@ -159,6 +159,16 @@
         self.sessions.len()
     }
 
+    /// Returns the counts of the messages that this entry has sent to sidecars.
+    pub fn sent_messages(&self) -> &SentMessages {
+        self.sessions.sent_messages()
+    }
+
+    /// Returns the number of messages that sidecars have not acknowledged.
+    pub fn queued_message_count(&self) -> usize {
+        self.sessions.queued_message_count()
+    }
+
     /// Returns for how long a sidecar has not acknowledged a stop order, at most.
     pub fn stop_pending_for(&self, now: Instant) -> Duration {
         self.sessions.stop_pending_for(now)
--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -10,10 +10,12 @@
 mod queued_message;
 mod round_trip;
 mod schedule;
+mod sent_messages;
 mod sessions;
 mod settings;
 
 pub use envelope::{Envelope, MessageNumber, SessionNumber};
 pub use peer::SessionEvent;
+pub use sent_messages::{SentCount, SentKind, SentMessages};
 pub use sessions::{Identity, Sessions};
 pub use settings::SessionSettings;
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -234,6 +234,16 @@
         is_new
     }
 
+    /// Returns the number of the last message that has been sent.
+    pub(super) fn last_sent(&self) -> MessageNumber {
+        self.sent
+    }
+
+    /// Returns the number of messages without an acknowledgement.
+    pub(super) fn queued_message_count(&self) -> usize {
+        self.outbox.len()
+    }
+
     /// Returns the number of the session.
     pub(super) fn session(&self) -> SessionNumber {
         self.session
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -7,6 +7,7 @@
 use super::envelope::{Envelope, MessageNumber, SessionNumber};
 use super::peer::{Peer, SessionEvents};
 use super::schedule::Schedule;
+use super::sent_messages::SentMessages;
 use super::{SessionEvent, SessionSettings};
 use crate::common::Incarnation;
 use crate::dispatch::message::{Message, Role, SidecarStatus, StampMs};
@@ -62,6 +63,7 @@
     closing_datagrams: Vec<(SocketAddr, Envelope)>,
     /// The latest arrival of stamps that may be echoed; unlimited without one.
     stamp_limit: Option<Instant>,
+    sent_messages: SentMessages,
 }
 
 impl Sessions {
@@ -77,6 +79,7 @@
             schedule: Schedule::default(),
             closing_datagrams: Vec::new(),
             stamp_limit: None,
+            sent_messages: SentMessages::default(),
         }
     }
 
@@ -145,6 +148,16 @@
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
+    /// Returns the counts of the messages that have been sent.
+    pub fn sent_messages(&self) -> &SentMessages {
+        &self.sent_messages
+    }
+
+    /// Returns the number of messages of all sessions without an acknowledgement.
+    pub fn queued_message_count(&self) -> usize {
+        self.peers.values().map(Peer::queued_message_count).sum()
+    }
+
     /// Sets the status to send to a process.
     pub fn set_status(&mut self, to: Incarnation, status: SidecarStatus) {
         self.change(to, |peer| peer.set_status(status));
@@ -284,7 +297,9 @@
             }
             peer.is_dirty = false;
             events.extend(peer.check_silence(&self.own, now));
+            let first_new = peer.last_sent() + 1;
             for envelope in peer.poll(&self.own, self.stamp_limit, now) {
+                self.sent_messages.record(&envelope, first_new);
                 datagrams.push((address, envelope));
             }
             let due = peer
--- a/knapweedrill/tests/dispatch_void_orders.rs
+++ b/knapweedrill/tests/dispatch_void_orders.rs
@@ -7,7 +7,7 @@
     Message, PlacementOutcome, RefusalCause, Role, StartOrder, TaskReport,
 };
 use knapweedrill::dispatch::session::{
-    Envelope, Identity, SessionEvent, SessionSettings, Sessions,
+    Envelope, Identity, SentKind, SessionEvent, SessionSettings, Sessions,
 };
 use knapweedrill::dispatch::sidecar::{Sidecar, SidecarAction, SidecarSettings};
 use knapweedrill::dispatch::{JobName, Resources, RunTiming, TaskName};
@@ -178,6 +178,25 @@
     assert_eq!(pair.received.len(), 3);
 }
 
+/// Guards against repeats that nobody sees: they are counted apart from first transmissions.
+#[test]
+fn repeated_starts_are_counted_apart() {
+    let mut pair = Pair::new();
+    pair.run(Duration::from_secs(1), |_| false);
+    pair.start(1);
+    pair.run(Duration::from_millis(300), |envelope| {
+        !envelope.messages.is_empty()
+    });
+    let sent = pair.sides[ENTRY].sent_messages();
+    let starts = sent.count(SentKind::Start);
+    let repeats = sent.count(SentKind::RepeatedStart);
+    assert_eq!(starts.messages, 1);
+    assert_eq!(repeats.messages, pair.starts_sent_at.len() as u64 - 1);
+    assert_eq!(repeats.bytes, starts.bytes * repeats.messages);
+    assert!(starts.bytes > "what to run".len() as u64);
+    assert_eq!(pair.sides[ENTRY].queued_message_count(), 1);
+}
+
 /// Guards against a task whose order was withdrawn, and which nobody places again.
 #[test]
 fn sidecar_answers_a_withdrawal_as_a_stale_order() {
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -395,6 +395,16 @@
     /// Updates the gauges.
     fn update_gauges(&mut self, now: Instant) {
         let traffic_lag = self.traffic_probe.take_lag_max();
+        self.metrics
+            .update_sent_messages(self.entry.sent_messages());
+        let queued_message_count = self.entry.queued_message_count();
+        if queued_message_count >= LOGGED_QUEUED_MESSAGE_COUNT_MIN {
+            log::warn!(
+                messages = queued_message_count, sessions = self.entry.session_count(),
+                stop_pending_ms = self.entry.stop_pending_for(now).as_millis() as u64;
+                "many messages without an acknowledgement"
+            );
+        }
         let configured_at = self.entry.configured_at();
         let age = configured_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let gauges = [
@@ -409,6 +419,7 @@
                 "stop_pending_ms",
                 self.entry.stop_pending_for(now).as_millis() as u64,
             ),
+            ("queued_messages", queued_message_count as u64),
             ("ready", u64::from(self.entry.is_ready())),
             ("traffic_lag_ms", traffic_lag.as_millis() as u64),
         ];
@@ -418,6 +429,9 @@
     }
 }
 
+/// The number of messages without an acknowledgement from which on it is logged.
+const LOGGED_QUEUED_MESSAGE_COUNT_MIN: usize = 1_000;
+
 /// How long a stopping process waits until the last responses are sent.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(150);
 
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -5,6 +5,7 @@
 use eyre::{Result, WrapErr};
 use knapweedrill::dispatch::entry::{Answer, RefusalReason};
 use knapweedrill::dispatch::message::{PlacementOutcome, RefusalCause, RunEnd};
+use knapweedrill::dispatch::session::{SentKind, SentMessages};
 use knapweedrill::dispatch::sidecar::OrderAnswer;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
@@ -32,6 +33,8 @@
     placements: IntCounterVec,
     run_seconds: HistogramVec,
     minion_calls: IntCounterVec,
+    sent_messages: IntCounterVec,
+    sent_message_bytes: IntCounterVec,
     gauges: IntGaugeVec,
 }
 
@@ -73,6 +76,20 @@
             Opts::new("knapweedrill_minion_calls_total", "Calls of the minion."),
             &["call", "answer"],
         );
+        let sent_messages = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_sent_messages_total",
+                "Messages sent to sidecars, by kind.",
+            ),
+            &["kind"],
+        );
+        let sent_message_bytes = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_sent_message_bytes_total",
+                "Size of the messages sent to sidecars, by kind.",
+            ),
+            &["kind"],
+        );
         let gauges = IntGaugeVec::new(
             Opts::new("knapweedrill_level", "Levels that rise and fall, by name."),
             &["name"],
@@ -84,6 +101,9 @@
             placements: placements.wrap_err("can't create the counter of placements")?,
             run_seconds: run_seconds.wrap_err("can't create the histogram of runs")?,
             minion_calls: minion_calls.wrap_err("can't create the counter of minion calls")?,
+            sent_messages: sent_messages.wrap_err("can't create the counter of sent messages")?,
+            sent_message_bytes: sent_message_bytes
+                .wrap_err("can't create the counter of sent bytes")?,
             gauges: gauges.wrap_err("can't create the gauges")?,
         };
         let registry = &metrics.registry;
@@ -92,6 +112,8 @@
         registry.register(Box::new(metrics.placements.clone()))?;
         registry.register(Box::new(metrics.run_seconds.clone()))?;
         registry.register(Box::new(metrics.minion_calls.clone()))?;
+        registry.register(Box::new(metrics.sent_messages.clone()))?;
+        registry.register(Box::new(metrics.sent_message_bytes.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         Ok(metrics)
     }
@@ -127,6 +149,18 @@
         self.minion_calls.with_label_values(&[call, answer]).inc();
     }
 
+    /// Updates the counters of sent messages to the counts since the start of the process.
+    pub(super) fn update_sent_messages(&self, sent: &SentMessages) {
+        for kind in SentKind::ALL {
+            let label = [sent_kind_label(kind)];
+            let count = sent.count(kind);
+            let messages = self.sent_messages.with_label_values(&label);
+            messages.inc_by(count.messages.saturating_sub(messages.get()));
+            let bytes = self.sent_message_bytes.with_label_values(&label);
+            bytes.inc_by(count.bytes.saturating_sub(bytes.get()));
+        }
+    }
+
     /// Sets the gauge with this name.
     pub(super) fn set_gauge(&self, name: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
@@ -144,6 +178,16 @@
     }
 }
 
+fn sent_kind_label(kind: SentKind) -> &'static str {
+    match kind {
+        SentKind::Start => "start",
+        SentKind::RepeatedStart => "repeated-start",
+        SentKind::Withdrawal => "withdrawal",
+        SentKind::Stop => "stop",
+        SentKind::Other => "other",
+    }
+}
+
 fn end_label(end: RunEnd) -> &'static str {
     match end {
         RunEnd::Done => "done",
