fix(sidecar): a hold that is refused by its fencing token raises the token

Cause: a sidecar took the time of day at its start as its fencing token. After a jump back the minion answers each hold with 409 fence.

Ruled out: a second run of a task by this way. The minion's lease ends meanwhile, and nothing renews it.

Change: a refused token is an outcome of a hold of its own. Only a refusal of the current token raises it. Tokens come from the uptime of the machine, not from the time of day, and end with 10 bits that each process draws, which all its tokens keep. A minion that refuses the highest token counts as out of reach.

Tests: the sidecar world of dispatch_report_truth no longer hands out tokens by a counter, but as the daemon does, and checks that no two processes use the same.

Conclusion: a recovery fault, not a cause of two runs that was shown.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -153,6 +153,8 @@
     NotSent,
     /// No valid answer arrived in time.
     NoAnswer,
+    /// The minion has seen a higher fencing token.
+    Fenced,
 }
 
 /// A heartbeat of a minion.
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -10,6 +10,7 @@
 };
 use super::connected_entries::ConnectedEntries;
 use super::crash_log::CrashLog;
+use super::fence_step::FenceStep;
 use super::hold_schedule::HoldSchedule;
 use super::minion_state::MinionState;
 use super::minion_stats::MinionStats;
@@ -352,7 +353,7 @@
             StartStep::Renumber => self.renumber(key, now),
             StartStep::Repeat => self.order_start(key, now),
             StartStep::RaiseToken => {
-                self.orders.raise_fencing_token();
+                self.orders.handle_refused_token(order.fencing_token);
                 self.order_start(key, now);
             }
             StartStep::Stop => self.begin_stop(key, now),
@@ -388,7 +389,7 @@
         match answer {
             OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
             OrderAnswer::Fenced => {
-                self.orders.raise_fencing_token();
+                self.orders.handle_refused_token(order.fencing_token);
                 self.order_stop(key, now);
             }
             OrderAnswer::Accepted if !order.is_outdated => {
@@ -410,11 +411,35 @@
 
     /// Handles a hold call without an answer.
     pub fn hold_failed(&mut self, call: CallNumber, failure: HoldFailure, now: Instant) {
-        let is_refused = failure == HoldFailure::NotSent;
-        self.holds.set_refused(is_refused);
+        match failure {
+            HoldFailure::Fenced if self.handle_fenced_hold(call, now) => return,
+            HoldFailure::NotSent => self.holds.set_refused(true),
+            HoldFailure::NoAnswer | HoldFailure::Fenced => self.holds.set_refused(false),
+        }
         self.hold_answered(call, None, now);
     }
 
+    /// Handles a hold call whose fencing token the minion has refused: the next one follows at once,
+    /// with a higher token and without a lease. Returns whether there is a higher token.
+    ///
+    /// The minion has carried out an order of another process, so its runs and its lease are unknown
+    /// until it has answered.
+    fn handle_fenced_hold(&mut self, call: CallNumber, now: Instant) -> bool {
+        let Some(hold) = self.holds.pending(call) else {
+            // The call was abandoned.
+            return true;
+        };
+        if self.orders.handle_refused_token(hold.fencing_token) == FenceStep::Exhausted {
+            return false;
+        }
+        self.orders.response_times_mut().record_sign_of_life();
+        if let Some(minion) = &mut self.minion {
+            minion.note_foreign_order();
+        }
+        self.holds.record_fenced(now);
+        true
+    }
+
     /// Handles the answer to a hold call, or `None` if there was no answer.
     pub fn hold_answered(&mut self, call: CallNumber, answer: Option<HoldAnswer>, now: Instant) {
         let Some(hold) = self.holds.take_pending(call) else {
@@ -466,6 +491,7 @@
             self.holds.record_answer(now);
             return;
         }
+        self.orders.record_accepted_token();
         self.crashes.recovered();
         self.stats.record_end_delay(self.holds.unanswered_for(now));
         if self.holds.record_answer(now) {
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub(super) struct PendingHold {
     call: CallNumber,
+    pub(super) fencing_token: u64,
     pub(super) sent_at: Instant,
     /// How long the minion may delay its answer.
     pub(super) wait: Duration,
@@ -46,9 +47,9 @@
     /// Whether the connection for the last failed call was refused.
     is_refused: bool,
     next_at: Option<Instant>,
-    /// Whether this process has stood still since the last answer, so that the minion may have
-    /// restarted unnoticed.
-    has_paused: bool,
+    /// Whether this process has stood still, or the minion has refused its fencing token, since the
+    /// last answer, so that the minion may have restarted unnoticed.
+    is_unconfirmed: bool,
 }
 
 impl HoldSchedule {
@@ -91,14 +92,14 @@
     /// Returns whether the minion that answered the last call is known to be there still: a restart
     /// would have broken the call in flight.
     pub(super) fn is_incarnation_confirmed(&self) -> bool {
-        !self.has_paused && !self.is_failing()
+        !self.is_unconfirmed && !self.is_failing()
     }
 
     /// Handles a pause of this process: abandons the call in flight, whose answer may be old, and
     /// schedules the next one.
     pub(super) fn handle_pause(&mut self, now: Instant) {
         if self.next_at.is_some() {
-            self.has_paused = true;
+            self.is_unconfirmed = true;
             self.reschedule(now);
         }
     }
@@ -144,6 +145,7 @@
     pub(super) fn record_sent(&mut self, call: &HoldCall, is_idle: bool, now: Instant) {
         self.pending = Some(PendingHold {
             call: call.call,
+            fencing_token: call.fencing_token,
             sent_at: now,
             wait: Duration::from_millis(call.wait_ms),
             timeout: call.timeout,
@@ -151,6 +153,18 @@
         });
     }
 
+    /// Returns the call in flight if it has this number.
+    pub(super) fn pending(&self, call: CallNumber) -> Option<&PendingHold> {
+        self.pending.as_ref().filter(|hold| hold.call == call)
+    }
+
+    /// Records that the minion has refused the fencing token of the call in flight, and schedules the
+    /// next one at once. It has carried out an order of another process, and may have restarted.
+    pub(super) fn record_fenced(&mut self, now: Instant) {
+        self.is_unconfirmed = true;
+        self.reschedule(now);
+    }
+
     /// Removes and returns the call in flight if it has this number.
     pub(super) fn take_pending(&mut self, call: CallNumber) -> Option<PendingHold> {
         self.pending.take_if(|hold| hold.call == call)
@@ -168,7 +182,7 @@
         self.failure_count = 0;
         self.is_refused = false;
         self.unanswered_since = None;
-        self.has_paused = false;
+        self.is_unconfirmed = false;
         self.next_at = Some(now);
         std::mem::take(&mut self.is_unreachable)
     }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -103,6 +103,15 @@
         self.extend_lease(self.inherited_lease_end_ms);
     }
 
+    /// Notes that this incarnation, after it had answered a call of this process, has carried out an
+    /// order of another process, which may have granted a lease up to the longest one.
+    pub(super) fn note_foreign_order(&mut self) {
+        if self.clock.is_some() {
+            self.is_fenced = false;
+            self.has_inherited_lease = true;
+        }
+    }
+
     /// Notes when a lease that an order to an earlier incarnation may have granted no longer lasts
     /// longer than a new one.
     pub(super) fn expire_inherited_lease(&mut self, settings: &SidecarSettings, now: Instant) {
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -5,6 +5,8 @@
 mod core;
 mod crash_log;
 mod endpoint;
+mod fence_step;
+mod fencing_token;
 mod health;
 mod hold_schedule;
 mod minion_state;
@@ -25,6 +27,7 @@
 };
 pub use core::Sidecar;
 pub use endpoint::{Outgoing, SidecarEndpoint};
+pub use fencing_token::first_fencing_token;
 pub use health::Health;
 pub use pace::Pace;
 pub use response_times::ResponseTimes;
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -5,16 +5,14 @@
 
 use super::SidecarSettings;
 use super::action::{CallNumber, HoldCall, OrderAnswer, RunKey, StartCall, StopCall};
+use super::fence_step::FenceStep;
+use super::fencing_token::FencingToken;
 use super::minion_state::MinionState;
 use super::response_times::ResponseTimes;
 use super::run::Run;
 use crate::dispatch::run_timing::clock_drift;
 use crate::dispatch::units::millis;
 
-/// Increment of the fencing token when the minion has seen a higher one, in milliseconds. Larger
-/// than the expected backward steps of a wall clock.
-const FENCING_TOKEN_STEP_MS: u64 = 10_000;
-
 /// How long a start order may wait in this process until it is sent. Well within a lease, on whose
 /// end a report that the run is lost may rest.
 const START_SEND_TIME_MAX: Duration = Duration::from_millis(200);
@@ -23,6 +21,7 @@
 #[derive(Debug)]
 struct OrderInFlight {
     run: RunKey,
+    fencing_token: u64,
     sent_at: Instant,
     /// Whether the minion has restarted since. An answer may still come from the incarnation to
     /// which the order was sent.
@@ -33,6 +32,8 @@
 #[derive(Debug)]
 pub(super) struct CompletedOrder {
     pub(super) run: RunKey,
+    /// The token that the order carried.
+    pub(super) fencing_token: u64,
     /// Whether the answer may come from an earlier incarnation of the minion.
     pub(super) is_outdated: bool,
 }
@@ -40,7 +41,7 @@
 /// Numbers and fences the orders to the minion, and tracks those without an answer.
 #[derive(Debug)]
 pub(super) struct OrderTracker {
-    fencing_token: u64,
+    fencing_token: FencingToken,
     last_call: CallNumber,
     in_flight: HashMap<CallNumber, OrderInFlight>,
     /// The runs whose stop order had no answer, and when it is repeated.
@@ -51,7 +52,7 @@
 impl OrderTracker {
     pub(super) fn new(fencing_token: u64) -> Self {
         Self {
-            fencing_token,
+            fencing_token: FencingToken::new(fencing_token),
             last_call: 0,
             in_flight: HashMap::new(),
             stop_retries: HashMap::new(),
@@ -84,7 +85,7 @@
             run: run.key,
             spec: run.spec.clone(),
             lease_end_ms,
-            fencing_token: self.fencing_token,
+            fencing_token: self.fencing_token.value(),
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now),
             send_until: now + START_SEND_TIME_MAX,
@@ -98,7 +99,7 @@
         StopCall {
             call,
             run,
-            fencing_token: self.fencing_token,
+            fencing_token: self.fencing_token.value(),
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now),
         }
@@ -126,7 +127,7 @@
         HoldCall {
             call: self.next_call(),
             lease_end_ms,
-            fencing_token: self.fencing_token,
+            fencing_token: self.fencing_token.value(),
             acknowledged_end: minion.acknowledged_end,
             wait_ms: millis(wait),
             instance: minion.profile.instance.clone(),
@@ -144,6 +145,7 @@
     ) -> Option<CompletedOrder> {
         let OrderInFlight {
             run,
+            fencing_token,
             sent_at,
             is_outdated,
         } = self.in_flight.remove(&call)?;
@@ -158,7 +160,11 @@
                 self.response_times.record_response(response_time);
             }
         }
-        Some(CompletedOrder { run, is_outdated })
+        Some(CompletedOrder {
+            run,
+            fencing_token,
+            is_outdated,
+        })
     }
 
     /// Returns the response times of the minion, for the results of hold calls.
@@ -179,10 +185,25 @@
             .collect()
     }
 
-    /// Raises the fencing token after the minion refused an order because it has seen a higher one.
-    pub(super) fn raise_fencing_token(&mut self) {
-        self.fencing_token += FENCING_TOKEN_STEP_MS;
-        log::warn!(fencing_token = self.fencing_token; "fencing token raised");
+    /// Handles the refusal of a call with the token `refused`: raises the token, unless that has been
+    /// done since the call was made.
+    pub(super) fn handle_refused_token(&mut self, refused: u64) -> FenceStep {
+        let step = self.fencing_token.handle_refusal(refused);
+        match step {
+            FenceStep::AlreadyRaised => {}
+            FenceStep::Raised => {
+                log::warn!(fencing_token = self.fencing_token.value(); "fencing token raised");
+            }
+            FenceStep::Exhausted => {
+                log::error!(fencing_token = refused; "no higher fencing token is left");
+            }
+        }
+        step
+    }
+
+    /// Records that the minion has accepted the fencing token.
+    pub(super) fn record_accepted_token(&mut self) {
+        self.fencing_token.record_acceptance();
     }
 
     /// Handles a restart of the minion: raises the fencing token, and marks the orders in flight.
@@ -193,8 +214,8 @@
         for order in self.in_flight.values_mut() {
             order.is_outdated = true;
         }
-        self.fencing_token += 1;
-        log::info!(fencing_token = self.fencing_token; "fencing token raised after minion restart");
+        self.fencing_token.begin_incarnation();
+        log::info!(fencing_token = self.fencing_token.value(); "fencing token raised after minion restart");
     }
 
     /// Discards all orders to an incarnation of the minion that has ended.
@@ -207,6 +228,7 @@
     fn record_sent(&mut self, call: CallNumber, run: RunKey, now: Instant) {
         let order = OrderInFlight {
             run,
+            fencing_token: self.fencing_token.value(),
             sent_at: now,
             is_outdated: false,
         };
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -7,7 +7,7 @@
 };
 use knapweedrill::dispatch::sidecar::{
     EndKind, EndedRun, HoldAnswer, HoldCall, HoldFailure, MinionHeartbeat, OrderAnswer, RunKey,
-    Sidecar, SidecarAction, SidecarSettings, StartCall, StopCall,
+    Sidecar, SidecarAction, SidecarSettings, StartCall, StopCall, first_fencing_token,
 };
 use knapweedrill::dispatch::{JobName, Resources, TaskName};
 use test_case::test_case;
@@ -33,6 +33,15 @@
 impl Fixture {
     /// Creates a sidecar with one connected entry and a minion that has resources for ten tasks.
     fn new() -> Self {
+        let mut fixture = Self::with_unanswered_minion(1);
+        fixture.advance(MS);
+        fixture.answer_hold(Vec::new(), Vec::new());
+        fixture.advance(MS);
+        fixture
+    }
+
+    /// Creates a sidecar with this fencing token whose minion has not answered a call yet.
+    fn with_unanswered_minion(fencing_token: u64) -> Self {
         let now = Instant::now();
         let mut fixture = Self {
             now,
@@ -40,7 +49,7 @@
             clock_drift_permille: 0,
             clock_remainder: Duration::ZERO,
             started_unix_ms: 50,
-            sidecar: Sidecar::new(SidecarSettings::default(), 1),
+            sidecar: Sidecar::new(SidecarSettings::default(), fencing_token),
             starts: Vec::new(),
             stops: Vec::new(),
             holds: Vec::new(),
@@ -48,9 +57,6 @@
         };
         fixture.sidecar.entry_connected(ENTRY, now);
         fixture.send_heartbeat();
-        fixture.advance(MS);
-        fixture.answer_hold(Vec::new(), Vec::new());
-        fixture.advance(MS);
         fixture
     }
 
@@ -1378,3 +1384,143 @@
     fixture.answer_start(OrderAnswer::Overdue);
     assert_eq!((fixture.outcomes.len(), fixture.stops.len()), (1, 1));
 }
+
+/// A minion that has seen a fencing token of an earlier sidecar process.
+struct FencingMinion {
+    token: u64,
+}
+
+impl FencingMinion {
+    /// Answers the last hold call as far as its token allows it, and returns whether it did.
+    fn answer_hold(&mut self, fixture: &mut Fixture) -> bool {
+        let hold = fixture.last_hold().clone();
+        if hold.fencing_token < self.token {
+            fixture
+                .sidecar
+                .hold_failed(hold.call, HoldFailure::Fenced, fixture.now);
+            fixture.collect_actions();
+            return false;
+        }
+        self.token = hold.fencing_token;
+        fixture.answer_hold(Vec::new(), Vec::new());
+        true
+    }
+}
+
+/// Guards against a sidecar that hangs for good because its token is lower than that of the last one.
+#[test_case(1; "by a millisecond")]
+#[test_case(2_400; "by seconds")]
+#[test_case(60 * 60 * 1_000; "by an hour")]
+#[test_case(10 * 365 * 24 * 60 * 60 * 1_000; "by ten years")]
+fn minion_is_served_within_a_second_of_a_refused_fencing_token(jump_ms: u64) {
+    let uptime = Duration::from_secs(60);
+    let token = first_fencing_token(uptime, 3);
+    let earlier_token = first_fencing_token(uptime + Duration::from_millis(jump_ms), 4);
+    let mut fixture = Fixture::with_unanswered_minion(token);
+    let mut minion = FencingMinion {
+        token: earlier_token,
+    };
+    let begins_at = fixture.now;
+    while fixture.availability() != MinionAvailability::Ready {
+        fixture.advance(2 * MS);
+        minion.answer_hold(&mut fixture);
+        let elapsed = fixture.now - begins_at;
+        assert!(
+            elapsed < 1_000 * MS,
+            "not served, {} holds",
+            fixture.holds.len()
+        );
+    }
+    // The raised token is not that of the earlier process.
+    assert!(minion.token > earlier_token);
+}
+
+/// Guards against a lease that is renewed for the runs of another process, and against starts beside
+/// them, by a sidecar whose token is refused in the midst of its work.
+#[test]
+fn sidecar_that_is_fenced_out_renews_no_lease() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.advance(10 * MS);
+    let hold = fixture.last_hold().clone();
+    let (hold_count, start_count) = (fixture.holds.len(), fixture.starts.len());
+    fixture
+        .sidecar
+        .hold_failed(hold.call, HoldFailure::Fenced, fixture.now);
+    fixture.order_start(1, 2);
+    for _ in 0..20 {
+        fixture.advance(2 * MS);
+        let hold = fixture.last_hold().clone();
+        fixture
+            .sidecar
+            .hold_failed(hold.call, HoldFailure::Fenced, fixture.now);
+    }
+    let holds = &fixture.holds[hold_count..];
+    assert!(!holds.is_empty());
+    assert!(
+        holds.iter().all(|hold| hold.lease_end_ms.is_none()),
+        "{holds:?}"
+    );
+    assert_eq!(fixture.starts.len(), start_count);
+    // Once its token is accepted, it knows which runs are there, and goes on.
+    fixture.advance(2 * MS);
+    fixture.answer_hold(vec![(run(0), 50)], Vec::new());
+    fixture.advance(2 * MS);
+    assert!(fixture.last_hold().lease_end_ms.is_some());
+    assert_eq!(
+        fixture.outcomes,
+        [PlacementOutcome::Refused(RefusalCause::NoMinion)]
+    );
+    assert_eq!(fixture.sidecar.run_count(), 1);
+}
+
+/// Guards against late orders of an earlier process that the minion carries out because their token
+/// is that of the current one.
+#[test]
+fn processes_never_use_the_same_fencing_token() {
+    let tokens_of = |tag: u16| {
+        let mut fixture =
+            Fixture::with_unanswered_minion(first_fencing_token(Duration::from_secs(5), tag));
+        let mut minion = FencingMinion {
+            token: u64::MAX >> 12,
+        };
+        for _ in 0..100 {
+            fixture.advance(2 * MS);
+            if minion.answer_hold(&mut fixture) {
+                // The next incarnation.
+                minion.token = 0;
+                fixture.started_unix_ms += 1_000;
+                fixture.clock_ms = 10;
+            }
+        }
+        let tokens = fixture.holds.iter().map(|hold| hold.fencing_token);
+        tokens.collect::<std::collections::BTreeSet<u64>>()
+    };
+    let (tokens, others) = (tokens_of(6), tokens_of(7));
+    assert!(tokens.len() > 20, "{tokens:?}");
+    assert!(tokens.is_disjoint(&others), "{tokens:?} {others:?}");
+}
+
+/// Guards against a stream of calls to a minion that refuses each token, and against a token that
+/// wraps around.
+#[test]
+fn minion_that_refuses_each_fencing_token_is_unreachable() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    for _ in 0..1_000 {
+        fixture.advance(MS);
+        let call = fixture.last_hold().call;
+        fixture
+            .sidecar
+            .hold_failed(call, HoldFailure::Fenced, fixture.now);
+        fixture.collect_actions();
+    }
+    assert!(fixture.holds.len() < 160, "{} holds", fixture.holds.len());
+    assert!(fixture.last_hold().fencing_token <= i64::MAX as u64);
+    assert!(fixture.holds.is_sorted_by_key(|hold| hold.fencing_token));
+    assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
+    // Another process may have renewed the lease of the run.
+    assert_eq!(fixture.outcomes, []);
+}
--- a/knapweedrill_daemon/src/dispatch/process.rs
+++ b/knapweedrill_daemon/src/dispatch/process.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use knapweedrill::dispatch::RunTiming;
@@ -136,14 +136,6 @@
     deadline.saturating_duration_since(now)
 }
 
-/// Returns the wall-clock time in Unix milliseconds.
-pub(super) fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Runs HTTP on the traffic thread. If it fails, the process exits.
 ///
 /// # Errors
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -8,7 +8,7 @@
 use knapweedrill::dispatch::message::{MinionAvailability, StampMs};
 use knapweedrill::dispatch::sidecar::{
     CallNumber, HoldAnswer, HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction,
-    SidecarEndpoint, SidecarSettings,
+    SidecarEndpoint, SidecarSettings, first_fencing_token,
 };
 use knapweedrill::dispatch::{Packet, SidecarRecord};
 use knapweedrill_platform::{MinionClient, ProcessSettings, StoreClient};
@@ -20,9 +20,9 @@
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
 use super::process::{
     EVENT_BATCH_COUNT_MAX, IDLE_TICK_INTERVAL, Process, TICK_INTERVAL, event_timeout,
-    spawn_traffic_thread, unix_ms,
+    spawn_traffic_thread,
 };
-use super::process_clock::ProcessClock;
+use super::process_clock::{ProcessClock, time_since_boot};
 use super::sidecar_http::{handle_registration, send_orders};
 use super::store::publish_sidecar_records;
 
@@ -69,7 +69,10 @@
         )
     })?;
     let settings = SidecarSettings::new(process.run_timing(), process.settings.lease_max);
-    let sidecar = Sidecar::new(settings, unix_ms());
+    let sidecar = Sidecar::new(
+        settings,
+        first_fencing_token(time_since_boot(), rand::random()),
+    );
     let vm = process.settings.name.clone();
     let mut endpoint = SidecarEndpoint::new(sidecar, process.sessions(), vm, process.address());
     endpoint.set_seeds(process.seeds().collect());
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -103,6 +103,7 @@
                 Ok(_) => "accepted",
                 Err(HoldFailure::NotSent) => "not-sent",
                 Err(HoldFailure::NoAnswer) => "none",
+                Err(HoldFailure::Fenced) => "fenced",
             };
             metrics.count_minion_call("hold", label);
             Some(SidecarEvent::HoldAnswered(call.call, answer))
--- a/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
@@ -1,12 +1,11 @@
 use std::collections::{HashMap, HashSet};
 
-use knapweedrill::dispatch::sidecar::OrderAnswer;
+use knapweedrill::dispatch::sidecar::{HoldFailure, OrderAnswer};
 use knapweedrill::dispatch::{JobName, TaskName};
 
 use super::Simulation;
 use super::call_content::CallContent;
 use super::pending_call::PendingCall;
-use super::response::Response;
 
 /// How long a minion is down after a crash, in milliseconds.
 const DOWN_MS: u64 = 3_000;
@@ -78,9 +77,8 @@
     /// Answers a call to a minion that refuses connections.
     pub(super) fn refuse_call(&mut self, call: &mut PendingCall) {
         if let CallContent::Hold(hold) = &call.content {
-            if !std::mem::replace(&mut call.is_resolved, true) {
-                self.respond(call, Response::HoldRefused(hold.call));
-            }
+            let number = hold.call;
+            self.fail_hold(call, number, HoldFailure::NotSent);
             return;
         }
         self.deliver_response(call, OrderAnswer::NotSent, None);
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -33,10 +33,11 @@
 use knapweedrill::dispatch::entry::{
     Answer, CallerId, Entry, EntryAction, EntrySettings, Pause, Source, StepRequest, Submission,
 };
-use knapweedrill::dispatch::message::{MinionProfile, Role};
+use knapweedrill::dispatch::message::{MinionAvailability, MinionProfile, Role};
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
 use knapweedrill::dispatch::sidecar::{
-    MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint, SidecarSettings,
+    CallNumber, HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
+    SidecarSettings, first_fencing_token,
 };
 use knapweedrill::dispatch::{JobName, Packet, Resources, SidecarRecord, TaskName};
 use rand::rngs::SmallRng;
@@ -98,6 +99,9 @@
     Fault::MinionDrain,
 ];
 
+/// How long the machines have run at the beginning, in milliseconds.
+const UPTIME_MS: u64 = 1_000_000;
+
 /// The number of tasks that fit on a minion.
 const TASKS_PER_MINION: u32 = 6;
 
@@ -109,6 +113,9 @@
     pub(crate) process_clock: ProcessClock,
     pub(crate) clock_reading: ClockReading,
     pub(crate) links: LinkFaults,
+    /// By how much the clock from which a sidecar takes its fencing token may have jumped back, in
+    /// milliseconds.
+    pub(crate) clock_jump_max_ms: u64,
     pub(crate) step_costs: StepCosts,
     pub(crate) slow_traffic: SlowTraffic,
     epoch: Instant,
@@ -194,6 +201,7 @@
             process_clock: ProcessClock::default(),
             clock_reading: ClockReading::default(),
             links: LinkFaults::default(),
+            clock_jump_max_ms: 0,
             step_costs: StepCosts::default(),
             slow_traffic: SlowTraffic::default(),
             epoch,
@@ -496,6 +504,15 @@
             .collect()
     }
 
+    /// Returns whether each sidecar takes tasks for its minion.
+    pub(crate) fn take_all_minions_tasks(&self) -> bool {
+        let mut sidecars = self.nodes[self.entry_count..].iter();
+        sidecars.all(|node| {
+            let sidecar = node.sidecar.as_ref().map(SidecarEndpoint::sidecar);
+            sidecar.is_some_and(|it| it.status().availability != MinionAvailability::Unavailable)
+        })
+    }
+
     /// Advances the time step by step.
     pub(crate) fn advance(&mut self, for_ms: u64) {
         for _ in 0..for_ms {
@@ -835,13 +852,18 @@
                     Some(answer)
                 }
                 CallContent::Hold(hold) => {
+                    let is_addressed = minion.instance == hold.instance;
                     if minion.hold(hold, self.now_ms) {
                         call.accepted_hold_until_ms = Some(self.now_ms + hold.wait_ms);
+                    } else if is_addressed {
+                        let number = hold.call;
+                        self.fail_hold(call, number, HoldFailure::Fenced);
                     }
                     None
                 }
             };
             if let Some(answer) = answer {
+                let minion = &self.minions[call.node - self.entry_count];
                 let clock_ms = Some(minion.clock_ms(self.now_ms));
                 self.deliver_response(call, answer, clock_ms);
             }
@@ -850,6 +872,12 @@
         self.calls = calls;
     }
 
+    fn fail_hold(&mut self, call: &mut PendingCall, number: CallNumber, failure: HoldFailure) {
+        if !std::mem::replace(&mut call.is_resolved, true) {
+            self.respond(call, Response::HoldFailed(number, failure));
+        }
+    }
+
     fn deliver_response(
         &mut self,
         call: &mut PendingCall,
@@ -1292,7 +1320,13 @@
         let sessions = Sessions::new(identity, SessionSettings::default());
         self.process_generations[index] += 1;
         let seed = self.next_id;
-        let token = self.now_ms + 1;
+        // Draws nothing without jumps, so that the other draws of a seed stay as they are.
+        let jump_ms = match self.clock_jump_max_ms {
+            0 => 0,
+            max_ms => self.random.random_range(0..=max_ms),
+        };
+        let uptime = Duration::from_millis(UPTIME_MS + self.now_ms - jump_ms);
+        let token = first_fencing_token(uptime, seed as u16);
         let now = self.process_now(index);
         let entry_count = self.entry_count;
         let node_count = self.nodes.len().max(entry_count + self.minions.len());
--- a/knapweedrill_lab/tests/dispatch_simulation/response.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/response.rs
@@ -8,8 +8,7 @@
     Start(CallNumber, OrderAnswer, Option<StampMs>),
     Stop(CallNumber, OrderAnswer, Option<StampMs>),
     Hold(CallNumber, Option<HoldAnswer>),
-    /// The minion refused the connection for the hold.
-    HoldRefused(CallNumber),
+    HoldFailed(CallNumber, HoldFailure),
 }
 
 impl Response {
@@ -21,9 +20,7 @@
             Self::Stop(call, answer, clock_ms) => {
                 sidecar.stop_answered(call, answer, clock_ms, now);
             }
-            Self::HoldRefused(call) => {
-                sidecar.hold_failed(call, HoldFailure::NotSent, now);
-            }
+            Self::HoldFailed(call, failure) => sidecar.hold_failed(call, failure, now),
             Self::Hold(call, answer) => sidecar.hold_answered(call, answer, now),
         }
     }
--- a/knapweedrill_lab/tests/sidecar_world/mod.rs
+++ b/knapweedrill_lab/tests/sidecar_world/mod.rs
@@ -18,6 +18,7 @@
 };
 use knapweedrill::dispatch::sidecar::{
     HoldFailure, MinionHeartbeat, OrderAnswer, RunKey, Sidecar, SidecarAction, SidecarSettings,
+    first_fencing_token,
 };
 use knapweedrill::dispatch::{JobName, Resources, TaskName};
 use knapweedrill_lab::stand_in::platform::{MinionModel, TaskProfile};
@@ -73,7 +74,8 @@
     process: u64,
     process_starts_ms: u64,
     frozen_until_ms: u64,
-    token_max: u64,
+    /// The process that has used each fencing token.
+    token_processes: HashMap<u64, u64>,
     minion: MinionModel,
     minion_down_until_ms: u64,
     minion_name_count: u32,
@@ -113,7 +115,7 @@
             process: 0,
             process_starts_ms: UPTIME_MS,
             frozen_until_ms: 0,
-            token_max: UPTIME_MS,
+            token_processes: HashMap::new(),
             minion: MinionModel::new("minion-0".into(), resources(4), seed % 2 * 20, 0),
             minion_down_until_ms: 0,
             minion_name_count: 0,
@@ -268,8 +270,8 @@
             return;
         }
         self.process += 1;
-        self.token_max += 1_000;
-        let mut sidecar = Sidecar::new(SidecarSettings::default(), self.token_max);
+        let token = first_fencing_token(Duration::from_millis(self.now_ms), self.process as u16);
+        let mut sidecar = Sidecar::new(SidecarSettings::default(), token);
         for entry in ENTRIES {
             sidecar.entry_connected(entry, self.now());
             self.alive_at_ms.insert(entry, self.now_ms);
@@ -408,20 +410,13 @@
     }
 
     fn add_call(&mut self, content: CallContent) {
-        let placement = match &content {
-            CallContent::Start(call) => {
-                self.token_max = self.token_max.max(call.fencing_token);
-                self.placement_of(call.run.task)
-            }
-            CallContent::Stop(call) => {
-                self.token_max = self.token_max.max(call.fencing_token);
-                None
-            }
-            CallContent::Hold(call) => {
-                self.token_max = self.token_max.max(call.fencing_token);
-                None
-            }
+        let (placement, token) = match &content {
+            CallContent::Start(call) => (self.placement_of(call.run.task), call.fencing_token),
+            CallContent::Stop(call) => (None, call.fencing_token),
+            CallContent::Hold(call) => (None, call.fencing_token),
         };
+        let process = *self.token_processes.entry(token).or_insert(self.process);
+        assert_eq!(process, self.process, "two processes use the token {token}");
         let is_late = self.delay_until_ms > self.now_ms && self.chance(700) || self.chance(10);
         let is_lost = self.loss_until_ms > self.now_ms && self.chance(700) || self.chance(20);
         let is_slow = self.slow_until_ms > self.now_ms;
@@ -522,7 +517,10 @@
                 self.record(format!("hold {}: {is_accepted} at {clock_ms:?}", call.call));
                 let pending = &mut self.calls[index];
                 pending.hold_until_ms = is_accepted.then_some(now_ms + call.wait_ms);
-                return;
+                if is_accepted || call.instance != self.minion.instance {
+                    return;
+                }
+                Input::HoldFailed(call.call, HoldFailure::Fenced)
             }
         };
         self.answer(index, input);
@@ -574,7 +572,7 @@
         call.hold_until_ms = None;
         let answer = match failure {
             HoldFailure::NotSent => OrderAnswer::NotSent,
-            HoldFailure::NoAnswer => OrderAnswer::NoAnswer,
+            HoldFailure::NoAnswer | HoldFailure::Fenced => OrderAnswer::NoAnswer,
         };
         let input = match &call.content {
             CallContent::Start(start) => Input::StartAnswered(start.call, answer, None),
