--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -157,6 +157,8 @@
     OtherIncarnation,
     /// No valid answer arrived in time.
     NoAnswer,
+    /// The minion has seen a higher fencing token.
+    Fenced,
 }
 
 /// A heartbeat of a minion.
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -10,6 +10,7 @@
 };
 use super::connected_entries::ConnectedEntries;
 use super::crash_log::CrashLog;
+use super::fence_step::FenceStep;
 use super::hold_schedule::HoldSchedule;
 use super::minion_state::MinionState;
 use super::minion_stats::MinionStats;
@@ -405,7 +406,7 @@
             StartStep::Renumber => self.renumber(key, now),
             StartStep::Repeat => self.order_start(key, now),
             StartStep::RaiseToken => {
-                self.orders.raise_fencing_token();
+                self.orders.handle_refused_token(order.fencing_token);
                 self.order_start(key, now);
             }
             StartStep::Stop => self.begin_stop(key, now),
@@ -441,7 +442,7 @@
         match answer {
             OrderAnswer::OtherIncarnation => self.settle_missing(key, now),
             OrderAnswer::Fenced => {
-                self.orders.raise_fencing_token();
+                self.orders.handle_refused_token(order.fencing_token);
                 self.order_stop(key, now);
             }
             OrderAnswer::Accepted if !order.is_outdated => {
@@ -463,6 +464,9 @@
 
     /// Handles a hold call without an answer.
     pub fn hold_failed(&mut self, call: CallNumber, failure: HoldFailure, now: Instant) {
+        if failure == HoldFailure::Fenced && self.handle_fenced_hold(call, now) {
+            return;
+        }
         let Some(hold) = self.holds.take_pending(call) else {
             return;
         };
@@ -485,6 +489,27 @@
         }
     }
 
+    /// Handles a hold call whose fencing token the minion has refused: the next one follows at once,
+    /// with a higher token and without a lease. Returns whether there is a higher token.
+    ///
+    /// The minion has carried out an order of another process, so its runs and its lease are unknown
+    /// until it has answered.
+    fn handle_fenced_hold(&mut self, call: CallNumber, now: Instant) -> bool {
+        let Some(hold) = self.holds.pending(call) else {
+            // The call was abandoned.
+            return true;
+        };
+        if self.orders.handle_refused_token(hold.fencing_token) == FenceStep::Exhausted {
+            return false;
+        }
+        self.orders.response_times_mut().record_sign_of_life();
+        if let Some(minion) = &mut self.minion {
+            minion.note_foreign_order();
+        }
+        self.holds.record_fenced(now);
+        true
+    }
+
     /// Handles the proof that another incarnation is at the address of the minion: this one has ended
     /// with all its runs.
     fn handle_end_of_minion(&mut self, now: Instant) {
@@ -547,6 +572,7 @@
             self.holds.record_answer(now);
             return;
         }
+        self.orders.record_accepted_token();
         self.crashes.recovered();
         self.stats.record_end_delay(self.holds.unanswered_for(now));
         if self.holds.record_answer(now) {
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub(super) struct PendingHold {
     call: CallNumber,
+    pub(super) fencing_token: u64,
     pub(super) sent_at: Instant,
     /// How long the minion may delay its answer.
     pub(super) wait: Duration,
@@ -49,7 +50,7 @@
     is_displaced: bool,
     next_at: Option<Instant>,
     /// Whether the minion may have restarted unnoticed since the last answer: this process has stood
-    /// still, or another instance has reported.
+    /// still, another instance has reported, or the minion has refused the fencing token.
     needs_confirmation: bool,
 }
 
@@ -154,6 +155,7 @@
     pub(super) fn record_sent(&mut self, call: &HoldCall, is_idle: bool, now: Instant) {
         self.pending = Some(PendingHold {
             call: call.call,
+            fencing_token: call.fencing_token,
             sent_at: now,
             wait: Duration::from_millis(call.wait_ms),
             timeout: call.timeout,
@@ -161,6 +163,18 @@
         });
     }
 
+    /// Returns the call in flight if it has this number.
+    pub(super) fn pending(&self, call: CallNumber) -> Option<&PendingHold> {
+        self.pending.as_ref().filter(|hold| hold.call == call)
+    }
+
+    /// Records that the minion has refused the fencing token of the call in flight, and schedules the
+    /// next one at once. It has carried out an order of another process, and may have restarted.
+    pub(super) fn record_fenced(&mut self, now: Instant) {
+        self.needs_confirmation = true;
+        self.reschedule(now);
+    }
+
     /// Removes and returns the call in flight if it has this number.
     pub(super) fn take_pending(&mut self, call: CallNumber) -> Option<PendingHold> {
         self.pending.take_if(|hold| hold.call == call)
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -105,6 +105,7 @@
                 Err(HoldFailure::NotSent) => "not-sent",
                 Err(HoldFailure::OtherIncarnation) => "other-life",
                 Err(HoldFailure::NoAnswer) => "none",
+                Err(HoldFailure::Fenced) => "fenced",
             };
             metrics.count_minion_call("hold", label);
             Some(SidecarEvent::HoldAnswered(call.call, answer))
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -38,11 +38,11 @@
 use knapweedrill::dispatch::entry::{
     Answer, CallerId, Entry, EntryAction, EntrySettings, Pause, Source, StepRequest, Submission,
 };
-use knapweedrill::dispatch::message::{MinionProfile, Role};
+use knapweedrill::dispatch::message::{MinionAvailability, MinionProfile, Role};
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
 use knapweedrill::dispatch::sidecar::{
     HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
-    SidecarSettings,
+    SidecarSettings, first_fencing_token,
 };
 use knapweedrill::dispatch::{JobName, Packet, Resources, SidecarRecord, TaskName};
 use rand::rngs::SmallRng;
@@ -107,6 +107,9 @@
     Fault::MinionDrain,
 ];
 
+/// How long the machines have run at the beginning, in milliseconds.
+const UPTIME_MS: u64 = 1_000_000;
+
 /// The number of tasks that fit on a minion.
 const TASKS_PER_MINION: u32 = 6;
 
@@ -120,6 +123,9 @@
     pub(crate) links: LinkFaults,
     link_rates: LinkRates,
     claims: Claims,
+    /// By how much the clock from which a sidecar takes its fencing token may have jumped back, in
+    /// milliseconds.
+    pub(crate) clock_jump_max_ms: u64,
     pub(crate) step_costs: StepCosts,
     pub(crate) slow_traffic: SlowTraffic,
     epoch: Instant,
@@ -210,6 +216,7 @@
             links: LinkFaults::default(),
             link_rates: LinkRates::default(),
             claims: Claims::new(seed),
+            clock_jump_max_ms: 0,
             step_costs: StepCosts::default(),
             slow_traffic: SlowTraffic::default(),
             epoch,
@@ -513,6 +520,15 @@
             .collect()
     }
 
+    /// Returns whether each sidecar takes tasks for its minion.
+    pub(crate) fn take_all_minions_tasks(&self) -> bool {
+        let mut sidecars = self.nodes[self.entry_count..].iter();
+        sidecars.all(|node| {
+            let sidecar = node.sidecar.as_ref().map(SidecarEndpoint::sidecar);
+            sidecar.is_some_and(|it| it.status().availability != MinionAvailability::Unavailable)
+        })
+    }
+
     /// Advances the time step by step.
     pub(crate) fn advance(&mut self, for_ms: u64) {
         for _ in 0..for_ms {
@@ -897,11 +913,14 @@
                 CallContent::Hold(hold) => {
                     if minion.hold(hold, self.now_ms) {
                         call.accepted_hold_until_ms = Some(self.now_ms + hold.wait_ms);
+                    } else {
+                        self.fail_hold(call, HoldFailure::Fenced);
                     }
                     None
                 }
             };
             if let Some(answer) = answer {
+                let minion = &self.minions[call.node - self.entry_count];
                 let clock_ms = Some(minion.clock_ms(self.now_ms));
                 self.deliver_response(call, answer, clock_ms);
             }
@@ -1391,7 +1410,13 @@
         let sessions = Sessions::new(identity, SessionSettings::default());
         self.process_generations[index] += 1;
         let seed = self.next_id;
-        let token = self.now_ms + 1;
+        // Draws nothing without jumps, so that the other draws of a seed stay as they are.
+        let jump_ms = match self.clock_jump_max_ms {
+            0 => 0,
+            max_ms => self.random.random_range(0..=max_ms),
+        };
+        let uptime = Duration::from_millis(UPTIME_MS + self.now_ms - jump_ms);
+        let token = first_fencing_token(uptime, seed as u16);
         let now = self.process_now(index);
         let entry_count = self.entry_count;
         let node_count = self.nodes.len().max(entry_count + self.minions.len());
