test(dispatch): a second run is reported with its seed

Cause: of 100 seeds in one run, the message of a second run did not tell the one that failed.

Change: the message begins with the seed, as that of a false claim does.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -572,7 +572,8 @@
             for run in minion.running() {
                 if let Some(other) = minion_of_task.insert(run.task, index) {
                     panic!(
-                        "task {:?} runs at both minion {other} and minion {index} at {} ms\n{}",
+                        "seed {}: task {:?} runs at both minion {other} and minion {index} at {} ms\n{}",
+                        self.claims.seed,
                         run.task,
                         self.now_ms,
                         self.trace_of(run.task.job)
