--- a/knapweedrill/tests/dispatch_void_orders.rs
+++ b/knapweedrill/tests/dispatch_void_orders.rs
@@ -80,6 +80,7 @@
             queue: 1,
             is_trial: false,
             service: "service".into(),
+            required_label: None,
             spec: "what to run".into(),
             sidecar_stamp_ms: stamp_ms,
             run_number: 1,
--- a/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/deadly_jobs.rs
@@ -6,6 +6,7 @@
 use super::Simulation;
 use super::call_content::CallContent;
 use super::pending_call::PendingCall;
+use super::response::Response;
 
 /// How long a minion is down after a crash, in milliseconds.
 const DOWN_MS: u64 = 3_000;
