test(dispatch): a claim is judged by what its sidecar had heard before it

Cause: in the simulated system, reports are looked at when they are sent, but news of an incarnation of the minion when they arrive. A sidecar that wakes from a freeze handles its overdue timers first and then reads heartbeats; its reports counted as made after the news.

Change: news are noted with the number of actions that were pending before, and count for later reports only.

The trials with faults put in were not repeated.

Conclusion: the fault was in the check, not in the sidecar.

--- a/knapweedrill_lab/tests/dispatch_simulation/claims.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/claims.rs
@@ -17,6 +17,9 @@
     pub(super) seed: u64,
     /// Whether false claims are accepted, so that what follows from them shows.
     accepts_false: bool,
+    /// The incarnations of minions that sidecar processes have heard of since their last output: the
+    /// process, the start, and how many actions were pending before.
+    news: Vec<(u64, u64, usize)>,
     /// The incarnation of the newest process on each node.
     incarnations: HashMap<usize, u64>,
     /// The nodes of all processes.
@@ -28,7 +31,8 @@
 pub(super) struct SidecarOutput {
     /// The placement of each start order.
     pub(super) starts: HashMap<CallNumber, PlacementId>,
-    pub(super) reports: Vec<(PlacementId, TaskReport)>,
+    /// The reports, with their positions among the actions.
+    pub(super) reports: Vec<(usize, PlacementId, TaskReport)>,
 }
 
 impl Claims {
@@ -45,15 +49,37 @@
     }
 
     /// Records that a sidecar has heard of the incarnation of its minion that started then.
-    pub(super) fn record_incarnation(&mut self, node: usize, started_unix_ms: u64) {
+    /// What is pending by then was decided without this knowledge.
+    pub(super) fn record_incarnation(
+        &mut self,
+        node: usize,
+        started_unix_ms: u64,
+        action_count: usize,
+    ) {
         let sidecar = self.incarnations[&node];
-        self.observer.record_incarnation(sidecar, started_unix_ms);
+        self.news.push((sidecar, started_unix_ms, action_count));
+    }
+
+    /// Passes on what a sidecar had heard before it decided on the action at a position.
+    fn pass_news(&mut self, node: usize, position: usize) {
+        let process = self.incarnations[&node];
+        let known = self.news.extract_if(.., |(sidecar, _, action_count)| {
+            *sidecar == process && *action_count <= position
+        });
+        for (sidecar, started_unix_ms, _) in known {
+            self.observer.record_incarnation(sidecar, started_unix_ms);
+        }
     }
 
     /// Records what a response that is delivered to a sidecar says of its minion.
-    pub(super) fn record_response(&mut self, node: usize, response: &Response) {
+    pub(super) fn record_response(
+        &mut self,
+        node: usize,
+        response: &Response,
+        action_count: usize,
+    ) {
         if let Response::Hold(_, Some(answer)) = response {
-            self.record_incarnation(node, answer.started_unix_ms);
+            self.record_incarnation(node, answer.started_unix_ms, action_count);
         }
     }
 
@@ -61,7 +87,7 @@
     pub(super) fn output_of(&self, node: usize, sidecar: &Sidecar) -> SidecarOutput {
         let process = self.incarnations[&node];
         let mut output = SidecarOutput::default();
-        for action in sidecar.pending_actions() {
+        for (position, action) in sidecar.pending_actions().iter().enumerate() {
             if let SidecarAction::Send(entry, Message::Report(report)) = action {
                 let placement = PlacementId {
                     sidecar: process,
@@ -69,7 +95,7 @@
                     task: report.task,
                     attempt: report.attempt,
                 };
-                output.reports.push((placement, report.clone()));
+                output.reports.push((position, placement, report.clone()));
             }
         }
         for action in sidecar.pending_actions() {
@@ -87,7 +113,7 @@
                 });
             // A run that was ordered and settled since the last call is in the reports.
             let settled = output.reports.iter().rev();
-            let settled = settled.map(|(placement, _)| *placement);
+            let settled = settled.map(|(_, placement, _)| *placement);
             let placement = open.or_else(|| settled.clone().find(|of| of.task == task));
             output
                 .starts
@@ -117,10 +143,16 @@
     /// # Panics
     ///
     /// Panics if a run of one is at the minion or may still start.
-    pub(super) fn check_reports(&mut self, reports: Vec<(PlacementId, TaskReport)>) {
-        for (placement, report) in reports {
+    pub(super) fn check_reports(
+        &mut self,
+        node: usize,
+        reports: Vec<(usize, PlacementId, TaskReport)>,
+    ) {
+        for (position, placement, report) in reports {
+            self.claims.pass_news(node, position);
             self.check_claim(placement, Claim::Reported(report.outcome));
         }
+        self.claims.pass_news(node, usize::MAX);
     }
 
     /// Checks the placements that an entry has given up as lost in a tick.
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -720,7 +720,9 @@
                 node.unread_heartbeats.push(report);
             } else if let Some(sidecar) = &mut node.sidecar {
                 let node = self.entry_count + index;
-                self.claims.record_incarnation(node, report.started_unix_ms);
+                let action_count = sidecar.sidecar().pending_actions().len();
+                self.claims
+                    .record_incarnation(node, report.started_unix_ms, action_count);
                 sidecar.sidecar_mut().heartbeat_received(report, now);
             }
         }
@@ -750,11 +752,14 @@
             endpoint.sidecar_mut().tick(now);
             for heartbeat in heartbeats {
                 let started_ms = heartbeat.started_unix_ms;
-                self.claims.record_incarnation(index, started_ms);
+                let action_count = endpoint.sidecar().pending_actions().len();
+                self.claims
+                    .record_incarnation(index, started_ms, action_count);
                 endpoint.sidecar_mut().heartbeat_received(heartbeat, now);
             }
             for response in responses {
-                self.claims.record_response(index, &response);
+                let action_count = endpoint.sidecar().pending_actions().len();
+                self.claims.record_response(index, &response, action_count);
                 response.deliver_to(endpoint.sidecar_mut(), now);
             }
         }
@@ -925,7 +930,9 @@
         if node.frozen_until_ms > self.now_ms {
             node.unread_responses.push(response);
         } else if let Some(endpoint) = &mut node.sidecar {
-            self.claims.record_response(node_index, &response);
+            let action_count = endpoint.sidecar().pending_actions().len();
+            self.claims
+                .record_response(node_index, &response, action_count);
             response.deliver_to(endpoint.sidecar_mut(), now);
         }
     }
@@ -1150,7 +1157,7 @@
                 SidecarAction::Send(..) => panic!("the endpoint sends messages itself"),
             }
         }
-        self.check_reports(output.reports);
+        self.check_reports(index, output.reports);
         self.check_lost(index, lost);
         self.carry_out(index, entry_actions);
     }
