fix(sidecar): a call to an unconfirmed incarnation acknowledges no ends

Cause: LastSeen of a hold call is a number of one incarnation. The call after a broken one may reach the next incarnation under the same name, whose numbers start anew: it forgets ends up to that number before anybody has read them. A run that ended done there, from an order that was under way during the restart, then looks missing, and its task starts again although its end counts as taken note of.

Ruled out: the fencing token, which is raised only once the restart is known; a call that is carried out late after that is refused by it.

Change: while the incarnation is not confirmed (a call without an answer, a pause of the sidecar, another instance that reports) a hold call carries neither a lease, as before, nor an acknowledgement. Ends that the minion lists again are skipped by their number.

Test before: dispatch_sidecar, call_to_an_unconfirmed_incarnation_acknowledges_no_ends, right 0 (the call acknowledged 7). After: passes.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -681,6 +681,7 @@
     fn order_hold(&mut self, now: Instant) {
         let has_runs = !self.runs.is_empty();
         let mut wait = self.holds.wait_max(&self.settings, has_runs, now);
+        let is_confirmed = self.holds.is_incarnation_confirmed();
         let renews = self.may_renew_lease(now);
         let Some(minion) = &mut self.minion else {
             return;
@@ -689,7 +690,10 @@
             // The lease is renewed soon after the last abandoned run has ended.
             wait = wait.min(self.settings.lossy_hold_wait);
         }
-        let call = self.orders.hold(minion, renews, wait, &self.settings, now);
+        let settings = &self.settings;
+        let call = self
+            .orders
+            .hold(minion, is_confirmed, renews, wait, settings, now);
         self.holds.record_sent(&call, !has_runs, now);
         self.actions.push(SidecarAction::Hold(call));
     }
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -100,9 +100,13 @@
     }
 
     /// Creates a call that asks which runs exist and, if `renews` is set, renews the lease.
+    ///
+    /// Unless the incarnation is confirmed, the call acknowledges no ends: another one may be there,
+    /// which would forget its own.
     pub(super) fn hold(
         &mut self,
         minion: &mut MinionState,
+        is_confirmed: bool,
         renews: bool,
         wait: Duration,
         settings: &SidecarSettings,
@@ -122,7 +126,11 @@
             call: self.next_call(),
             lease_end_ms,
             fencing_token: self.fencing_token,
-            acknowledged_end: minion.acknowledged_end,
+            acknowledged_end: if is_confirmed {
+                minion.acknowledged_end
+            } else {
+                0
+            },
             wait_ms: millis(wait),
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now) + clock_drift(wait),
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1031,6 +1031,23 @@
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
 }
 
+/// Guards against ends that the next incarnation of a minion forgets before they have been read, as a
+/// call acknowledges those of the last one. The first call after a broken one may reach it.
+#[test]
+fn call_to_an_unconfirmed_incarnation_acknowledges_no_ends() {
+    let mut fixture = Fixture::new();
+    fixture.answer_hold(Vec::new(), vec![ended_run(7, 0)]);
+    fixture.advance(MS);
+    assert_eq!(fixture.last_hold().acknowledged_end, 7);
+    fixture.advance(MS);
+    fixture.fail_hold();
+    fixture.advance(20 * MS);
+    assert_eq!(fixture.last_hold().acknowledged_end, 0);
+    fixture.answer_hold(Vec::new(), vec![ended_run(8, 1)]);
+    fixture.advance(MS);
+    assert_eq!(fixture.last_hold().acknowledged_end, 8);
+}
+
 /// Guards against an odd sequence number that makes all later heartbeats look late.
 #[test]
 fn heartbeat_after_one_with_an_odd_sequence_number_is_applied() {
