--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -19,11 +19,11 @@
 use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
-use super::{EntrySettings, Submission};
+use super::{EntrySettings, Submission, TaskPlacement};
 use crate::common::{Incarnation, ServiceName};
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::message::{Message, PlacementOutcome, RunEnd, TaskReport};
-use crate::dispatch::session::{Envelope, SessionEvent, Sessions};
+use crate::dispatch::session::{Envelope, SentMessages, SessionEvent, Sessions};
 use crate::dispatch::units::millis;
 use crate::dispatch::{JobName, Notice, Packet, SidecarRecord};
 
@@ -136,6 +136,11 @@
         self.jobs.len()
     }
 
+    /// Returns the placements of tasks whose outcome is open.
+    pub fn placements(&self) -> impl Iterator<Item = TaskPlacement> + '_ {
+        self.jobs.iter().flat_map(Job::placements)
+    }
+
     /// Returns the number of jobs with waiting tasks.
     pub fn waiting_count(&self) -> usize {
         self.jobs.waiting().len()
@@ -163,6 +168,16 @@
         self.sessions.len()
     }
 
+    /// Returns the counts of the messages that this entry has sent to sidecars.
+    pub fn sent_messages(&self) -> &SentMessages {
+        self.sessions.sent_messages()
+    }
+
+    /// Returns the number of messages that sidecars have not acknowledged.
+    pub fn queued_message_count(&self) -> usize {
+        self.sessions.queued_message_count()
+    }
+
     /// Returns for how long a sidecar has not acknowledged a stop order, at most.
     pub fn stop_pending_for(&self, now: Instant) -> Duration {
         self.sessions.stop_pending_for(now)
@@ -569,7 +584,7 @@
                     view.set_profile(profile);
                 }
             }
-            Message::Start(_) | Message::Stop { .. } => {
+            Message::Start(_) | Message::Stop { .. } | Message::Withdrawn { .. } => {
                 log::warn!(process:% = from; "unexpected message: an entry takes no orders");
             }
         }
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -36,6 +36,9 @@
     clock: Option<(StampMs, Instant)>,
     /// Number of the last ended run that was processed.
     pub(super) acknowledged_end: u64,
+    /// Whether it may list ends of runs of an earlier sidecar process, which can have the names and
+    /// numbers of new runs.
+    pub(super) has_unread_ends: bool,
     /// The latest lease end that any order carried, on the minion's clock.
     lease_end_ms: StampMs,
     /// Whether this incarnation has answered a call with a fencing token of its own, after which it
@@ -59,6 +62,7 @@
             has_left: false,
             clock: None,
             acknowledged_end: 0,
+            has_unread_ends: true,
             lease_end_ms: 0,
             is_fenced: true,
             inherited_lease_end_ms: 0,
@@ -103,6 +107,15 @@
         self.extend_lease(self.inherited_lease_end_ms);
     }
 
+    /// Notes that this incarnation, after it had answered a call of this process, has carried out an
+    /// order of another process, which may have granted a lease up to the longest one.
+    pub(super) fn note_foreign_order(&mut self) {
+        if self.clock.is_some() {
+            self.is_fenced = false;
+            self.has_inherited_lease = true;
+        }
+    }
+
     /// Notes when a lease that an order to an earlier incarnation may have granted no longer lasts
     /// longer than a new one.
     pub(super) fn expire_inherited_lease(&mut self, settings: &SidecarSettings, now: Instant) {
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -8,7 +8,7 @@
 use knapweedrill::dispatch::message::{MinionAvailability, StampMs};
 use knapweedrill::dispatch::sidecar::{
     CallNumber, HoldAnswer, HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction,
-    SidecarEndpoint, SidecarSettings,
+    SidecarEndpoint, SidecarSettings, first_fencing_token,
 };
 use knapweedrill::dispatch::{Packet, SidecarRecord};
 use knapweedrill_platform::{MinionClient, ProcessSettings, StoreClient};
@@ -20,8 +20,9 @@
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
 use super::process::{
     EVENT_BATCH_COUNT_MAX, IDLE_TICK_INTERVAL, Process, TICK_INTERVAL, event_timeout,
-    spawn_traffic_thread, unix_ms,
+    spawn_traffic_thread,
 };
+use super::process_clock::{ProcessClock, time_since_boot};
 use super::sidecar_http::{handle_registration, send_orders};
 use super::store::publish_sidecar_records;
 
@@ -53,14 +54,25 @@
     })?;
     let (orders, queued_orders) = mpsc::unbounded_channel();
     let settings = process.settings.clone();
+    let clock = process.clock;
     let metrics = Metrics::new()?;
     let traffic_metrics = metrics.clone();
     let (record, records) = watch::channel(None);
     spawn_traffic_thread(move || {
-        run_traffic(settings, queued_orders, records, traffic_metrics, sender)
+        run_traffic(
+            settings,
+            clock,
+            queued_orders,
+            records,
+            traffic_metrics,
+            sender,
+        )
     })?;
     let settings = SidecarSettings::new(process.run_timing(), process.settings.lease_max);
-    let sidecar = Sidecar::new(settings, unix_ms());
+    let sidecar = Sidecar::new(
+        settings,
+        first_fencing_token(time_since_boot(), rand::random()),
+    );
     let vm = process.settings.name.clone();
     let mut endpoint = SidecarEndpoint::new(sidecar, process.sessions(), vm, process.address());
     endpoint.set_seeds(process.seeds().collect());
@@ -78,6 +90,7 @@
 /// Runs the HTTP servers and clients of a sidecar on the traffic thread.
 async fn run_traffic(
     settings: ProcessSettings,
+    clock: ProcessClock,
     orders: UnboundedReceiver<SidecarAction>,
     records: watch::Receiver<Option<SidecarRecord>>,
     metrics: Metrics,
@@ -95,7 +108,7 @@
         eyre::eyre!("the settings have no minion address (app), which a sidecar needs")
     })?;
     let minion = MinionClient::new(minion_address);
-    tokio::spawn(send_orders(minion, orders, metrics, events.clone()));
+    tokio::spawn(send_orders(minion, orders, clock, metrics, events.clone()));
     let address = settings.registration_address.ok_or_else(|| {
         eyre::eyre!(
             "the settings have no registration address (Listen.Control), which a sidecar needs"
--- a/knapweedrill_lab/src/stand_in/platform/minion_model.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_model.rs
@@ -92,6 +92,8 @@
     pub capacity: Resources,
     /// How much slower than real time the minion's clock runs, in permille.
     pub drift_permille: u64,
+    /// Whether runs that are being stopped are in the list of active runs until their end.
+    pub lists_stopping_runs: bool,
     fencing_token: u64,
     lease_end_ms: u64,
     running: BTreeMap<RunKey, ActiveRun>,
@@ -109,6 +111,7 @@
             started_unix_ms: now_ms + 1,
             capacity,
             drift_permille,
+            lists_stopping_runs: true,
             fencing_token: 0,
             lease_end_ms: 0,
             running: BTreeMap::new(),
@@ -143,6 +146,17 @@
             })
     }
 
+    /// Returns whether an order that arrives at `at_ms` would start its run if there is room and no
+    /// other call arrives before.
+    pub fn would_start(&self, call: &StartCall, at_ms: u64) -> bool {
+        let highest = self.highest_run_numbers.get(&call.run.task);
+        call.instance == self.instance
+            && call.fencing_token >= self.fencing_token
+            && call.lease_end_ms > self.clock_ms(at_ms)
+            && !self.running.contains_key(&call.run)
+            && highest.is_none_or(|highest| call.run.number > *highest)
+    }
+
     /// Handles an order to start a run.
     pub fn start(&mut self, call: &StartCall, profile: TaskProfile, now_ms: u64) -> OrderAnswer {
         if call.instance != self.instance {
@@ -228,6 +242,7 @@
             running: self
                 .running
                 .iter()
+                .filter(|(_, run)| self.lists_stopping_runs || run.stopped_ms.is_none())
                 .map(|(key, run)| (*key, run.progress_percent(now_ms)))
                 .collect(),
             ended: self.ended.clone(),
--- a/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/fault_settings.rs
@@ -18,10 +18,15 @@
     pub(crate) delayed_call_permille: u32,
     /// Calls to minions that are executed without a response.
     pub(crate) lost_response_permille: u32,
+    /// The upper bound of the random time that a response is on its way; responses may overtake each
+    /// other.
+    pub(crate) response_delay_max_ms: u64,
     /// Task runs that fail.
     pub(crate) failed_task_permille: u32,
     /// The mean number of faults of nodes and minions per second, in thousandths.
     pub(crate) machine_fault_permille: u32,
+    /// Whether minions that restart always change their name.
+    pub(crate) renames_minions: bool,
     /// Kinds of faults of nodes and minions to draw besides the usual ones.
     pub(crate) extra_faults: &'static [Fault],
 }
