fix(session): a slow round trip delays no repeat beyond 320 ms

Cause: the timeout of a session follows the round trip without an upper bound. After one sample of 700 ms it was about 820 ms. A stop order that gets lost then pins the echo for longer than the 600 ms after which its sidecar counts the entry as silent, and all runs of the entry are stopped.

Ruled out: a bound by the silence time itself, which would leave no time for the repeat to arrive.

Before: lost_message_is_repeated_soon_after_a_slow_round_trip, left [1, 2], right [1, 2, 3]. After: 4 of 4 tests of dispatch_retransmission and 5 of 5 of dispatch_link_overload pass.

--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -373,9 +373,11 @@
     /// Returns how long to wait for the acknowledgement of a message before it is repeated.
     fn retransmit_delay(&self) -> Duration {
         let delay = self.round_trip.timeout(self.settings.retransmit_delay);
-        let delay_max = self.settings.retransmit_delay_max.max(delay);
         let factor = 2_u32.saturating_pow(self.backoff_count);
-        delay.saturating_mul(factor).min(delay_max)
+        // While a stop order waits to be repeated, the runs of this entry count down their silence.
+        delay
+            .saturating_mul(factor)
+            .min(self.settings.retransmit_delay_max)
     }
 
     fn drop_acknowledged_stops(&mut self, received: MessageNumber, now: Instant) {
--- a/knapweedrill/tests/dispatch_retransmission.rs
+++ b/knapweedrill/tests/dispatch_retransmission.rs
@@ -162,3 +162,20 @@
     link.run(Duration::from_millis(250));
     link.assert_all_received();
 }
+
+/// Guards against a stop order that is lost after one slow round trip and repeated so late that the
+/// sidecar counts its entry as silent meanwhile.
+#[test]
+fn lost_message_is_repeated_soon_after_a_slow_round_trip() {
+    let mut link = Link::new();
+    link.send(1);
+    link.run(Duration::from_millis(100));
+    link.delay = Duration::from_millis(700);
+    link.send(1);
+    link.run(Duration::from_secs(2));
+    link.delay = Duration::ZERO;
+    link.lost_count = 1;
+    link.send(1);
+    link.run(Duration::from_millis(330));
+    link.assert_all_received();
+}
