fix(sidecar): orders without an answer are fenced once their runs are over by the lease

Cause: when a lease has ended, runs whose stop had no answer are reported as over, and renewals resume under the same fencing token. An order to start such a run may still be on its way. It is harmless only if a minion judges it by the deadline in the order; if the lease in force decides, which PROTOCOL does not exclude, the old order starts the run beside a new one elsewhere.

Change: the settlement raises the fencing token, so that the next call to the minion shuts earlier orders out, as after a restart.

Conclusion: no proof rests on that reading any more, but for the moment before the next call.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -989,9 +989,14 @@
                 "lease of an unreachable minion expired, its runs are lost"
             );
             self.settle_all_missing(now);
+            self.orders.fence_unanswered_orders();
             return;
         }
-        for key in self.runs.unconfirmed_stops() {
+        let unconfirmed = self.runs.unconfirmed_stops();
+        if !unconfirmed.is_empty() {
+            self.orders.fence_unanswered_orders();
+        }
+        for key in unconfirmed {
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number;
                 "lease of a run expired whose stop had no answer"
--- a/knapweedrill/src/dispatch/sidecar/fencing_token.rs
+++ b/knapweedrill/src/dispatch/sidecar/fencing_token.rs
@@ -70,8 +70,8 @@
         self.step_ms = FIRST_STEP_MS;
     }
 
-    /// Raises the token after a restart of the minion.
-    pub(super) fn begin_incarnation(&mut self) {
+    /// Raises the token, so that the minion refuses earlier orders once a call has brought it.
+    pub(super) fn raise(&mut self) {
         let raised = self.value.saturating_add(TOKEN_UNIT);
         if raised <= TOKEN_MAX {
             self.value = raised;
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -222,10 +222,16 @@
         for order in self.in_flight.values_mut() {
             order.is_outdated = true;
         }
-        self.fencing_token.begin_incarnation();
+        self.fencing_token.raise();
         log::info!(fencing_token = self.fencing_token.value(); "fencing token raised after minion restart");
     }
 
+    /// Raises the fencing token after orders without an answer whose runs are over by their lease, so
+    /// that the minion refuses those that it has yet to carry out.
+    pub(super) fn fence_unanswered_orders(&mut self) {
+        self.fencing_token.raise();
+    }
+
     /// Discards all orders to an incarnation of the minion that has ended.
     pub(super) fn clear(&mut self) {
         self.in_flight.clear();
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -574,6 +574,23 @@
     assert!(fixture.sidecar.minion().is_none());
 }
 
+/// Guards against two runs of a task: an order without an answer is carried out after its run was
+/// reported as over by its lease, on a lease that later orders have renewed.
+#[test]
+fn orders_that_follow_the_end_of_a_lease_fence_those_without_an_answer() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    let unanswered = fixture.starts.last().expect("a start was ordered").clone();
+    fixture.sidecar.stop(ENTRY, task(0), 1, fixture.now);
+    fixture.collect_actions();
+    while fixture.outcomes.is_empty() {
+        fixture.advance(10 * MS);
+        fixture.answer_hold(Vec::new(), Vec::new());
+    }
+    fixture.advance(MS);
+    assert!(fixture.last_hold().fencing_token > unanswered.fencing_token);
+}
+
 /// Guards against a task that is placed elsewhere while a minion that has deregistered still runs
 /// it, because no connection to it could be made.
 #[test]
@@ -1558,8 +1575,6 @@
     };
 }
 
-/// Restarts the minion under its name, and answers the first call to the next incarnation when the
-/// clock of that has this reading.
 /// Guards against a task on a minion without the label that it requires: the minion has come back as
 /// another kind, and the entry that placed the task does not know yet.
 #[test]
@@ -1571,6 +1586,8 @@
     assert_eq!(fixture.outcomes, [refused]);
 }
 
+/// Restarts the minion under its name, and answers the first call to the next incarnation when the
+/// clock of that has this reading.
 fn restart_minion(fixture: &mut Fixture, clock_ms: u64) {
     fixture.started_unix_ms = 90_000;
     fixture.send_heartbeat();
