fix(sidecar): a deregistered minion that listens no more may still stop its runs

Cause: the runs of a minion that had deregistered were reported as lost with the third refused connection, some 20 ms after the first one.

Ruled out: the end of the lease, which would keep the tasks of each leaving minion for up to 611 ms.

Change: the runs are kept until connections have been refused for the longest time that a stop takes.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -278,7 +278,10 @@
         let Some(minion) = self.minion.as_ref().filter(|minion| minion.has_left) else {
             return;
         };
-        if self.runs.is_empty() || self.holds.is_refusing() {
+        // Runs may take their time to stop after the minion has stopped to listen.
+        let has_ended = self.holds.is_refusing()
+            && self.holds.refused_for(now) >= self.settings.run_stop_time_max;
+        if self.runs.is_empty() || has_ended {
             let instance = minion.profile.instance.as_str();
             log::info!(instance, runs_lost = self.runs.len(); "minion left");
             self.remove_minion(now);
--- a/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
+++ b/knapweedrill/src/dispatch/sidecar/hold_schedule.rs
@@ -44,8 +44,8 @@
     /// When the first of the consecutive calls without an answer was sent.
     unanswered_since: Option<Instant>,
     is_unreachable: bool,
-    /// Whether the connection for the last failed call was refused.
-    is_refused: bool,
+    /// Since when the connections for all calls have been refused.
+    refused_since: Option<Instant>,
     /// Whether another incarnation answered the last call.
     is_displaced: bool,
     next_at: Option<Instant>,
@@ -78,7 +78,13 @@
 
     /// Returns whether the minion is unreachable because it refuses connections.
     pub(super) fn is_refusing(&self) -> bool {
-        self.is_unreachable && self.is_refused
+        self.is_unreachable && self.refused_since.is_some()
+    }
+
+    /// Returns for how long the minion has refused connections.
+    pub(super) fn refused_for(&self, now: Instant) -> Duration {
+        self.refused_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     /// Returns whether another incarnation is at the address of the minion.
@@ -190,7 +196,7 @@
     /// Records an answer and returns whether the minion was unreachable before.
     pub(super) fn record_answer(&mut self, now: Instant) -> bool {
         self.failure_count = 0;
-        self.is_refused = false;
+        self.refused_since = None;
         self.is_displaced = false;
         self.unanswered_since = None;
         self.needs_confirmation = false;
@@ -214,7 +220,8 @@
         // A call that timed out has already waited; one that was refused has not.
         let has_timed_out = now >= hold.sent_at + hold.wait + hold.timeout;
         let interval = unanswered_for.clamp(settings.hold_retry_interval, RETRY_INTERVAL_MAX);
-        self.is_refused = failure == HoldFailure::Refused && !has_timed_out;
+        let is_refused = failure == HoldFailure::Refused && !has_timed_out;
+        self.refused_since = is_refused.then(|| self.refused_since.unwrap_or(now));
         self.next_at = Some(if has_timed_out {
             now
         } else {
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -574,6 +574,21 @@
     assert!(fixture.sidecar.minion().is_none());
 }
 
+/// Guards against a task that is placed elsewhere while a minion that has deregistered, and listens no
+/// more, still stops its run.
+#[test]
+fn runs_of_a_deregistered_minion_are_kept_for_the_time_that_a_stop_takes() {
+    let mut fixture = deregistered_minion_with_a_run();
+    let refused_at = fixture.now;
+    while fixture.outcomes.is_empty() {
+        fixture.refuse_hold();
+        fixture.advance(MS);
+    }
+    let kept_for = fixture.now - refused_at;
+    assert!(kept_for >= 50 * MS, "{kept_for:?}");
+    assert!(kept_for <= 100 * MS, "{kept_for:?}");
+}
+
 /// Guards against two runs of a task: an order without an answer is carried out after its run was
 /// reported as over by its lease, on a lease that later orders have renewed.
 #[test]
