--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -278,7 +278,10 @@
         let Some(minion) = self.minion.as_ref().filter(|minion| minion.has_left) else {
             return;
         };
-        if self.runs.is_empty() || self.holds.is_refusing() {
+        // Runs may take their time to stop after the minion has stopped to listen.
+        let has_ended = self.holds.is_refusing()
+            && self.holds.refused_for(now) >= self.settings.run_stop_time_max;
+        if self.runs.is_empty() || has_ended {
             let instance = minion.profile.instance.as_str();
             log::info!(instance, runs_lost = self.runs.len(); "minion left");
             self.remove_minion(now);
@@ -989,9 +992,14 @@
                 "lease of an unreachable minion expired, its runs are lost"
             );
             self.settle_all_missing(now);
+            self.orders.fence_unanswered_orders();
             return;
         }
-        for key in self.runs.unconfirmed_stops() {
+        let unconfirmed = self.runs.unconfirmed_stops();
+        if !unconfirmed.is_empty() {
+            self.orders.fence_unanswered_orders();
+        }
+        for key in unconfirmed {
             log::warn!(
                 job:% = key.task.job, task = key.task.index, run = key.number;
                 "lease of a run expired whose stop had no answer"
