fix(entry): tasks are placed no faster than the link carries their orders

Cause: an entry handed each start order to its session as soon as a minion had room. The reading that "only some 410 tasks a second are placed", so that orders could not fill the link, was wrong: the log leaves out what exceeds 1,000 lines a second, and the entry had left out up to 6,300 lines a second before the collapse.

Ruled out: processor time (none was charged), the event loop (no gap over 13 ms in its log while it collapsed), minions (55 free).

Change: a budget in the sessions of a process fills at 92 % of Limits.LinkMbps, up to 25 ms of it, and each datagram takes from it. An entry places tasks only while the budget has bytes left, so that new orders wait in the queue of jobs, where they can be refused or given up, and not in front of the link. Stops, withdrawals, repeats and heartbeats go at once. Admission counts the time that the link needs for the orders ahead of a job as it does the time of the minions. Gauge link_wait_ms, line "start orders wait for the link". Without LinkMbps everything is as before.

Not covered: a link that carries less than LinkMbps says, and one whose rate is not set.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -6,6 +6,7 @@
 use super::fleet::Fleet;
 use super::job::Job;
 use super::jobs::Jobs;
+use crate::dispatch::session::Sessions;
 
 /// The priority of the most urgent queues; lower is more urgent.
 const HIGHEST_PRIORITY: u8 = 0;
@@ -17,6 +18,8 @@
     pub work_ahead_millicore_ms: u64,
     /// The CPU capacity of the minions that this entry can count on, in millicores.
     pub share_millicores: u64,
+    /// How long the link of this entry needs for what is queued ahead of the job.
+    pub link_delay: Duration,
     /// How long the job can wait and still meet its latency objective.
     pub slack: Duration,
 }
@@ -29,6 +32,7 @@
         jobs: &Jobs,
         fleet: &Fleet,
         confinement: &Confinement,
+        sessions: &Sessions,
         spare_count: u64,
     ) -> Self {
         let waiting = jobs.waiting();
@@ -36,7 +40,7 @@
         // A job of the most urgent queues only waits for the work ahead of it. For the others all
         // admitted work counts, whatever its position, so that jobs that were admitted before
         // still meet their objectives.
-        let work_ahead_millicore_ms = if job.policy.priority == HIGHEST_PRIORITY {
+        let work_ahead = if job.policy.priority == HIGHEST_PRIORITY {
             waiting.work_ahead(job)
         } else {
             waiting.total_work()
@@ -44,7 +48,8 @@
         // Jobs that wait for a trial take no resources of the others.
         let trial_work = confinement.waiting_trial_work(jobs);
         Self {
-            work_ahead_millicore_ms: work_ahead_millicore_ms.saturating_sub(trial_work),
+            work_ahead_millicore_ms: work_ahead.millicore_ms.saturating_sub(trial_work),
+            link_delay: sessions.link_delay(work_ahead.order_bytes),
             share_millicores: fleet.share_millicores_of(&job.service, spare_count, |sidecar| {
                 confinement.is_in_lane(lane, sidecar)
             }),
@@ -52,9 +57,11 @@
         }
     }
 
-    /// Returns the estimated queueing delay of the job.
+    /// Returns the estimated queueing delay of the job: the minions and the link work at the same
+    /// time.
     pub fn wait(&self) -> Duration {
-        Duration::from_millis(self.work_ahead_millicore_ms / self.share_millicores.max(1))
+        let wait_ms = self.work_ahead_millicore_ms / self.share_millicores.max(1);
+        Duration::from_millis(wait_ms).max(self.link_delay)
     }
 
     /// Returns whether the job is admitted: nothing is queued ahead of it, or its wait fits into
--- a/knapweedrill/src/dispatch/entry/confinement.rs
+++ b/knapweedrill/src/dispatch/entry/confinement.rs
@@ -136,7 +136,8 @@
     /// Returns the estimated work of the jobs that wait for a trial, in millicores times
     /// milliseconds.
     pub(super) fn waiting_trial_work(&self, jobs: &Jobs) -> u64 {
-        self.waiting_for_trial(jobs).map(Job::waiting_work).sum()
+        let works = self.waiting_for_trial(jobs).map(Job::waiting_work);
+        works.map(|work| work.millicore_ms).sum()
     }
 
     /// Returns the jobs that wait for a trial.
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -183,6 +183,12 @@
         self.sessions.stop_pending_for(now)
     }
 
+    /// Returns how long the link of this entry needs for the start orders of all waiting tasks.
+    pub fn link_wait(&self) -> Duration {
+        let waiting = self.jobs.waiting().total_work();
+        self.sessions.link_delay(waiting.order_bytes)
+    }
+
     /// Returns the directory of all sidecars that this entry knows of.
     pub fn directory(&self) -> &Directory {
         self.subset.directory()
@@ -352,6 +358,7 @@
             &self.jobs,
             &self.fleet,
             &self.confinement,
+            &self.sessions,
             spare_count,
         );
         let is_admitted = match self.confinement.lane(&job) {
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -1,5 +1,6 @@
 //! A job that an entry owns.
 
+use std::ops::Add;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
@@ -8,6 +9,7 @@
 use super::answer::CallerId;
 use super::submission::{StepRequest, Submission};
 use super::task_placement::TaskPlacement;
+use super::waiting_work::WaitingWork;
 use crate::common::{Incarnation, ServiceName, TaskIndex};
 use crate::dispatch::configuration::{Queue, QueuePolicy};
 use crate::dispatch::message::{RefusalCause, RunEnd, TaskReport};
@@ -21,6 +23,9 @@
 /// confirmed it or not, before its job is given up.
 const POSSIBLE_CRASH_COUNT_MAX: u32 = 3;
 
+/// The bytes of a start order besides its text, with those of a datagram that carries two orders.
+const ORDER_OVERHEAD_BYTES: u64 = 120;
+
 /// The state of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -346,18 +351,21 @@
         }
     }
 
-    /// Returns the estimated work of the waiting tasks, in millicores times milliseconds.
-    pub(super) fn waiting_work(&self) -> u64 {
+    /// Returns the estimated work of the waiting tasks.
+    pub(super) fn waiting_work(&self) -> WaitingWork {
         let waiting = self
             .tasks
             .iter()
             .filter(|task| task.state == TaskState::Waiting);
-        waiting
-            .map(|task| {
-                let step = &self.steps[usize::from(task.step)];
-                u64::from(step.resources.cpu_millicores).saturating_mul(millis(step.estimate))
-            })
-            .fold(0, u64::saturating_add)
+        let works = waiting.map(|task| {
+            let step = &self.steps[usize::from(task.step)];
+            let millicores = u64::from(step.resources.cpu_millicores);
+            WaitingWork {
+                millicore_ms: millicores.saturating_mul(millis(step.estimate)),
+                order_bytes: self.spec.len() as u64 + ORDER_OVERHEAD_BYTES,
+            }
+        });
+        works.fold(WaitingWork::default(), WaitingWork::add)
     }
 }
 
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -22,6 +22,7 @@
 mod submission;
 mod task_placement;
 mod unreachable_sidecars;
+mod waiting_work;
 
 pub use admission::Admission;
 pub use answer::{Answer, CallerId, RefusalReason};
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -43,7 +43,8 @@
 }
 
 impl Placer {
-    /// Places the waiting tasks in the order of their jobs while resources are free.
+    /// Places the waiting tasks in the order of their jobs while resources are free and the link has
+    /// room.
     pub(super) fn place_waiting(
         &mut self,
         jobs: &mut Jobs,
@@ -53,6 +54,9 @@
         let mut skipped_count = 0;
         let mut next = jobs.waiting().first();
         while let Some(queue_position) = next {
+            if !targets.sessions.has_link_room(now) {
+                break;
+            }
             next = jobs.waiting().after(&queue_position);
             let is_skipped = jobs.change(queue_position.job(), |job| {
                 let lane = targets.confinement.lane(job);
@@ -66,7 +70,8 @@
                 break;
             }
         }
-        if skipped_count > 0 {
+        // More sidecars would not help while the link is full.
+        if skipped_count > 0 && targets.sessions.has_link_room(now) {
             targets.subset.request_early_round();
         }
     }
@@ -99,6 +104,9 @@
             sessions,
             confinement,
         } = targets;
+        if !sessions.has_link_room(now) {
+            return false;
+        }
         let task = &job.tasks[position];
         let step = &job.steps[usize::from(task.step)];
         let labels = [&step.required_label, &step.data_rack];
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::job::Job;
+use super::waiting_work::WaitingWork;
 use crate::dispatch::JobName;
 
 /// The sort key of a waiting job, most significant field first: jobs of a priority that are not
@@ -36,8 +37,7 @@
 /// The jobs with waiting tasks, in the order of placement.
 #[derive(Debug, Default)]
 pub(super) struct WaitingJobs {
-    /// The waiting work of each job, in millicores times milliseconds.
-    work_by_position: BTreeMap<QueuePosition, u64>,
+    work_by_position: BTreeMap<QueuePosition, WaitingWork>,
 }
 
 impl WaitingJobs {
@@ -76,17 +76,15 @@
         self.work_by_position.len()
     }
 
-    /// Returns the waiting work of all jobs, in millicores times milliseconds.
-    pub(super) fn total_work(&self) -> u64 {
-        self.work_by_position
-            .values()
-            .fold(0, |sum, work| sum.saturating_add(*work))
+    /// Returns the waiting work of all jobs.
+    pub(super) fn total_work(&self) -> WaitingWork {
+        let works = self.work_by_position.values();
+        works.fold(WaitingWork::default(), |sum, work| sum + *work)
     }
 
-    /// Returns the work queued ahead of a job, in millicores times milliseconds.
-    pub(super) fn work_ahead(&self, job: &Job) -> u64 {
-        self.work_by_position
-            .range(..QueuePosition::of(job))
-            .fold(0, |sum, (_, work)| sum.saturating_add(*work))
+    /// Returns the work queued ahead of a job.
+    pub(super) fn work_ahead(&self, job: &Job) -> WaitingWork {
+        let works = self.work_by_position.range(..QueuePosition::of(job));
+        works.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
     }
 }
--- /dev/null
+++ b/knapweedrill/src/dispatch/session/link_budget.rs
@@ -0,0 +1,108 @@
+//! The bytes that a process may send over its link.
+
+use std::time::{Duration, Instant};
+
+/// The part of the link for sessions, in thousandths. The rest is for the answers to callers, calls
+/// of the store, and gossip.
+const SESSION_SHARE_PERMILLE: u64 = 920;
+
+/// The time for which bytes that were not sent may be sent later, at once. Longer than the event
+/// loop of an entry waits between two placements.
+const BURST_TIME: Duration = Duration::from_millis(25);
+
+/// The longest time for which an overdrawn budget stays empty. Repeats and stop orders are sent
+/// without regard to the budget.
+const DEBT_TIME_MAX: Duration = Duration::from_millis(250);
+
+/// The bytes of a datagram besides its messages: the header of the session, and those of UDP, IP and
+/// Ethernet.
+const DATAGRAM_OVERHEAD_BYTES: u64 = 90;
+
+/// The budget of a link with a rate. It fills at that rate, and each datagram takes from it.
+#[derive(Debug, Clone, Copy)]
+struct LinkRate {
+    bytes_per_s: u64,
+    /// The bytes that may be sent now; negative if more have been sent.
+    available_bytes: i64,
+    filled_at: Option<Instant>,
+}
+
+/// The bytes that a process may send over its link; unlimited if the rate is unknown.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LinkBudget {
+    rate: Option<LinkRate>,
+}
+
+impl LinkBudget {
+    /// Creates the budget for a link with a rate in bytes a second.
+    pub(super) fn new(link_bytes_per_s: Option<u64>) -> Self {
+        let rate = link_bytes_per_s.map(|bytes_per_s| LinkRate {
+            bytes_per_s: (bytes_per_s * SESSION_SHARE_PERMILLE / 1_000).max(1),
+            available_bytes: 0,
+            filled_at: None,
+        });
+        Self { rate }
+    }
+
+    /// Adds the bytes that the link has carried since the last call.
+    pub(super) fn fill(&mut self, now: Instant) {
+        if let Some(rate) = &mut self.rate {
+            rate.fill(now);
+        }
+    }
+
+    /// Takes the bytes of a message, without its datagram.
+    pub(super) fn spend_message(&mut self, bytes: u64) {
+        self.spend(bytes);
+    }
+
+    /// Takes the bytes of a datagram besides its messages.
+    pub(super) fn spend_datagram(&mut self) {
+        self.spend(DATAGRAM_OVERHEAD_BYTES);
+    }
+
+    fn spend(&mut self, bytes: u64) {
+        if let Some(rate) = &mut self.rate {
+            let available = rate.available_bytes.saturating_sub_unsigned(bytes);
+            rate.available_bytes = available.max(-rate.bytes_in(DEBT_TIME_MAX));
+        }
+    }
+
+    /// Returns whether the link can take a start order without letting it wait.
+    pub(super) fn has_room(&self) -> bool {
+        self.rate.is_none_or(|rate| rate.available_bytes > 0)
+    }
+
+    /// Returns how long it takes until so many bytes more have been sent.
+    pub(super) fn delay(&self, bytes: u64) -> Duration {
+        let Some(rate) = self.rate else {
+            return Duration::ZERO;
+        };
+        let missing = i64::try_from(bytes).unwrap_or(i64::MAX) - rate.available_bytes.min(0);
+        let missing = u64::try_from(missing).unwrap_or_default();
+        Duration::from_millis(missing.saturating_mul(1_000) / rate.bytes_per_s)
+    }
+}
+
+impl LinkRate {
+    fn fill(&mut self, now: Instant) {
+        let filled_at = self.filled_at.unwrap_or(now);
+        let elapsed = now.saturating_duration_since(filled_at);
+        let bytes = self.bytes_in(elapsed);
+        if bytes == 0 && self.filled_at.is_some() {
+            // The next call adds the time since then.
+            return;
+        }
+        self.filled_at = Some(now);
+        self.available_bytes = self
+            .available_bytes
+            .saturating_add(bytes)
+            .min(self.bytes_in(BURST_TIME));
+    }
+
+    /// Returns the number of bytes that the link carries in a time.
+    fn bytes_in(&self, time: Duration) -> i64 {
+        let bytes = u128::from(self.bytes_per_s) * time.as_micros() / 1_000_000;
+        i64::try_from(bytes).unwrap_or(i64::MAX)
+    }
+}
--- a/knapweedrill/src/dispatch/session/mod.rs
+++ b/knapweedrill/src/dispatch/session/mod.rs
@@ -6,6 +6,7 @@
 //! until they arrive, and the sidecar's current status is piggybacked on every datagram it sends.
 
 mod envelope;
+mod link_budget;
 mod peer;
 mod queued_message;
 mod round_trip;
--- a/knapweedrill/src/dispatch/session/peer.rs
+++ b/knapweedrill/src/dispatch/session/peer.rs
@@ -181,13 +181,13 @@
         }
     }
 
-    /// Queues a message and returns its number.
+    /// Queues a message and returns its number and its encoded size in bytes.
     pub(super) fn push(
         &mut self,
         message: Message,
         stamp_limit: Option<Instant>,
         now: Instant,
-    ) -> MessageNumber {
+    ) -> (MessageNumber, u64) {
         let number = self.acknowledged + self.outbox.len() as MessageNumber + 1;
         if let Message::Stop { task, attempt } = message {
             let mut orders = self.outbox.iter_mut().rev();
@@ -200,8 +200,10 @@
         }
         let stamp = self.remote_stamp(stamp_limit);
         let void_at = stamp.map(|(_, arrived_at)| arrived_at + self.settings.order_age_max);
-        self.outbox.push_back(QueuedMessage::new(message, void_at));
-        number
+        let queued = QueuedMessage::new(message, void_at);
+        let bytes = queued.bytes() as u64;
+        self.outbox.push_back(queued);
+        (number, bytes)
     }
 
     /// Returns the stamp to echo. A sidecar takes an echo as proof that the entry still wanted its
--- a/knapweedrill/src/dispatch/session/sent_messages.rs
+++ b/knapweedrill/src/dispatch/session/sent_messages.rs
@@ -60,17 +60,23 @@
         self.counts[kind as usize]
     }
 
-    /// Counts the messages of a datagram, of which those before number `first_new` are repeats.
-    pub(super) fn record(&mut self, envelope: &Envelope, first_new: MessageNumber) {
+    /// Counts the messages of a datagram, of which those before number `first_new` are repeats, and
+    /// returns the encoded size of the repeats in bytes.
+    pub(super) fn record(&mut self, envelope: &Envelope, first_new: MessageNumber) -> u64 {
+        let mut repeated_bytes = 0;
         for (number, message) in (envelope.first..).zip(&envelope.messages) {
-            self.record_message(message, number < first_new);
+            let is_repeat = number < first_new;
+            let bytes = self.record_message(message, is_repeat);
+            repeated_bytes += if is_repeat { bytes } else { 0 };
         }
+        repeated_bytes
     }
 
-    fn record_message(&mut self, message: &Message, is_repeat: bool) {
-        let bytes = postcard::experimental::serialized_size(message).unwrap_or_default();
+    fn record_message(&mut self, message: &Message, is_repeat: bool) -> u64 {
+        let bytes = postcard::experimental::serialized_size(message).unwrap_or_default() as u64;
         let count = &mut self.counts[SentKind::new(message, is_repeat) as usize];
         count.messages += 1;
-        count.bytes += bytes as u64;
+        count.bytes += bytes;
+        bytes
     }
 }
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::envelope::{Envelope, MessageNumber, SessionNumber};
+use super::link_budget::LinkBudget;
 use super::peer::{Peer, SessionEvents};
 use super::schedule::Schedule;
 use super::sent_messages::SentMessages;
@@ -64,6 +65,7 @@
     /// The latest arrival of stamps that may be echoed; unlimited without one.
     stamp_limit: Option<Instant>,
     sent_messages: SentMessages,
+    link_budget: LinkBudget,
 }
 
 impl Sessions {
@@ -80,6 +82,7 @@
             closing_datagrams: Vec::new(),
             stamp_limit: None,
             sent_messages: SentMessages::default(),
+            link_budget: LinkBudget::new(settings.link_bytes_per_s),
         }
     }
 
@@ -132,14 +135,27 @@
         now: Instant,
     ) -> Option<MessageNumber> {
         let address = *self.addresses.get(&to)?;
-        let number = self
+        let (number, bytes) = self
             .peers
             .get_mut(&address)?
             .push(message, self.stamp_limit, now);
+        self.link_budget.spend_message(bytes);
         self.mark_dirty(address);
         Some(number)
     }
 
+    /// Returns whether the link of this process can take a start order without letting it wait.
+    pub fn has_link_room(&mut self, now: Instant) -> bool {
+        self.link_budget.fill(now);
+        self.link_budget.has_room()
+    }
+
+    /// Returns how long the link of this process needs for start orders of so many bytes, after all
+    /// that has been sent.
+    pub fn link_delay(&self, bytes: u64) -> Duration {
+        self.link_budget.delay(bytes)
+    }
+
     /// Returns for how long the oldest stop order without an acknowledgement has been pending.
     pub fn stop_pending_for(&self, now: Instant) -> Duration {
         let since = self.peers.values().filter_map(Peer::stop_pending_since);
@@ -275,6 +291,7 @@
 
     /// Returns the datagrams that are due, and events for sessions that fell silent or expired.
     pub fn poll(&mut self, now: Instant) -> (Vec<(SocketAddr, Envelope)>, Vec<SessionEvent>) {
+        self.link_budget.fill(now);
         let mut datagrams = std::mem::take(&mut self.closing_datagrams);
         let mut events = Vec::new();
         let mut to_poll = std::mem::take(&mut self.dirty);
@@ -299,7 +316,9 @@
             events.extend(peer.check_silence(&self.own, now));
             let first_new = peer.last_sent() + 1;
             for envelope in peer.poll(&self.own, self.stamp_limit, now) {
-                self.sent_messages.record(&envelope, first_new);
+                let repeated_bytes = self.sent_messages.record(&envelope, first_new);
+                self.link_budget.spend_message(repeated_bytes);
+                self.link_budget.spend_datagram();
                 datagrams.push((address, envelope));
             }
             let due = peer
--- a/knapweedrill/src/dispatch/session/settings.rs
+++ b/knapweedrill/src/dispatch/session/settings.rs
@@ -38,6 +38,9 @@
     /// The age of its stamp from which a start order is no longer sent. As long as the silence after
     /// which sidecars refuse it.
     pub order_age_max: Duration,
+    /// The rate of the link of this process in bytes a second, if it is known. Start orders are sent
+    /// no faster.
+    pub link_bytes_per_s: Option<u64>,
 }
 
 impl Default for SessionSettings {
@@ -54,6 +57,7 @@
             status_interval_min: Duration::from_millis(40),
             expiry_timeout: Duration::from_millis(9_000),
             order_age_max: RunTiming::default().entry_silence_timeout(),
+            link_bytes_per_s: None,
         }
     }
 }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -227,6 +227,7 @@
     let admission = |work_ahead_millicore_ms| Admission {
         work_ahead_millicore_ms,
         share_millicores: 200_000,
+        link_delay: Duration::ZERO,
         slack: 180 * MS,
     };
     assert!(admission(0).is_admitted());
@@ -240,11 +241,30 @@
     let admission = Admission {
         work_ahead_millicore_ms: 0,
         share_millicores: 0,
+        link_delay: 5 * MS,
         slack: Duration::ZERO,
     };
     assert!(admission.is_admitted());
 }
 
+#[test_case(100, 100, 180, true; "both in time")]
+#[test_case(100, 190, 180, false; "the link takes too long")]
+#[test_case(190, 100, 180, false; "the minions take too long")]
+fn job_waits_for_the_minions_and_the_link(
+    minion_ms: u64,
+    link_ms: u64,
+    slack_ms: u64,
+    is_admitted: bool,
+) {
+    let admission = Admission {
+        work_ahead_millicore_ms: 1_000 * minion_ms,
+        share_millicores: 1_000,
+        link_delay: Duration::from_millis(link_ms),
+        slack: Duration::from_millis(slack_ms),
+    };
+    assert_eq!(admission.is_admitted(), is_admitted);
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -413,6 +413,13 @@
                 "many messages without an acknowledgement"
             );
         }
+        let link_wait = self.entry.link_wait();
+        if link_wait >= LOGGED_LINK_WAIT_MIN {
+            log::warn!(
+                link_wait_ms = link_wait.as_millis() as u64, jobs = self.entry.waiting_count();
+                "start orders wait for the link"
+            );
+        }
         let configured_at = self.entry.configured_at();
         let age = configured_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let gauges = [
@@ -428,6 +435,7 @@
                 self.entry.stop_pending_for(now).as_millis() as u64,
             ),
             ("queued_messages", queued_message_count as u64),
+            ("link_wait_ms", link_wait.as_millis() as u64),
             ("ready", u64::from(self.entry.is_ready())),
             ("traffic_lag_ms", traffic_lag.as_millis() as u64),
         ];
@@ -440,6 +448,9 @@
 /// The number of messages without an acknowledgement from which on it is logged.
 const LOGGED_QUEUED_MESSAGE_COUNT_MIN: usize = 1_000;
 
+/// The time that the link needs for the orders of all waiting tasks from which on it is logged.
+const LOGGED_LINK_WAIT_MIN: Duration = Duration::from_millis(50);
+
 /// How long a stopping process waits until the last responses are sent.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(150);
 
--- a/knapweedrill_daemon/src/dispatch/process.rs
+++ b/knapweedrill_daemon/src/dispatch/process.rs
@@ -72,7 +72,11 @@
 
     /// Returns an empty set of sessions with the identity of the process.
     pub(super) fn sessions(&self) -> Sessions {
-        Sessions::new(self.identity, SessionSettings::default())
+        let settings = SessionSettings {
+            link_bytes_per_s: self.settings.link_bytes_per_s,
+            ..SessionSettings::default()
+        };
+        Sessions::new(self.identity, settings)
     }
 
     /// Reloads the settings if they have changed, and then returns the addresses of other entries;
--- a/knapweedrill_lab/tests/dispatch_link_overload.rs
+++ b/knapweedrill_lab/tests/dispatch_link_overload.rs
@@ -14,8 +14,11 @@
 /// The rate of the link of the entry.
 const LINK_BITS_PER_S: u64 = 25_000_000;
 
-/// The bytes that may wait at the link; eight seconds.
-const LINK_QUEUE_BYTES_MAX: u64 = 25_000_000;
+/// The bytes that may wait at a link with a long queue; eight seconds.
+const LONG_QUEUE_BYTES: u64 = 25_000_000;
+
+/// The bytes that may wait at a link with a short queue; 40 ms.
+const SHORT_QUEUE_BYTES: u64 = 125_000;
 
 /// The run time of tasks, in milliseconds.
 const RUN_MS: u64 = 40;
@@ -78,15 +81,20 @@
 }
 
 /// Returns how many jobs of each interval were completed, for intervals with these rates.
-fn play(rates_jobs_per_s: &[u64]) -> Vec<usize> {
+fn play(rates_jobs_per_s: &[u64], queue_bytes_max: u64, settings: Settings) -> Vec<usize> {
     let mut simulation = Simulation::new(1, SIDECAR_COUNT, 1, FaultSettings::default());
     simulation.set_run_ms(RUN_MS);
-    simulation.warm_up();
     let rate = LinkRate {
         bits_per_s: LINK_BITS_PER_S,
-        queue_bytes_max: LINK_QUEUE_BYTES_MAX,
+        queue_bytes_max,
     };
-    simulation.set_link_rate(0, rate);
+    if settings == Settings::Rate {
+        simulation.set_known_link_rate(0, rate);
+    }
+    simulation.warm_up();
+    if settings == Settings::NoRate {
+        simulation.set_link_rate(0, rate);
+    }
     let mut intervals = Vec::new();
     for jobs_per_s in rates_jobs_per_s {
         intervals.push(submit_jobs(&mut simulation, *jobs_per_s));
@@ -103,17 +111,43 @@
     counts.iter().sum::<usize>() / counts.len()
 }
 
+/// What the settings of the entry say of its link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Settings {
+    Rate,
+    NoRate,
+}
+
 /// Guards against a link that stays full of void orders and of repeats: the load that was served
 /// before a burst must be served again soon after it, and a burst must not lower what is served.
-#[test_case(300, 2; "less than half of what the link carries, doubled")]
-#[test_case(300, 4; "less than half of what the link carries, four times")]
-#[test_case(300, 10; "less than half of what the link carries, ten times")]
-#[test_case(850, 2; "more than the link carries, doubled")]
-#[test_case(850, 4; "more than the link carries, four times")]
-fn usual_load_is_served_again_after_a_burst(usual_jobs_per_s: u64, factor: u64) {
+#[test_case(300, 2, LONG_QUEUE_BYTES, Settings::NoRate; "less than half of what the link carries, doubled")]
+#[test_case(300, 4, LONG_QUEUE_BYTES, Settings::NoRate; "less than half of what the link carries, four times")]
+#[test_case(300, 10, LONG_QUEUE_BYTES, Settings::NoRate; "less than half of what the link carries, ten times")]
+#[test_case(850, 2, LONG_QUEUE_BYTES, Settings::NoRate; "more than the link carries, doubled")]
+#[test_case(850, 4, LONG_QUEUE_BYTES, Settings::NoRate; "more than the link carries, four times")]
+#[test_case(300, 2, LONG_QUEUE_BYTES, Settings::Rate; "known rate, long queue, less than half, doubled")]
+#[test_case(300, 4, LONG_QUEUE_BYTES, Settings::Rate; "known rate, long queue, less than half, four times")]
+#[test_case(300, 10, LONG_QUEUE_BYTES, Settings::Rate; "known rate, long queue, less than half, ten times")]
+#[test_case(850, 2, LONG_QUEUE_BYTES, Settings::Rate; "known rate, long queue, more, doubled")]
+#[test_case(850, 4, LONG_QUEUE_BYTES, Settings::Rate; "known rate, long queue, more, four times")]
+#[test_case(300, 2, SHORT_QUEUE_BYTES, Settings::Rate; "known rate, short queue, less than half, doubled")]
+#[test_case(300, 4, SHORT_QUEUE_BYTES, Settings::Rate; "known rate, short queue, less than half, four times")]
+#[test_case(300, 10, SHORT_QUEUE_BYTES, Settings::Rate; "known rate, short queue, less than half, ten times")]
+#[test_case(850, 2, SHORT_QUEUE_BYTES, Settings::Rate; "known rate, short queue, more, doubled")]
+#[test_case(850, 4, SHORT_QUEUE_BYTES, Settings::Rate; "known rate, short queue, more, four times")]
+fn usual_load_is_served_again_after_a_burst(
+    usual_jobs_per_s: u64,
+    factor: u64,
+    queue_bytes_max: u64,
+    settings: Settings,
+) {
     let usual = [usual_jobs_per_s; SETTLING_INTERVAL_COUNT + USUAL_INTERVAL_COUNT];
     let burst = [usual_jobs_per_s * factor; BURST_INTERVAL_COUNT];
-    let served = play(&[&usual[..], &burst, &usual].concat());
+    let served = play(
+        &[&usual[..], &burst, &usual].concat(),
+        queue_bytes_max,
+        settings,
+    );
     println!("{usual_jobs_per_s} jobs/s times {factor}: served {served:?}");
     let (before, rest) = served.split_at(usual.len());
     let (during, after) = rest.split_at(BURST_INTERVAL_COUNT);
--- a/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
@@ -2,6 +2,7 @@
 
 use knapweedrill::dispatch::Packet;
 use knapweedrill::dispatch::message::Message;
+use knapweedrill::dispatch::session::SessionSettings;
 
 use super::{PACKET_BYTES, Simulation};
 
@@ -40,6 +41,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LinkRates {
     links: HashMap<usize, Link>,
+    /// The rates that the settings of nodes name, in bytes a second.
+    known_bytes_per_s: HashMap<usize, u64>,
 }
 
 impl Simulation {
@@ -54,6 +57,23 @@
         self.link_rates.links.insert(node, link);
     }
 
+    /// Limits the rate at which a node sends, and starts its process anew with that rate in its
+    /// settings.
+    pub(crate) fn set_known_link_rate(&mut self, node: usize, rate: LinkRate) {
+        self.set_link_rate(node, rate);
+        let known = &mut self.link_rates.known_bytes_per_s;
+        known.insert(node, rate.bits_per_s / 8);
+        self.start_process(node);
+    }
+
+    /// Returns the settings of the sessions of a process that starts now.
+    pub(super) fn session_settings(&self, node: usize) -> SessionSettings {
+        SessionSettings {
+            link_bytes_per_s: self.link_rates.known_bytes_per_s.get(&node).copied(),
+            ..SessionSettings::default()
+        }
+    }
+
     /// Returns what a node with a limited rate has sent.
     pub(crate) fn link_use(&self, node: usize) -> LinkUse {
         let link = self.link_rates.links.get(&node);
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -39,7 +39,7 @@
     Answer, CallerId, Entry, EntryAction, EntrySettings, Pause, Source, StepRequest, Submission,
 };
 use knapweedrill::dispatch::message::{MinionAvailability, MinionProfile, Role};
-use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
+use knapweedrill::dispatch::session::{Identity, Sessions};
 use knapweedrill::dispatch::sidecar::{
     HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
     SidecarSettings, first_fencing_token,
@@ -1414,7 +1414,7 @@
             started_at: self.process_now(index),
         };
         self.claims.record_process(index, identity.incarnation);
-        let sessions = Sessions::new(identity, SessionSettings::default());
+        let sessions = Sessions::new(identity, self.session_settings(index));
         self.process_generations[index] += 1;
         let seed = self.next_id;
         // Draws nothing without jumps, so that the other draws of a seed stay as they are.
