fix(entry): answers to callers take from the budget of the link

Cause: the budget counted datagrams alone and left 8 % of the link for all else. An answer takes some 360 bytes with its headers and the acknowledgement of the request, so that 700 answers a second fill those 8 %, and a burst of refusals fills more.

Ruled out: processor time (none was charged), minions (the entries say that orders wait for the link).

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -48,8 +48,14 @@
         // Jobs that wait for a trial take no resources of the others.
         let trial_work = confinement.waiting_trial_work(jobs);
         Self {
-            work_ahead_millicore_ms: work_ahead.millicore_ms.saturating_sub(trial_work),
-            link_delay: sessions.link_delay(work_ahead.order_bytes),
+            work_ahead_millicore_ms: work_ahead
+                .millicore_ms
+                .saturating_sub(trial_work.millicore_ms),
+            link_delay: sessions.link_delay(
+                work_ahead
+                    .order_bytes
+                    .saturating_sub(trial_work.order_bytes),
+            ),
             share_millicores: fleet.share_millicores_of(&job.service, spare_count, |sidecar| {
                 confinement.is_in_lane(lane, sidecar)
             }),
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -183,8 +183,12 @@
         self.sessions.stop_pending_for(now)
     }
 
-    /// Returns how long the link of this entry needs for the start orders of all waiting tasks.
-    pub fn link_wait(&self) -> Duration {
+    /// Returns how long the start orders of all waiting tasks wait for the link of this entry; zero
+    /// while the link has room.
+    pub fn link_wait(&mut self, now: Instant) -> Duration {
+        if self.sessions.has_link_room(now) {
+            return Duration::ZERO;
+        }
         let waiting = self.jobs.waiting().total_work();
         self.sessions.link_delay(waiting.order_bytes)
     }
@@ -818,6 +822,7 @@
     }
 
     fn answer(&mut self, caller: CallerId, answer: Answer, queue: String) {
+        self.sessions.record_answer();
         self.actions.push(EntryAction::Answer {
             caller,
             answer,
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -144,12 +144,18 @@
         Some(number)
     }
 
-    /// Returns whether the link of this process can take a start order without letting it wait.
+    /// Fills the budget of the link up to now, and returns whether the link can take a start order
+    /// without letting it wait.
     pub fn has_link_room(&mut self, now: Instant) -> bool {
         self.link_budget.fill(now);
         self.link_budget.has_room()
     }
 
+    /// Counts an answer to a caller, which takes room of the link as well.
+    pub fn record_answer(&mut self) {
+        self.link_budget.spend_answer();
+    }
+
     /// Returns how long the link of this process needs for start orders of so many bytes, after all
     /// that has been sent.
     pub fn link_delay(&self, bytes: u64) -> Duration {
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -413,7 +413,7 @@
                 "many messages without an acknowledgement"
             );
         }
-        let link_wait = self.entry.link_wait();
+        let link_wait = self.entry.link_wait(now);
         if link_wait >= LOGGED_LINK_WAIT_MIN {
             log::warn!(
                 link_wait_ms = link_wait.as_millis() as u64, jobs = self.entry.waiting_count();
@@ -448,7 +448,7 @@
 /// The number of messages without an acknowledgement from which on it is logged.
 const LOGGED_QUEUED_MESSAGE_COUNT_MIN: usize = 1_000;
 
-/// The time that the link needs for the orders of all waiting tasks from which on it is logged.
+/// The time that orders of waiting tasks wait for the link from which on it is logged.
 const LOGGED_LINK_WAIT_MIN: Duration = Duration::from_millis(50);
 
 /// How long a stopping process waits until the last responses are sent.
--- a/knapweedrill_daemon/src/dispatch/process.rs
+++ b/knapweedrill_daemon/src/dispatch/process.rs
@@ -82,7 +82,7 @@
     /// Reloads the settings if they have changed, and then returns the addresses of other entries;
     /// otherwise returns none. Only the grace period of a stop and the seeds are applied.
     ///
-    /// Changed addresses of this process need a restart. So do the times of runs: processes that
+    /// Changed addresses of this process and a changed rate of its link need a restart. So do the times of runs: processes that
     /// applied them at different times would disagree on when a run is over.
     pub(super) fn reload_settings(&mut self, now: Instant) -> Vec<SocketAddr> {
         let is_forced = self.signals.take_reload_request();
--- a/knapweedrill_lab/tests/dispatch_narrow_links.rs
+++ b/knapweedrill_lab/tests/dispatch_narrow_links.rs
@@ -129,6 +129,7 @@
             let rate = LinkRate {
                 bits_per_s,
                 queue_bytes_max: bits_per_s / 8 * queue_s,
+                answer_bytes: 0,
             };
             simulation.set_link_rate(entry, rate);
         }
--- a/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
@@ -15,6 +15,8 @@
     pub(crate) bits_per_s: u64,
     /// The bytes that may wait; what does not fit is dropped.
     pub(crate) queue_bytes_max: u64,
+    /// The bytes of an answer to a caller, which takes its turn on the link as well.
+    pub(crate) answer_bytes: u64,
 }
 
 /// What a node has handed to its link, by kind; a datagram with messages counts as its first one.
@@ -88,6 +90,16 @@
         })
     }
 
+    /// Puts an answer to a caller into the queue of the link of its entry. That the answer arrives
+    /// later is not modelled.
+    pub(super) fn occupy_link(&mut self, entry: usize) {
+        let now_us = self.now_ms * 1_000;
+        if let Some(link) = self.link_rates.links.get_mut(&entry) {
+            let sending_us = link.rate.answer_bytes * 8_000_000 / link.rate.bits_per_s;
+            link.free_at_us = link.free_at_us.max(now_us) + sending_us;
+        }
+    }
+
     /// Returns how long a datagram takes to leave its node in milliseconds, or `None` if the queue
     /// of the link is full.
     pub(super) fn enqueue_at_link(
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -1249,6 +1249,7 @@
     fn carry_out(&mut self, entry: usize, actions: Vec<EntryAction>) {
         for action in actions {
             if let EntryAction::Answer { caller, answer, .. } = action {
+                self.occupy_link(entry);
                 self.handle_answer(entry, caller, answer);
             }
         }
