fix(dispatch): a cancel counts at whichever entry it arrives, and for good

Cause: an entry knew only its own jobs. A cancel that reached another entry was answered 410 and stopped nothing, so that the job's next step started seconds later. A cancelled job was forgotten at once, so that a late copy of its submission ran as a new job.

Ruled out: a home entry for each job id by rendezvous hashing, which costs a message a job and needs a rule for entries that come and go. Answering 410 or 200 before other entries have said whether they have the job: 410 would be said of live jobs. Telling of cancels in rounds of gossip only: each round reaches one entry by chance.

Change: the entry that gets a cancel tells all others, in order and up to 128 names a notice. A notice is repeated after 40 ms, doubling up to 1 s, until it is acknowledged, for 120 s at the most. All entries remember the names for 120 s, 16,384 at the most, the oldest go first (one log line a minute when that happens). 120 s is for how long the platform expects the state of a job to be known; copies arrive within seconds. At submission one rule holds: the first end counts, be it a cancel or the end of the job. An entry that starts asks each peer for its cancels. DELETE is answered 200 as soon as an entry says that it had the job, 410 when all entries have said no, and 202 after 400 ms if some have not answered.

Tests changed: the simulated system takes cancels and copies at a given entry and records starts; dispatch_malformed draws the new notices and cancels too.

Left: a cancel is lost if all entries that know it end within its time; an entry that is gone but listed makes cancels of unknown jobs wait 400 ms for a 202; cancels of very many unknown jobs displace the names of others.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -7,6 +7,9 @@
 use super::admission::Admission;
 use super::answer::{Answer, CallerId, RefusalReason};
 use super::answer_cache::AnswerCache;
+use super::cancel_answer::CancelAnswer;
+use super::cancel_spread::{CancelSpread, NAMES_PER_NOTICE_MAX};
+use super::cancelled_names::CancelledNames;
 use super::confinement::{Confinement, Lane};
 use super::directory::{Directory, Source};
 use super::fleet::{Fleet, TaskRequirements};
@@ -20,12 +23,15 @@
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
 use super::{EntrySettings, Submission, TaskPlacement};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
 use crate::common::{Incarnation, ServiceName};
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::message::{Message, PlacementOutcome, RunEnd, TaskReport};
 use crate::dispatch::session::{Envelope, SentMessages, SessionEvent, Sessions};
 use crate::dispatch::units::millis;
-use crate::dispatch::{JobName, Notice, Packet, SidecarRecord};
+use crate::dispatch::{CancelOutcome, JobName, Notice, Packet, SidecarRecord};
 
 /// The shortest suspension of the VM that counts as one. Shorter differences between the clocks are
 /// errors of measurement.
@@ -44,6 +50,13 @@
         /// one.
         queue: String,
     },
+    /// Sends an answer to a caller that cancels a job.
+    AnswerCancel {
+        /// The caller.
+        caller: CallerId,
+        /// The answer.
+        answer: CancelAnswer,
+    },
     /// Counts the outcome of a placement in the metrics.
     Count(PlacementOutcome),
 }
@@ -68,6 +81,8 @@
     placer: Placer,
     confinement: Confinement,
     answer_cache: AnswerCache,
+    cancelled_names: CancelledNames,
+    cancel_spread: CancelSpread,
     /// Until when something that arrived during a long pause of this process may be unread.
     backlog_until: Option<Instant>,
     /// Whether requests are refused until then.
@@ -94,6 +109,8 @@
             placer: Placer::default(),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
+            cancelled_names: CancelledNames::default(),
+            cancel_spread: CancelSpread::new(SmallRng::seed_from_u64(settings.seed).random()),
             backlog_until: None,
             refuses_backlog: false,
             paused_connections: None,
@@ -191,7 +208,11 @@
     /// Adds the address of another entry for gossip. `name` is the name of its VM if the address
     /// comes from the store.
     pub fn add_peer(&mut self, address: SocketAddr, name: Option<String>) {
+        let is_listed = name.is_some();
         self.gossip.add_peer(address, name);
+        if self.gossip.is_peer(address) {
+            self.cancel_spread.add_receiver(address, is_listed);
+        }
     }
 
     /// Adds or updates the record of a sidecar. An invalid record is ignored.
@@ -323,7 +344,7 @@
         let name = submission.name;
         let answer = match self.check_submission(&submission, now) {
             Err(answer) => Some(answer),
-            Ok(()) => self.answer_cache.get(name),
+            Ok(()) => self.answer_of_ended(name),
         };
         if let Some(answer) = answer {
             log::info!(job:% = name, answer:? = answer, version = self.version(); "answered at once");
@@ -404,11 +425,96 @@
         self.jobs.get(name).is_some()
     }
 
-    /// Cancels a job and answers its callers; returns whether the job existed.
-    pub fn cancel(&mut self, name: JobName, now: Instant) -> bool {
-        let is_live = self.is_live(name);
+    /// Cancels a job here and at all other entries, and answers its callers. Later submissions of
+    /// the job start nothing.
+    ///
+    /// `caller`, the one that cancels the job, gets an [`EntryAction::AnswerCancel`]: at once if this
+    /// entry has had the job, otherwise when another entry says so or all have answered.
+    pub fn cancel(&mut self, caller: CallerId, name: JobName, now: Instant) {
+        let outcome = self.apply_cancel(name, now);
+        let number = self.cancel_spread.tell(name, now);
+        if outcome == CancelOutcome::Stopped {
+            self.answer_cancel(caller, CancelAnswer::Stopped);
+            return;
+        }
+        let answer_by = now + self.settings.cancel_answer_max;
+        self.cancel_spread.wait(caller, number, name, answer_by);
+        self.answer_waiting_cancels(now);
+    }
+
+    /// Returns the number of names of cancelled jobs that this entry remembers.
+    pub fn cancelled_name_count(&self) -> usize {
+        self.cancelled_names.len()
+    }
+
+    /// Stops a cancelled job of this entry, remembers its name, and returns whether this entry has
+    /// had the job.
+    fn apply_cancel(&mut self, name: JobName, now: Instant) -> CancelOutcome {
+        let outcome = if self.is_live(name) {
+            CancelOutcome::Stopped
+        } else {
+            CancelOutcome::Unknown
+        };
         self.end_job(name, Some(Answer::Cancelled), now);
-        is_live
+        // A job that ended before its cancel keeps its answer.
+        let answer = self.answer_cache.get(name).unwrap_or(Answer::Cancelled);
+        self.cancelled_names.insert(name, answer, outcome, now)
+    }
+
+    /// Returns the answer to a submission of a job that has ended or was cancelled.
+    ///
+    /// The first of both counts: the memory of cancelled names takes the answer of a job that had
+    /// ended, and a cancelled job has no other end.
+    fn answer_of_ended(&self, name: JobName) -> Option<Answer> {
+        let cancelled = self.cancelled_names.answer(name);
+        cancelled.or_else(|| self.answer_cache.get(name))
+    }
+
+    fn answer_waiting_cancels(&mut self, now: Instant) {
+        let answers = self.cancel_spread.take_answers(now);
+        let unconfirmed =
+            |(_, answer): &&(CallerId, CancelAnswer)| *answer == CancelAnswer::Unconfirmed;
+        let unconfirmed_count = answers.iter().filter(unconfirmed).count();
+        if unconfirmed_count > 0 {
+            log::info!(cancels = unconfirmed_count; "cancels answered before all entries have confirmed them");
+        }
+        for (caller, answer) in answers {
+            self.answer_cancel(caller, answer);
+        }
+    }
+
+    fn answer_cancel(&mut self, caller: CallerId, answer: CancelAnswer) {
+        self.actions
+            .push(EntryAction::AnswerCancel { caller, answer });
+    }
+
+    fn handle_cancel(&mut self, from: SocketAddr, number: u64, names: &[JobName], now: Instant) {
+        let names = names.iter().take(NAMES_PER_NOTICE_MAX);
+        let outcomes: Vec<_> = names.map(|name| self.apply_cancel(*name, now)).collect();
+        if !outcomes.is_empty() {
+            let notice = Notice::CancelAcknowledgement { number, outcomes };
+            self.gossip.send(from, notice);
+        }
+    }
+
+    fn handle_cancel_acknowledgement(
+        &mut self,
+        from: SocketAddr,
+        number: u64,
+        outcomes: &[CancelOutcome],
+        now: Instant,
+    ) {
+        let stopped = self
+            .cancel_spread
+            .handle_acknowledgement(from, number, outcomes);
+        for name in &stopped {
+            self.cancelled_names
+                .insert(*name, Answer::Cancelled, CancelOutcome::Stopped, now);
+        }
+        for caller in self.cancel_spread.take_stopped(&stopped) {
+            self.answer_cancel(caller, CancelAnswer::Stopped);
+        }
+        self.answer_waiting_cancels(now);
     }
 
     /// Handles a received datagram.
@@ -452,9 +558,14 @@
         let sessions = envelopes
             .into_iter()
             .map(|(to, envelope)| (to, Packet::Session(envelope)));
-        let notices = self.gossip.take_outgoing().into_iter();
+        let mut notices = self.gossip.take_outgoing();
+        notices.extend(self.cancel_spread.take_outgoing(now));
         sessions
-            .chain(notices.map(|(to, notice)| (to, Packet::Notice(notice))))
+            .chain(
+                notices
+                    .into_iter()
+                    .map(|(to, notice)| (to, Packet::Notice(notice))),
+            )
             .collect()
     }
 
@@ -478,6 +589,15 @@
         self.jobs.demote_overdue(now);
         self.answer_cache
             .evict_expired(now, self.settings.answer_retention);
+        let retention = self.settings.cancelled_name_retention;
+        self.cancelled_names.forget_expired(now, retention);
+        self.cancel_spread.forget_expired(now, retention);
+        if self.cancel_spread.receiver_count() > self.gossip.peers().len() {
+            // The store has named a new address for an entry.
+            self.cancel_spread
+                .retain_receivers(|peer| self.gossip.is_peer(peer));
+        }
+        self.answer_waiting_cancels(now);
         self.fleet.remove_gone();
         let mut waiting: HashMap<ServiceName, u64> = HashMap::new();
         for job in self.jobs.iter().filter(|job| job.is_waiting()) {
@@ -604,6 +724,10 @@
                 };
                 self.gossip
                     .handle_gossip(from, version, is_answer, own, now);
+                if self.gossip.is_peer(from) {
+                    self.cancel_spread.add_receiver(from, true);
+                }
+                self.cancel_spread.record_heard(from);
                 for record in sidecars {
                     self.add_sidecar(record, Source::Entry);
                 }
@@ -624,6 +748,23 @@
                     self.configure(configuration, "peer", now);
                 }
             }
+            Notice::Cancel {
+                number,
+                is_complete,
+                names,
+            } => {
+                if is_complete {
+                    self.cancel_spread.record_told(from);
+                }
+                self.handle_cancel(from, number, &names, now);
+            }
+            Notice::CancelAcknowledgement { number, outcomes } => {
+                self.handle_cancel_acknowledgement(from, number, &outcomes, now);
+            }
+            Notice::CancelsRequest => {
+                self.add_peer(from, None);
+                self.cancel_spread.handle_request(from);
+            }
             Notice::SidecarPageRequest { offset } => {
                 self.gossip.send_page(from, offset, self.subset.directory());
             }
--- a/knapweedrill/src/dispatch/entry/gossip.rs
+++ b/knapweedrill/src/dispatch/entry/gossip.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Returns the addresses of all known peers.
+    pub(super) fn peers(&self) -> &[SocketAddr] {
+        &self.peers
+    }
+
+    /// Returns whether an address is one of a known peer.
+    pub(super) fn is_peer(&self, address: SocketAddr) -> bool {
+        self.peer_set.contains(&address)
+    }
+
     /// Returns whether the store lists an entry with this address.
     fn is_listed(&self, address: SocketAddr) -> bool {
         self.store_addresses
@@ -130,6 +140,11 @@
         }
     }
 
+    /// Sends a notice to another entry.
+    pub(super) fn send(&mut self, to: SocketAddr, notice: Notice) {
+        self.outgoing.push((to, notice));
+    }
+
     /// Returns and clears the notices to send, each with its receiver.
     pub(super) fn take_outgoing(&mut self) -> Vec<(SocketAddr, Notice)> {
         std::mem::take(&mut self.outgoing)
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -3,6 +3,10 @@
 mod admission;
 mod answer;
 mod answer_cache;
+mod cancel_answer;
+mod cancel_receiver;
+mod cancel_spread;
+mod cancelled_names;
 mod confinement;
 mod core;
 mod directory;
@@ -25,6 +29,7 @@
 
 pub use admission::Admission;
 pub use answer::{Answer, CallerId, RefusalReason};
+pub use cancel_answer::CancelAnswer;
 pub use core::{Entry, EntryAction};
 pub use directory::{Directory, Source};
 pub use fleet::{Fleet, TaskRequirements};
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -26,6 +26,12 @@
     pub objective_multiple_max: u32,
     /// How long answers are kept for repeated requests.
     pub answer_retention: Duration,
+    /// How long the names of cancelled jobs are remembered, so that a late copy of a submission starts
+    /// nothing. As long as the platform expects the end of a job to be known; copies arrive within
+    /// seconds.
+    pub cancelled_name_retention: Duration,
+    /// The longest time until a caller that cancels a job of another entry is answered.
+    pub cancel_answer_max: Duration,
     /// The minimum interval between two probes of a suspect minion by this entry.
     pub probe_interval: Duration,
     /// The seed of all random choices and of the ranking of sidecars.
@@ -44,6 +50,8 @@
             answer_margin: Duration::from_millis(40),
             objective_multiple_max: 3,
             answer_retention: Duration::from_secs(5),
+            cancelled_name_retention: Duration::from_secs(120),
+            cancel_answer_max: Duration::from_millis(400),
             probe_interval: Duration::from_millis(500),
             seed: 1,
         }
--- a/knapweedrill/src/dispatch/mod.rs
+++ b/knapweedrill/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! a job is kept only in the memory of its entry: if the entry fails, the job is lost, and sidecars
 //! stop its runs soon after.
 
+mod cancel_outcome;
 pub mod configuration;
 pub mod entry;
 pub mod message;
@@ -17,6 +18,7 @@
 mod sidecar_record;
 mod units;
 
+pub use cancel_outcome::CancelOutcome;
 pub use names::{Attempt, JobName, QueueTag, RunNumber, StepIndex, TaskName};
 pub use notice::{Notice, Packet};
 pub use resources::Resources;
--- a/knapweedrill/src/dispatch/notice.rs
+++ b/knapweedrill/src/dispatch/notice.rs
@@ -2,7 +2,9 @@
 
 use knapweedrill_derive::message;
 
+use super::cancel_outcome::CancelOutcome;
 use super::configuration::Version;
+use super::names::JobName;
 use super::session::Envelope;
 use super::sidecar_record::SidecarRecord;
 
@@ -64,4 +66,22 @@
         /// The sidecars of this page.
         sidecars: Vec<SidecarRecord>,
     },
+    /// Entry to entry: jobs that callers cancelled at the sender; repeated until acknowledged.
+    Cancel {
+        /// The number of the first cancel, from which the others follow.
+        number: u64,
+        /// Whether the sender remembers none before the first one, so that all of them are told.
+        is_complete: bool,
+        /// The names of the jobs; none if the sender has no cancels to tell of.
+        names: Vec<JobName>,
+    },
+    /// Entry to entry: acknowledges cancels.
+    CancelAcknowledgement {
+        /// The number of the first of these cancels.
+        number: u64,
+        /// What the sender found for each of them.
+        outcomes: Vec<CancelOutcome>,
+    },
+    /// Entry to entry: requests all cancels that the receiver remembers from its callers.
+    CancelsRequest,
 }
--- a/knapweedrill/tests/dispatch_malformed.rs
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -15,7 +15,9 @@
     EndKind, EndedRun, HoldAnswer, MinionHeartbeat, OrderAnswer, RunKey, Sidecar, SidecarAction,
     SidecarEndpoint, SidecarSettings,
 };
-use knapweedrill::dispatch::{JobName, Notice, Packet, Resources, SidecarRecord, TaskName};
+use knapweedrill::dispatch::{
+    CancelOutcome, JobName, Notice, Packet, Resources, SidecarRecord, TaskName,
+};
 use proptest::prelude::*;
 use smallvec::SmallVec;
 
@@ -196,6 +198,30 @@
             bytes,
         }),
         boundary_u32().prop_map(|offset| Notice::SidecarPageRequest { offset }),
+        (
+            boundary_u64(),
+            any::<bool>(),
+            prop::collection::vec(0_u64..4, 0..300)
+        )
+            .prop_map(|(number, is_complete, names)| Notice::Cancel {
+                number,
+                is_complete,
+                names: names.into_iter().map(JobName).collect(),
+            }),
+        (boundary_u64(), prop::collection::vec(any::<bool>(), 0..300)).prop_map(
+            |(number, stopped)| Notice::CancelAcknowledgement {
+                number,
+                outcomes: stopped
+                    .into_iter()
+                    .map(|is_stopped| if is_stopped {
+                        CancelOutcome::Stopped
+                    } else {
+                        CancelOutcome::Unknown
+                    })
+                    .collect(),
+            }
+        ),
+        Just(Notice::CancelsRequest),
         (boundary_u32(), boundary_u32(), records()).prop_map(|(offset, count, sidecars)| {
             Notice::SidecarPage {
                 offset,
@@ -314,6 +340,7 @@
             entry.receive(address(1), packet, now);
             if let Some((name, steps, caller_timeout)) = jobs.next() {
                 entry.submit(1, submission(name, steps, caller_timeout), now);
+                entry.cancel(2, JobName(name + 1), now);
             }
             entry.tick(now);
             entry.place_waiting(now);
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 use knapweedrill::dispatch::configuration::Configuration;
 use knapweedrill::dispatch::entry::{
-    Answer, CallerId, Entry, EntryAction, EntrySettings, Pause, Source,
+    Answer, CallerId, CancelAnswer, Entry, EntryAction, EntrySettings, Pause, Source,
 };
 use knapweedrill::dispatch::{JobName, Packet, SidecarRecord};
 use knapweedrill_platform::{
@@ -107,6 +107,7 @@
         metrics,
         traffic_probe,
         callers: HashMap::new(),
+        cancelling_callers: HashMap::new(),
         active_at: process.clock.now(),
         suspended: Duration::ZERO,
     };
@@ -206,6 +207,8 @@
     metrics: Metrics,
     traffic_probe: TrafficProbe,
     callers: HashMap<CallerId, WaitingCaller>,
+    /// The callers that wait for the answer to a cancel.
+    cancelling_callers: HashMap<CallerId, oneshot::Sender<CallerResponse>>,
     /// When the event loop last read the time; much older after a pause of the process.
     active_at: Instant,
     /// For how long the VM had been suspended by the last pause.
@@ -263,7 +266,8 @@
                     .closes_connections
                     .store(true, Ordering::Relaxed);
             }
-            if process.signals.should_exit(self.entry.job_count() > 0, now) {
+            let has_callers = self.entry.job_count() > 0 || !self.cancelling_callers.is_empty();
+            if process.signals.should_exit(has_callers, now) {
                 self.entry.end_all_jobs(now);
                 self.flush(now);
                 log::info!("process stopped");
@@ -334,12 +338,13 @@
             CallerRequest::Status(job) if self.entry.is_live(job) => {
                 plain_response(StatusCode::OK, "{\"State\":\"running\"}")
             }
-            CallerRequest::Cancel(job) if self.entry.cancel(job, now) => {
-                plain_response(StatusCode::OK, "")
-            }
-            CallerRequest::Status(_) | CallerRequest::Cancel(_) => {
-                plain_response(StatusCode::GONE, "")
+            CallerRequest::Cancel(job) => {
+                self.cancelling_callers
+                    .insert(pending.caller, pending.response_sender);
+                self.entry.cancel(pending.caller, job, now);
+                return;
             }
+            CallerRequest::Status(_) => plain_response(StatusCode::GONE, ""),
             CallerRequest::QueueLength => {
                 match self.entry.queue_length(&pending.host, &pending.path) {
                     Some(Some(count)) => {
@@ -371,6 +376,9 @@
                     answer,
                     queue,
                 } => self.respond(caller, answer, &queue, now),
+                EntryAction::AnswerCancel { caller, answer } => {
+                    self.respond_to_cancel(caller, answer);
+                }
                 EntryAction::Count(outcome) => self.metrics.count_placement(outcome),
             }
         }
@@ -400,6 +408,19 @@
         let _ = waiting.response_sender.send(caller_response(answer));
     }
 
+    fn respond_to_cancel(&mut self, caller: CallerId, answer: CancelAnswer) {
+        let Some(response_sender) = self.cancelling_callers.remove(&caller) else {
+            return;
+        };
+        let status = match answer {
+            CancelAnswer::Stopped => StatusCode::OK,
+            CancelAnswer::NoSuchJob => StatusCode::GONE,
+            CancelAnswer::Unconfirmed => StatusCode::ACCEPTED,
+        };
+        // A caller that has disconnected needs no response.
+        let _ = response_sender.send(plain_response(status, ""));
+    }
+
     /// Updates the gauges.
     fn update_gauges(&mut self, now: Instant) {
         let traffic_lag = self.traffic_probe.take_lag_max();
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -8,6 +8,7 @@
 
 mod call_content;
 mod caller;
+mod cancels;
 #[path = "../claim_observer/mod.rs"]
 mod claim_observer;
 mod claims;
@@ -451,9 +452,23 @@
         caller_timeout_ms: u64,
         change: impl FnOnce(&mut StepRequest),
     ) -> JobName {
+        let mut submission = self.new_submission(path_prefix, tasks, caller_timeout_ms);
+        change(&mut submission.steps[0]);
+        let name = submission.name;
+        self.submit_to_random_entry(submission, None);
+        name
+    }
+
+    /// Returns the submission of a new job of one step.
+    fn new_submission(
+        &mut self,
+        path_prefix: &str,
+        tasks: u32,
+        caller_timeout_ms: u64,
+    ) -> Submission {
         self.next_id += 1;
         let name = JobName(self.next_id);
-        let mut submission = Submission {
+        Submission {
             name,
             host: "host".into(),
             path: format!("{path_prefix}{name}"),
@@ -469,10 +484,7 @@
             }],
             caller_timeout: Duration::from_millis(caller_timeout_ms),
             is_supported: true,
-        };
-        change(&mut submission.steps[0]);
-        self.submit_to_random_entry(submission, None);
-        name
+        }
     }
 
     /// Asserts that a job was answered exactly once, as completed.
@@ -896,6 +908,9 @@
                     if answer == OrderAnswer::Accepted && !was_running {
                         self.started_jobs.insert(start.run.task.job);
                         self.observations.started_count += 1;
+                        self.observations
+                            .starts
+                            .push((start.run.task.job, self.now_ms));
                         if let Some(placement) = call.placement {
                             let run = start.run;
                             self.claims
@@ -1248,8 +1263,16 @@
 
     fn carry_out(&mut self, entry: usize, actions: Vec<EntryAction>) {
         for action in actions {
-            if let EntryAction::Answer { caller, answer, .. } = action {
-                self.handle_answer(entry, caller, answer);
+            match action {
+                EntryAction::Answer { caller, answer, .. } => {
+                    self.handle_answer(entry, caller, answer);
+                }
+                EntryAction::AnswerCancel { caller, answer } => {
+                    let answers = &mut self.observations.cancel_answers;
+                    let earlier = answers.insert(caller, (self.now_ms, answer));
+                    assert_eq!(earlier, None, "entry {entry} answers a cancel twice");
+                }
+                EntryAction::Count(_) => {}
             }
         }
     }
@@ -1354,6 +1377,10 @@
             return;
         }
         let index = running[self.random.random_range(0..running.len())];
+        self.submit_to_entry(index, submission);
+    }
+
+    fn submit_to_entry(&mut self, index: usize, submission: Submission) {
         self.next_id += 1;
         let id = self.next_id;
         self.record_event(Some(submission.name), format!("submitted to entry {index}"));
--- a/knapweedrill_lab/tests/dispatch_simulation/observations.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/observations.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use knapweedrill::dispatch::JobName;
-use knapweedrill::dispatch::entry::Answer;
+use knapweedrill::dispatch::entry::{Answer, CallerId, CancelAnswer};
 
 /// What the simulation has recorded for the assertions of a test.
 #[derive(Debug, Default)]
@@ -9,6 +9,10 @@
     pub(crate) answers: BTreeMap<JobName, Vec<Answer>>,
     /// Starts that a minion accepted, without repeated calls for the same run.
     pub(crate) started_count: u64,
+    /// The job and the time in milliseconds of each of these starts.
+    pub(crate) starts: Vec<(JobName, u64)>,
+    /// The answers to cancels by caller, with their time in milliseconds.
+    pub(crate) cancel_answers: BTreeMap<CallerId, (u64, CancelAnswer)>,
     pub(crate) resubmitted_count: u64,
     /// Jobs whose caller lost its connection to the entry, once per lost connection.
     pub(crate) unanswered: Vec<JobName>,
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -412,6 +412,61 @@
     assert!(!site.minions[0].runs().is_empty(), "the task was started");
 }
 
+/// Cancels a job and returns the status code of the response.
+fn cancel(site: &PlatformSite, entry: usize, path: &str) -> u16 {
+    let mut connection =
+        TcpStream::connect(site.callers_address(entry)).expect("the entry accepts the connection");
+    connection
+        .set_read_timeout(Some(SECOND))
+        .expect("the timeout is set");
+    let head = format!("DELETE {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n");
+    connection
+        .write_all(head.as_bytes())
+        .expect("the request is sent");
+    let mut response = String::new();
+    connection
+        .read_to_string(&mut response)
+        .expect("the entry responds within a second");
+    let status = response.split(' ').nth(1).expect("a status line");
+    status.parse().expect("a status code")
+}
+
+/// A client repeats a cancel at another entry, and copies of the submission arrive later.
+#[test]
+fn cancel_at_another_entry_counts_for_good() {
+    let site = start_site(2, 2);
+    let body = json!({
+        "Spec": "{\"run_ms\":2500,\"cpu\":100,\"memory\":1}",
+        "BestEffort": true,
+        "Steps": [{"Count": 2, "Cpu": 100, "MemMb": 1, "EstimateMs": 2500}],
+    });
+    let (job, unknown) = (path("bulk", 1), path("bulk", 2));
+    let has_runs = || {
+        site.minions
+            .iter()
+            .any(|minion| !minion.running().is_empty())
+    };
+    let run_count = || -> usize { site.minions.iter().map(|minion| minion.runs().len()).sum() };
+    let submit = |entry| {
+        let response = site.post(entry, HOST, &job, &body);
+        let response = response.expect("the entry responds");
+        (response.status, response.body)
+    };
+    let cancelled = (200, "{\"State\":\"cancelled\"}".to_owned());
+    thread::scope(|scope| {
+        let submission = scope.spawn(|| submit(0));
+        wait_until("the runs of the job", 2 * SECOND, has_runs).expect("the job runs");
+        assert_eq!(cancel(&site, 1, &job), 200);
+        let answer = submission.join().expect("the thread does not panic");
+        assert_eq!(answer, cancelled);
+    });
+    wait_until("the end of the runs", SECOND, || !has_runs()).expect("the runs are stopped");
+    let started_count = run_count();
+    assert_eq!([submit(0), submit(1)], [cancelled.clone(), cancelled]);
+    assert_eq!(cancel(&site, 0, &unknown), 410);
+    assert_eq!(run_count(), started_count);
+}
+
 /// Submits jobs from four callers for a while, and returns the number of completed jobs.
 fn submit_for(site: &PlatformSite, duration: Duration) -> usize {
     let end = Instant::now() + duration;
