test(lab): plays of one seed do the same

Cause: two plays of one seed of the simulated system differ, as the order of a hash map differs from map to map, so that a failure can't be traced by its seed. No test showed it.

Change: a simulation can keep a digest (blake3) of every datagram with its bytes, every hold call and every event of its trace, millisecond by millisecond.

--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -27,6 +27,7 @@
 mod resubmission;
 mod slow_traffic;
 mod step_costs;
+mod trace_digest;
 mod wide_faults;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -70,6 +71,7 @@
 use resubmission::Resubmission;
 use slow_traffic::SlowTraffic;
 use step_costs::{RoundOutput, StepCosts};
+use trace_digest::TraceDigest;
 
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
@@ -175,6 +177,8 @@
     /// Events by time in milliseconds, for the messages of failed assertions; those without a job
     /// concern a node or a minion.
     trace: Vec<(u64, Option<JobName>, String)>,
+    /// What the simulation has done, if a test compares two plays.
+    trace_digest: Option<TraceDigest>,
 }
 
 impl Simulation {
@@ -246,6 +250,7 @@
             spec: "what to run".into(),
             deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
+            trace_digest: None,
         };
         for index in 0..entry_count + sidecar_count {
             let address = address(index);
@@ -588,6 +593,7 @@
         }
         self.check_invariants();
         self.check_claimed_runs();
+        self.digest_step();
     }
 
     /// Checks that no minion exceeds its capacity and no task runs at two minions.
@@ -832,6 +838,7 @@
     }
 
     fn send_call(&mut self, node: usize, content: CallContent, placement: Option<PlacementId>) {
+        self.digest_call(node, &content);
         let timeout = match &content {
             CallContent::Start(call) => call.timeout,
             CallContent::Stop(call) => call.timeout,
@@ -1071,6 +1078,7 @@
     fn send_datagram(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         self.observations.sent_counts[from] += 1;
         let bytes = postcard::to_stdvec(&packet).expect("packets can be encoded");
+        self.digest_datagram(from, to, &bytes);
         let bytes_count = bytes.len() as u64;
         self.observations.sent_bytes[from] += bytes_count;
         let is_lost = self.random.random_range(0..1_000) < self.faults.lost_datagram_permille
