fix(dispatch): sidecars send in a fixed order

Cause: a sidecar went through its entries, its runs, the orphaned runs and the stop orders to repeat in the order of hash maps. This order decided in which order statuses, reports and stop orders were sent, and, of runs that were ordered at the same instant, to which queue a crash was attributed.

Ruled out: RecentEntries, the orders in flight and the set of runs in an answer are only counted, looked up or changed all alike; they stay hash maps.

Change: these four are sorted (BTreeMap, BTreeSet), by incarnation and by run. Each has as many items as a minion has slots or entries, so that the cost of a lookup changes little; it was not measured.

--- a/knapweedrill/src/dispatch/sidecar/connected_entries.rs
+++ b/knapweedrill/src/dispatch/sidecar/connected_entries.rs
@@ -1,14 +1,17 @@
 //! The entries that have sessions with the sidecar.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::common::Incarnation;
 
 /// The connected entries, and when each was last known to be alive.
+///
+/// Iterated in the order of the incarnations, so that what is sent does not depend on that of a hash
+/// map.
 #[derive(Debug, Default)]
 pub(super) struct ConnectedEntries {
-    alive_at: HashMap<Incarnation, Instant>,
+    alive_at: BTreeMap<Incarnation, Instant>,
 }
 
 impl ConnectedEntries {
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -1,6 +1,6 @@
 //! Creation and tracking of orders to the minion.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::SidecarSettings;
@@ -44,8 +44,9 @@
     fencing_token: FencingToken,
     last_call: CallNumber,
     in_flight: HashMap<CallNumber, OrderInFlight>,
-    /// The runs whose stop order had no answer, and when it is repeated.
-    stop_retries: HashMap<RunKey, Instant>,
+    /// The runs whose stop order had no answer, and when it is repeated; sorted, as the stop orders
+    /// are sent in this order.
+    stop_retries: BTreeMap<RunKey, Instant>,
     response_times: ResponseTimes,
 }
 
@@ -55,7 +56,7 @@
             fencing_token: FencingToken::new(fencing_token),
             last_call: 0,
             in_flight: HashMap::new(),
-            stop_retries: HashMap::new(),
+            stop_retries: BTreeMap::new(),
             response_times: ResponseTimes::default(),
         }
     }
@@ -188,7 +189,7 @@
     /// Removes and returns the runs whose stop order is due again.
     pub(super) fn take_due_stop_retries(&mut self, now: Instant) -> Vec<RunKey> {
         self.stop_retries
-            .extract_if(|_, at| *at <= now)
+            .extract_if(.., |_, at| *at <= now)
             .map(|(run, _)| run)
             .collect()
     }
--- a/knapweedrill/src/dispatch/sidecar/run_table.rs
+++ b/knapweedrill/src/dispatch/sidecar/run_table.rs
@@ -1,6 +1,6 @@
 //! The table of runs at a minion.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::{Duration, Instant};
 
 use super::action::RunKey;
@@ -9,11 +9,13 @@
 use crate::dispatch::{Attempt, JobName, Resources, TaskName};
 
 /// The runs that this process has ordered, and orphaned runs that it has found at the minion.
+///
+/// Both are sorted, as reports and stop orders are sent in their order.
 #[derive(Debug, Default)]
 pub(super) struct RunTable {
-    ordered: HashMap<RunKey, Run>,
+    ordered: BTreeMap<RunKey, Run>,
     /// Runs that an earlier sidecar process ordered.
-    orphaned: HashSet<RunKey>,
+    orphaned: BTreeSet<RunKey>,
 }
 
 impl RunTable {
@@ -156,7 +158,7 @@
         running: &HashSet<RunKey>,
         is_incomplete: bool,
     ) -> Vec<RunKey> {
-        let mut unknown: HashSet<RunKey> = running
+        let mut unknown: BTreeSet<RunKey> = running
             .iter()
             .filter(|key| !self.ordered.contains_key(key))
             .copied()
