fix(dispatch): an entry handles its jobs in a fixed order

Cause: an entry gave up overdue and late jobs, took back lost tasks and ended all jobs in the order of a hash map, which decided in which order callers were answered and stop orders were sent.

Ruled out: the views of sidecars are counted and summed up, and the candidates for a task are sorted by incarnation before the seeded random numbers of the entry choose among equal ones, so that entries don't all choose the same minion; the evidence against queues, the answers for repeated requests, the directory and the addresses of gossip are looked up or counted. They stay hash maps.

Change: the jobs are sorted by name (BTreeMap).

--- a/knapweedrill/src/dispatch/entry/jobs.rs
+++ b/knapweedrill/src/dispatch/entry/jobs.rs
@@ -1,6 +1,6 @@
 //! The jobs of an entry, and the order in which they are placed.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use super::job::Job;
@@ -11,7 +11,8 @@
 /// placement; every change of a job updates the queue.
 #[derive(Debug, Default)]
 pub(super) struct Jobs {
-    jobs: HashMap<JobName, Job>,
+    /// Sorted, as overdue and lost jobs are handled in this order.
+    jobs: BTreeMap<JobName, Job>,
     waiting: WaitingJobs,
 }
 
@@ -60,6 +61,7 @@
         }
     }
 
+    /// Returns all jobs, in the order of their names.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
     }
