fix(dispatch): sessions for several services are opened in a fixed order

Cause: the subset of sidecars went through its services in the order of a hash map, so that two entries of one seed opened and numbered the sessions of several services in different orders.

Ruled out: the labels are looked up or dropped by age; they stay in a hash map.

Change: the demands are sorted by service (BTreeMap).

Conclusion: the order follows from the names of the services.

--- a/knapweedrill/src/dispatch/entry/sidecar_subset.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_subset.rs
@@ -114,7 +114,8 @@
 pub(super) struct SidecarSubset {
     directory: Directory,
     members: BTreeMap<SocketAddr, SubsetMember>,
-    demands: HashMap<ServiceName, Demand>,
+    /// Sorted, as sessions are opened and closed in this order.
+    demands: BTreeMap<ServiceName, Demand>,
     /// When each label was last requested, and whether sidecars with it were found.
     labels: HashMap<String, (Instant, bool)>,
     last_round_at: Option<Instant>,
@@ -128,7 +129,7 @@
         Self {
             directory: Directory::new(seed),
             members: BTreeMap::new(),
-            demands: HashMap::new(),
+            demands: BTreeMap::new(),
             labels: HashMap::new(),
             last_round_at: None,
             is_early_round_due: false,
