--- a/knapweedrill/src/dispatch/entry/cancel_spread.rs
+++ b/knapweedrill/src/dispatch/entry/cancel_spread.rs
@@ -1,6 +1,6 @@
 //! Telling all other entries of cancelled jobs.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -33,7 +33,8 @@
     /// The cancels by number, from `first_number` on.
     cancels: VecDeque<(Instant, JobName)>,
     first_number: u64,
-    receivers: HashMap<SocketAddr, CancelReceiver>,
+    /// Sorted, as notices are sent in this order.
+    receivers: BTreeMap<SocketAddr, CancelReceiver>,
     /// The waiting callers by number.
     waiting: VecDeque<WaitingCancel>,
     outgoing: Vec<(SocketAddr, Notice)>,
@@ -48,7 +49,7 @@
         Self {
             cancels: VecDeque::new(),
             first_number: u64::from(first_number),
-            receivers: HashMap::new(),
+            receivers: BTreeMap::new(),
             waiting: VecDeque::new(),
             outgoing: Vec::new(),
             has_open_requests: false,
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -28,6 +28,7 @@
 mod resubmission;
 mod slow_traffic;
 mod step_costs;
+mod trace_digest;
 mod wide_faults;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -71,6 +72,7 @@
 use resubmission::Resubmission;
 use slow_traffic::SlowTraffic;
 use step_costs::{RoundOutput, StepCosts};
+use trace_digest::TraceDigest;
 
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
@@ -157,7 +159,7 @@
     process_generations: Vec<u64>,
     next_id: u64,
     /// The waiting callers by entry and caller.
-    callers: HashMap<(usize, CallerId), Caller>,
+    callers: BTreeMap<(usize, CallerId), Caller>,
     /// Callers without a connection that still count as waiting at their entry.
     departures: Vec<Departure>,
     /// Callers that left before they were answered.
@@ -176,6 +178,8 @@
     /// Events by time in milliseconds, for the messages of failed assertions; those without a job
     /// concern a node or a minion.
     trace: Vec<(u64, Option<JobName>, String)>,
+    /// What the simulation has done, if a test compares two plays.
+    trace_digest: Option<TraceDigest>,
 }
 
 impl Simulation {
@@ -236,7 +240,7 @@
             sidecar_freezes: Vec::new(),
             process_generations: vec![0; entry_count + sidecar_count],
             next_id: 0,
-            callers: HashMap::new(),
+            callers: BTreeMap::new(),
             departures: Vec::new(),
             departed_callers: HashSet::new(),
             resubmissions: Vec::new(),
@@ -247,6 +251,7 @@
             spec: "what to run".into(),
             deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
+            trace_digest: None,
         };
         for index in 0..entry_count + sidecar_count {
             let address = address(index);
@@ -600,6 +605,7 @@
         }
         self.check_invariants();
         self.check_claimed_runs();
+        self.digest_step();
     }
 
     /// Checks that no minion exceeds its capacity and no task runs at two minions.
@@ -844,6 +850,7 @@
     }
 
     fn send_call(&mut self, node: usize, content: CallContent, placement: Option<PlacementId>) {
+        self.digest_call(node, &content);
         let timeout = match &content {
             CallContent::Start(call) => call.timeout,
             CallContent::Stop(call) => call.timeout,
@@ -1086,6 +1093,7 @@
     fn send_datagram(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         self.observations.sent_counts[from] += 1;
         let bytes = postcard::to_stdvec(&packet).expect("packets can be encoded");
+        self.digest_datagram(from, to, &bytes);
         let bytes_count = bytes.len() as u64;
         self.observations.sent_bytes[from] += bytes_count;
         let is_lost = self.random.random_range(0..1_000) < self.faults.lost_datagram_permille
@@ -1427,7 +1435,7 @@
     /// Removes and returns the callers of an entry, in the order of their arrival.
     fn remove_callers_of(&mut self, entry: usize) -> Vec<(CallerId, Caller)> {
         let is_of_entry = |_: &(usize, CallerId), caller: &mut Caller| caller.entry == entry;
-        let removed = self.callers.extract_if(is_of_entry);
+        let removed = self.callers.extract_if(.., is_of_entry);
         let mut removed: Vec<_> = removed.map(|((_, id), caller)| (id, caller)).collect();
         removed.sort_by_key(|(id, _)| *id);
         removed
