fix(platform): calls with an effect only reach the addressed life of a minion

Cause: a start or a hold was written to whatever connection was at hand, also to a new one on which nothing had been answered. The packet that opens a connection is repeated by the kernel, so a connection that one life of a minion did not accept may be accepted by the next one, and the header that names the instance does not tell two lives of one name apart. A call that was decided for one life and sent after the next had begun reached that one too. It then started a run, granted a lease of up to the longest one, or forgot ends of its own. A start was also checked for its age only before its connection was made.

Ruled out: the client does not repeat a call or move it to another connection; a start that the last life had read was not received by the next one. An order on an open connection ends with the process at its other end.

Change: starts, leases and acknowledgements are only written to a connection on which the addressed life, known by its start time, has answered a hold. A new connection is checked by a hold without a lease, an acknowledgement or a wait; its answer is that of the hold if another life gave it. Whether a start is overdue is looked at right before it is written. A start whose check has no answer was not sent, and is repeated for 160 ms like one without an answer. Stops start nothing and go out unchecked. A minion that does not report its start counts as the addressed life, as before.

Conclusion: what reaches the next life by the network alone starts nothing there and lengthens no lease.

--- a/knapweedrill/src/dispatch/sidecar/action.rs
+++ b/knapweedrill/src/dispatch/sidecar/action.rs
@@ -35,6 +35,9 @@
     pub fencing_token: u64,
     /// The instance name of the minion that the call addresses.
     pub instance: String,
+    /// When the addressed incarnation started, in Unix milliseconds; 0 if not known. The order must
+    /// not reach another one with this name.
+    pub started_unix_ms: u64,
     /// How long to wait for the answer.
     pub timeout: Duration,
     /// When the order has waited too long in this process to be sent. The sidecar may have reported
@@ -72,6 +75,9 @@
     pub wait_ms: u64,
     /// The instance name of the minion that the call addresses.
     pub instance: String,
+    /// When the addressed incarnation started, in Unix milliseconds; 0 if not known. A lease or an
+    /// acknowledgement must not reach another one with this name.
+    pub started_unix_ms: u64,
     /// How long to wait for the answer, in addition to the delay that the call allows.
     pub timeout: Duration,
 }
@@ -99,6 +105,8 @@
     NoAnswer,
     /// No connection could be made, so the minion has not received the order.
     NotSent,
+    /// The minion did not answer the check of the connection in time, so the order was not sent.
+    Unchecked,
     /// The order waited too long in this process and was not sent.
     Overdue,
 }
--- a/knapweedrill/src/dispatch/sidecar/order_tracker.rs
+++ b/knapweedrill/src/dispatch/sidecar/order_tracker.rs
@@ -86,6 +86,7 @@
             spec: run.spec.clone(),
             lease_end_ms,
             fencing_token: self.fencing_token.value(),
+            started_unix_ms: minion.started_unix_ms,
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now),
             send_until: now + START_SEND_TIME_MAX,
@@ -138,6 +139,7 @@
                 0
             },
             wait_ms: millis(wait),
+            started_unix_ms: minion.started_unix_ms,
             instance: minion.profile.instance.clone(),
             timeout: self.response_times.timeout(now) + clock_drift(wait),
         }
@@ -158,7 +160,7 @@
             is_outdated,
         } = self.in_flight.remove(&call)?;
         match answer {
-            OrderAnswer::NoAnswer | OrderAnswer::NotSent => {
+            OrderAnswer::NoAnswer | OrderAnswer::NotSent | OrderAnswer::Unchecked => {
                 self.response_times.record_loss(sent_at);
             }
             // Says nothing about the minion.
--- a/knapweedrill/src/dispatch/sidecar/start_step.rs
+++ b/knapweedrill/src/dispatch/sidecar/start_step.rs
@@ -56,7 +56,11 @@
             OrderAnswer::Superseded if can_repeat => StartStep::Renumber,
             OrderAnswer::LeaseExpired if can_repeat => StartStep::Repeat,
             OrderAnswer::Fenced if can_repeat => StartStep::RaiseToken,
-            OrderAnswer::NoAnswer if can_repeat && age < START_ANSWER_TIME_MAX => StartStep::Repeat,
+            OrderAnswer::NoAnswer | OrderAnswer::Unchecked
+                if can_repeat && age < START_ANSWER_TIME_MAX =>
+            {
+                StartStep::Repeat
+            }
             OrderAnswer::OtherIncarnation => StartStep::Missing,
             _ if !all_answered => StartStep::Stop,
             OrderAnswer::NoRoom => StartStep::Refused(RefusalCause::NoRoom),
@@ -67,6 +71,7 @@
             | OrderAnswer::LeaseExpired
             | OrderAnswer::Fenced
             | OrderAnswer::NotSent
+            | OrderAnswer::Unchecked
             | OrderAnswer::Overdue => StartStep::Refused(RefusalCause::NoMinion),
         }
     }
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -709,6 +709,27 @@
     );
 }
 
+/// A minion that leaves calls unanswered leaves checks of new connections unanswered too. Guards
+/// against a task that is moved at the first loss, and against a stop of a run that was not ordered.
+#[test]
+fn start_on_an_unchecked_connection_is_repeated_for_a_while_and_then_refused() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    for repeated in 1..=3 {
+        fixture.advance(20 * MS);
+        fixture.answer_start(OrderAnswer::Unchecked);
+        assert_eq!(fixture.starts.len(), 1 + repeated);
+    }
+    assert!(fixture.outcomes.is_empty());
+    fixture.advance(100 * MS);
+    fixture.answer_start(OrderAnswer::Unchecked);
+    assert_eq!(
+        fixture.outcomes,
+        [PlacementOutcome::Refused(RefusalCause::NoMinion)]
+    );
+    assert!(fixture.stops.is_empty());
+}
+
 /// Some answers of the minion are lost, including those that report ended runs.
 #[test]
 fn hold_wait_is_shorter_while_answers_are_lost() {
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -225,6 +225,7 @@
         OrderAnswer::Malformed => "malformed",
         OrderAnswer::NoAnswer => "none",
         OrderAnswer::NotSent => "not-sent",
+        OrderAnswer::Unchecked => "unchecked",
         OrderAnswer::Overdue => "overdue",
     }
 }
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -6,7 +6,7 @@
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use knapweedrill::dispatch::sidecar::{HoldFailure, OrderAnswer, SidecarAction};
+use knapweedrill::dispatch::sidecar::{HoldFailure, SidecarAction};
 use knapweedrill_platform::{MinionClient, Registration, parse_registration};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Semaphore, oneshot};
@@ -83,11 +83,8 @@
     match order {
         SidecarAction::Start(call) => {
             let _permit = permits.acquire().await.ok()?;
-            let (answer, clock_ms) = if clock.now() > call.send_until {
-                (OrderAnswer::Overdue, None)
-            } else {
-                minion.start(&call).await
-            };
+            let may_send = || clock.now() <= call.send_until;
+            let (answer, clock_ms) = minion.start(&call, &may_send).await;
             metrics.count_minion_call("start", order_answer_label(&answer));
             Some(SidecarEvent::StartAnswered(call.call, answer, clock_ms))
         }
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -311,6 +311,7 @@
         lease_end_ms: order.deadline_ms,
         fencing_token: order.fencing_token,
         instance,
+        started_unix_ms: 0,
         timeout: Duration::ZERO,
         send_until: Instant::now(),
     };
@@ -363,6 +364,7 @@
         OrderAnswer::Malformed
         | OrderAnswer::NoAnswer
         | OrderAnswer::NotSent
+        | OrderAnswer::Unchecked
         | OrderAnswer::Overdue => respond_text(request, 400, ""),
     }
 }
@@ -375,6 +377,7 @@
         acknowledged_end: body.last_seen,
         wait_ms: body.wait_ms,
         instance,
+        started_unix_ms: 0,
         timeout: Duration::ZERO,
     };
     let now_ms = state.now_ms();
--- a/knapweedrill_lab/tests/stand_in_minion_model.rs
+++ b/knapweedrill_lab/tests/stand_in_minion_model.rs
@@ -46,6 +46,7 @@
         lease_end_ms: 500,
         fencing_token: 1,
         instance: "minion".into(),
+        started_unix_ms: 0,
         timeout: Duration::ZERO,
         send_until: Instant::now(),
     }
@@ -95,6 +96,7 @@
         acknowledged_end: 0,
         wait_ms: 0,
         instance: "minion".into(),
+        started_unix_ms: 0,
         timeout: Duration::ZERO,
     };
     assert!(minion.hold(&hold, 10), "the hold is accepted");
--- a/knapweedrill_wire/src/http_client.rs
+++ b/knapweedrill_wire/src/http_client.rs
@@ -14,6 +14,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::checked_response::CheckedResponse;
+use super::connection_check::{ConnectionCheck, ServerStart};
+
 /// Upper bound of a response body, in bytes. The longest page of newest records that the store
 /// returns is 1 MB.
 const RESPONSE_BODY_MAX_BYTES: usize = 4 << 20;
@@ -72,7 +75,13 @@
 
 impl std::error::Error for HttpError {}
 
-type Connection = SendRequest<Full<Bytes>>;
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// The start time of the process at the other end, once a response has told it.
+    server_start: Option<ServerStart>,
+}
 
 /// A client of one server that pools idle connections for later calls.
 ///
@@ -145,17 +154,115 @@
         let started_at = Instant::now();
         let result = tokio::time::timeout(timeout, self.send_call(call)).await;
         let response = result.unwrap_or(Err(HttpError::NoResponse));
-        match response {
-            Ok(_) => self.lock().record_success(),
-            Err(_) => self
-                .lock()
-                .record_failure(started_at, self.failure_threshold),
-        }
+        self.record(response.is_ok(), started_at);
+        response
+    }
+
+    /// Sends a request on a connection that is known to lead to the expected process, and returns the
+    /// complete response. The request is never moved to another connection.
+    ///
+    /// The check costs a call on each new connection, and on one whose process is not the expected
+    /// one. Its time counts towards the timeout of the call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection can't be established, in which case the request was not sent, or if no
+    /// complete response to the request arrives within the timeout of the call.
+    pub async fn call_checked(
+        &self,
+        call: HttpCall,
+        check: ConnectionCheck<'_>,
+    ) -> Result<CheckedResponse, HttpError> {
+        let timeout = call.timeout;
+        let started_at = Instant::now();
+        let mut is_sent = false;
+        let sending = self.send_checked(call, check, &mut is_sent);
+        let result = tokio::time::timeout(timeout, sending).await;
+        let response = match result {
+            Ok(response) => response,
+            Err(_) if is_sent => Err(HttpError::NoResponse),
+            Err(_) => Ok(CheckedResponse::Unchecked),
+        };
+        let is_answered = !matches!(response, Ok(CheckedResponse::Unchecked) | Err(_));
+        self.record(is_answered, started_at);
+        response
+    }
+
+    /// Sends a request and returns the complete response, and keeps what it tells about the process
+    /// for later calls on the same connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`call`](Self::call) does.
+    pub async fn call_and_identify(
+        &self,
+        call: HttpCall,
+        read_start: impl Fn(&HttpResponse) -> Option<ServerStart>,
+    ) -> Result<HttpResponse, HttpError> {
+        let timeout = call.timeout;
+        let started_at = Instant::now();
+        let sending = async {
+            let mut connection = self.connection().await?;
+            let response = self.send(&mut connection, call).await?;
+            connection.server_start = read_start(&response);
+            self.keep(connection).await;
+            Ok(response)
+        };
+        let result = tokio::time::timeout(timeout, sending).await;
+        let response = result.unwrap_or(Err(HttpError::NoResponse));
+        self.record(response.is_ok(), started_at);
         response
     }
 
+    async fn send_checked(
+        &self,
+        call: HttpCall,
+        check: ConnectionCheck<'_>,
+        is_sent: &mut bool,
+    ) -> Result<CheckedResponse, HttpError> {
+        let is_expected =
+            |start: Option<ServerStart>| start.is_some_and(|it| check.is_expected(it));
+        let idle = self.take_idle(|connection| is_expected(connection.server_start));
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.connection().await?,
+        };
+        if !is_expected(connection.server_start) {
+            let Ok(response) = self.send(&mut connection, check.call.clone()).await else {
+                return Ok(CheckedResponse::Unchecked);
+            };
+            connection.server_start = (check.read_start)(&response);
+            if !is_expected(connection.server_start) {
+                self.keep(connection).await;
+                return Ok(CheckedResponse::OtherProcess(response));
+            }
+            // A process that has ended since closes the connection, so that nothing is sent.
+            if connection.sender.ready().await.is_err() {
+                return Ok(CheckedResponse::Unchecked);
+            }
+        }
+        if !(check.may_send)() {
+            self.keep(connection).await;
+            return Ok(CheckedResponse::Withheld);
+        }
+        *is_sent = true;
+        let response = self.send(&mut connection, call).await?;
+        self.keep(connection).await;
+        Ok(CheckedResponse::Response(response))
+    }
+
     async fn send_call(&self, call: HttpCall) -> Result<HttpResponse, HttpError> {
         let mut connection = self.connection().await?;
+        let response = self.send(&mut connection, call).await?;
+        self.keep(connection).await;
+        Ok(response)
+    }
+
+    async fn send(
+        &self,
+        connection: &mut Connection,
+        call: HttpCall,
+    ) -> Result<HttpResponse, HttpError> {
         let mut request = Request::builder()
             .method(call.method)
             .uri(call.path)
@@ -170,6 +277,7 @@
             .body(Full::new(Bytes::from(call.body)))
             .map_err(|_| HttpError::NotSent)?;
         let response = connection
+            .sender
             .send_request(request)
             .await
             .map_err(|_| HttpError::NoResponse)?;
@@ -179,9 +287,6 @@
             .await
             .map_err(|_| HttpError::NoResponse)?
             .to_bytes();
-        if connection.ready().await.is_ok() {
-            self.lock().idle.push((connection, Instant::now()));
-        }
         Ok(HttpResponse {
             status: head.status,
             headers: head.headers,
@@ -189,8 +294,26 @@
         })
     }
 
+    /// Returns a connection to the pool once it can carry another request.
+    async fn keep(&self, mut connection: Connection) {
+        if connection.sender.ready().await.is_ok() {
+            self.lock().idle.push((connection, Instant::now()));
+        }
+    }
+
+    /// Records whether a call that began at `started_at` has got a response.
+    fn record(&self, is_answered: bool, started_at: Instant) {
+        let mut pool = self.lock();
+        if is_answered {
+            pool.record_success();
+        } else {
+            pool.record_failure(started_at, self.failure_threshold);
+        }
+    }
+
+    /// Takes the idle connection that was used last, or opens one.
     async fn connection(&self) -> Result<Connection, HttpError> {
-        if let Some(connection) = self.take_idle() {
+        if let Some(connection) = self.take_idle(|_| true) {
             return Ok(connection);
         }
         let stream =
@@ -211,17 +334,23 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            server_start: None,
+        })
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    /// Removes and returns the idle connection that was used last among those that are suitable.
+    fn take_idle(&self, is_suitable: impl Fn(&Connection) -> bool) -> Option<Connection> {
         let mut pool = self.lock();
-        while let Some((connection, since)) = pool.idle.pop() {
-            if !connection.is_closed() && since.elapsed() < self.idle_max {
-                return Some(connection);
-            }
-        }
-        None
+        pool.idle.retain(|(connection, since)| {
+            !connection.sender.is_closed() && since.elapsed() < self.idle_max
+        });
+        let position = pool
+            .idle
+            .iter()
+            .rposition(|(connection, _)| is_suitable(connection))?;
+        Some(pool.idle.remove(position).0)
     }
 
     fn lock(&self) -> MutexGuard<'_, Pool> {
