refactor(session): sizes of queued messages and delays of the link are computed where they are used

Change: the size is computed when it is asked for; the delay is computed with saturating unsigned numbers. Behaviour as before.

--- a/knapweedrill/src/dispatch/session/link_budget.rs
+++ b/knapweedrill/src/dispatch/session/link_budget.rs
@@ -93,9 +93,9 @@
         let Some(rate) = self.rate else {
             return Duration::ZERO;
         };
-        let missing = i64::try_from(bytes).unwrap_or(i64::MAX) - rate.available_bytes.min(0);
-        let missing = u64::try_from(missing).unwrap_or_default();
-        Duration::from_millis(missing.saturating_mul(1_000) / rate.bytes_per_s)
+        let overdrawn_bytes = rate.available_bytes.min(0).unsigned_abs();
+        let missing_bytes = bytes.saturating_add(overdrawn_bytes);
+        Duration::from_millis(missing_bytes.saturating_mul(1_000) / rate.bytes_per_s)
     }
 }
 
--- a/knapweedrill/src/dispatch/session/queued_message.rs
+++ b/knapweedrill/src/dispatch/session/queued_message.rs
@@ -10,8 +10,6 @@
 #[derive(Debug)]
 pub(super) struct QueuedMessage {
     message: Message,
-    /// Its encoded size.
-    bytes: usize,
     /// From when on the other side refuses the message, if it is a start order.
     void_at: Option<Instant>,
 }
@@ -19,17 +17,12 @@
 impl QueuedMessage {
     pub(super) fn new(message: Message, void_at: Option<Instant>) -> Self {
         let void_at = void_at.filter(|_| matches!(message, Message::Start(_)));
-        let bytes = encoded_bytes(&message);
-        Self {
-            message,
-            bytes,
-            void_at,
-        }
+        Self { message, void_at }
     }
 
     /// Returns the encoded size of the message.
     pub(super) fn bytes(&self) -> usize {
-        self.bytes
+        postcard::experimental::serialized_size(&self.message).unwrap_or_default()
     }
 
     pub(super) fn message(&self) -> &Message {
@@ -57,11 +50,6 @@
                 task: order.task,
                 attempt: order.attempt,
             };
-            self.bytes = encoded_bytes(&self.message);
         }
     }
 }
-
-fn encoded_bytes(message: &Message) -> usize {
-    postcard::experimental::serialized_size(message).unwrap_or_default()
-}
