test(session): one fixture for the sessions of an entry and a sidecar

Cause: three tests built the same pair of sessions, addresses and stop orders. Change: they share tests/session_pair. The sidecar's address in dispatch_sessions has another port now, which no assertion names.

--- a/knapweedrill/tests/dispatch_retransmission.rs
+++ b/knapweedrill/tests/dispatch_retransmission.rs
@@ -1,26 +1,18 @@
 //! What a session sends again on links with a long way, and on links that lose datagrams.
 
+mod session_pair;
+
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use knapweedrill::dispatch::message::{Message, Role};
-use knapweedrill::dispatch::session::{
-    Envelope, Identity, SessionEvent, SessionSettings, Sessions,
+use knapweedrill::dispatch::message::Message;
+use knapweedrill::dispatch::session::{Envelope, SessionEvent, Sessions};
+use session_pair::{
+    ENTRY, SIDECAR, SIDECAR_INCARNATION, address, sessions_of_both_sides, stop_order,
 };
-use knapweedrill::dispatch::{JobName, TaskName};
 
 const STEP: Duration = Duration::from_millis(1);
 
-const ENTRY: usize = 0;
-const SIDECAR: usize = 1;
-
-const SIDECAR_INCARNATION: u64 = 22;
-
-fn address(side: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1_000 + side as u16))
-}
-
 /// The sessions of an entry and a sidecar, on a link that delays what the entry sends.
 struct Link {
     now: Instant,
@@ -38,22 +30,9 @@
 impl Link {
     fn new() -> Self {
         let now = Instant::now();
-        let side = |incarnation, role| {
-            let identity = Identity {
-                incarnation,
-                role,
-                started_at: now,
-            };
-            Sessions::new(identity, SessionSettings::default())
-        };
-        let mut sides = [
-            side(11, Role::Entry),
-            side(SIDECAR_INCARNATION, Role::Sidecar),
-        ];
-        sides[ENTRY].open(address(SIDECAR), now);
         let mut link = Self {
             now,
-            sides,
+            sides: sessions_of_both_sides(now),
             delay: Duration::ZERO,
             in_flight: VecDeque::new(),
             lost_count: 0,
@@ -68,14 +47,7 @@
     fn send(&mut self, count: u64) {
         for _ in 0..count {
             self.queued_count += 1;
-            let message = Message::Stop {
-                task: TaskName {
-                    job: JobName(1),
-                    step: 0,
-                    index: 0,
-                },
-                attempt: self.queued_count,
-            };
+            let message = stop_order(self.queued_count);
             self.sides[ENTRY].send(SIDECAR_INCARNATION, message, self.now);
         }
     }
--- a/knapweedrill/tests/dispatch_sessions.rs
+++ b/knapweedrill/tests/dispatch_sessions.rs
@@ -1,33 +1,19 @@
 //! Sessions deliver each message exactly once and in order when datagrams are lost, duplicated or
 //! reordered.
 
-use std::net::SocketAddr;
+mod session_pair;
+
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::message::{Message, Role};
 use knapweedrill::dispatch::session::{
     Envelope, Identity, SessionEvent, SessionSettings, Sessions,
 };
-use knapweedrill::dispatch::{JobName, TaskName};
 use proptest::prelude::*;
+use session_pair::{address, sessions_of_both_sides, stop_order};
 
 const STEP: Duration = Duration::from_millis(5);
 
-fn address(side: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], if side == 0 { 1_000 } else { 2_000 }))
-}
-
-fn message(attempt: u64) -> Message {
-    Message::Stop {
-        task: TaskName {
-            job: JobName(1),
-            step: 0,
-            index: 0,
-        },
-        attempt,
-    }
-}
-
 struct Pair {
     now: Instant,
     sides: [Sessions; 2],
@@ -39,19 +25,9 @@
 impl Pair {
     fn new() -> Self {
         let now = Instant::now();
-        let side = |incarnation, role| {
-            let identity = Identity {
-                incarnation,
-                role,
-                started_at: now,
-            };
-            Sessions::new(identity, SessionSettings::default())
-        };
-        let mut sides = [side(11, Role::Entry), side(22, Role::Sidecar)];
-        sides[0].open(address(1), now);
         Self {
             now,
-            sides,
+            sides: sessions_of_both_sides(now),
             in_flight: Vec::new(),
             received: Vec::new(),
             events: Vec::new(),
@@ -121,7 +97,7 @@
         let mut next = 0;
         for count in sends {
             for _ in 0..count {
-                pair.send(message(next));
+                pair.send(stop_order(next));
                 next += 1;
             }
             pair.step(|| copy_counts.next().unwrap_or(1));
@@ -136,7 +112,7 @@
 fn new_incarnation_ends_the_session_and_late_datagrams_of_the_old_one_are_ignored() {
     let mut pair = Pair::new();
     pair.settle();
-    pair.send(message(1));
+    pair.send(stop_order(1));
     let (late, _) = pair.sides[0].poll(pair.now);
     let restarted = Identity {
         incarnation: 33,
@@ -155,7 +131,7 @@
         let events = pair.sides[1].receive(address(0), envelope, pair.now);
         assert!(events.is_empty(), "{events:?}");
     }
-    pair.send(message(2));
+    pair.send(stop_order(2));
     pair.settle();
     assert_eq!(pair.received, [2]);
 }
@@ -169,7 +145,7 @@
         pair.step(|| 0);
     }
     assert!(pair.events.contains(&(0, SessionEvent::Silent(22))));
-    pair.send(message(1));
+    pair.send(stop_order(1));
     pair.settle();
     assert!(pair.events.contains(&(0, SessionEvent::Resumed(22))));
     assert_eq!(pair.received, [1]);
@@ -182,7 +158,7 @@
     pair.events.clear();
     for number in 0..200 {
         if number % 47 == 0 {
-            pair.send(message(number));
+            pair.send(stop_order(number));
         }
         pair.step(|| 1);
     }
@@ -215,7 +191,7 @@
     pair.settle();
     let before_stop = pair.now;
     pair.sides[0].set_busy(22, true, before_stop);
-    pair.send(message(1));
+    pair.send(stop_order(1));
     // Datagrams with messages are lost, heartbeats arrive.
     for _ in 0..200 {
         pair.step_with_loss(|envelope| !envelope.messages.is_empty());
@@ -242,7 +218,7 @@
     for _ in 0..60 {
         pair.step(|| 1);
     }
-    pair.send(message(1));
+    pair.send(stop_order(1));
     pair.sides[0].set_stamp_limit(pair.now);
     for _ in 0..100 {
         pair.step_with_loss(|envelope| !envelope.messages.is_empty());
--- a/knapweedrill/tests/dispatch_void_orders.rs
+++ b/knapweedrill/tests/dispatch_void_orders.rs
@@ -1,33 +1,20 @@
 //! Start orders that their sidecar would refuse as stale are not sent again.
 
-use std::net::SocketAddr;
+mod session_pair;
+
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::message::{
-    Message, PlacementOutcome, RefusalCause, Role, StartOrder, TaskReport,
-};
-use knapweedrill::dispatch::session::{
-    Envelope, Identity, SentKind, SessionEvent, SessionSettings, Sessions,
+    Message, PlacementOutcome, RefusalCause, StartOrder, TaskReport,
 };
+use knapweedrill::dispatch::session::{Envelope, SentKind, SessionEvent, Sessions};
 use knapweedrill::dispatch::sidecar::{Sidecar, SidecarAction, SidecarSettings};
-use knapweedrill::dispatch::{JobName, Resources, RunTiming, TaskName};
-
-const STEP: Duration = Duration::from_millis(5);
-
-const ENTRY: usize = 0;
-const SIDECAR: usize = 1;
-
-const SIDECAR_INCARNATION: u64 = 22;
-
-const TASK: TaskName = TaskName {
-    job: JobName(1),
-    step: 0,
-    index: 0,
+use knapweedrill::dispatch::{Resources, RunTiming};
+use session_pair::{
+    ENTRY, SIDECAR, SIDECAR_INCARNATION, TASK, address, sessions_of_both_sides, stop_order,
 };
 
-fn address(side: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1_000 + side as u16))
-}
+const STEP: Duration = Duration::from_millis(5);
 
 fn is_start(message: &Message) -> bool {
     matches!(message, Message::Start(_))
@@ -46,22 +33,9 @@
 impl Pair {
     fn new() -> Self {
         let now = Instant::now();
-        let side = |incarnation, role| {
-            let identity = Identity {
-                incarnation,
-                role,
-                started_at: now,
-            };
-            Sessions::new(identity, SessionSettings::default())
-        };
-        let mut sides = [
-            side(11, Role::Entry),
-            side(SIDECAR_INCARNATION, Role::Sidecar),
-        ];
-        sides[ENTRY].open(address(SIDECAR), now);
         Self {
             now,
-            sides,
+            sides: sessions_of_both_sides(now),
             received: Vec::new(),
             starts_sent_at: Vec::new(),
         }
@@ -145,10 +119,7 @@
     pair.start(1);
     pair.run(STEP, |_| true);
     let stopped_at = pair.now;
-    pair.send(Message::Stop {
-        task: TASK,
-        attempt: 1,
-    });
+    pair.send(stop_order(1));
     pair.run(Duration::from_millis(300), |_| true);
     let late = pair.starts_sent_at.iter().filter(|at| **at > stopped_at);
     assert_eq!(late.count(), 0, "start orders sent after their stop order");
@@ -165,10 +136,7 @@
         !envelope.messages.is_empty()
     });
     pair.start(2);
-    pair.send(Message::Stop {
-        task: TASK,
-        attempt: 1,
-    });
+    pair.send(stop_order(1));
     pair.run(Duration::from_secs(1), |_| false);
     let withdrawn = Message::Withdrawn {
         task: TASK,
