--- a/knapweedrill_lab/tests/dispatch_promises.rs
+++ b/knapweedrill_lab/tests/dispatch_promises.rs
@@ -13,16 +13,6 @@
 /// The timeout of callers, in milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 2_500;
 
-/// The kinds of faults that are drawn besides the usual ones.
-const ALL_EXTRA_FAULTS: [Fault; 6] = [
-    Fault::Suspend,
-    Fault::DisconnectCallers,
-    Fault::FreezeAndDisconnect,
-    Fault::SuspendAndDisconnect,
-    Fault::DelayOrders,
-    Fault::KillThenFreezeSidecars,
-];
-
 /// Submits random jobs for a while, and then waits without faults until all must be answered.
 fn run_random_jobs(seed: u64, faults: FaultSettings, for_ms: u64) -> Simulation {
     let mut simulation = Simulation::new(3, 5, seed, faults);
@@ -122,13 +112,13 @@
 #[test_case(&[Fault::DisconnectCallers]; "broken connections of callers")]
 #[test_case(&[Fault::FreezeAndDisconnect]; "broken connections while entries are frozen")]
 #[test_case(&[Fault::SuspendAndDisconnect]; "broken connections while entries are suspended")]
-#[test_case(&ALL_EXTRA_FAULTS; "all kinds")]
+#[test_case(&Fault::ALL_EXTRA; "all kinds")]
 fn no_task_runs_twice_on_long_days_with_pauses(extra_faults: &'static [Fault]) {
     run_long_days(machine_faults_with(extra_faults));
 }
 
 /// Combines the faults of nodes and minions with those of calls and datagrams, at twice the rate.
-#[test_case(&ALL_EXTRA_FAULTS; "all kinds")]
+#[test_case(&Fault::ALL_EXTRA; "all kinds")]
 #[test_case(
     &[Fault::DisconnectCallers, Fault::DelayOrders, Fault::KillThenFreezeSidecars];
     "kinds that pause no entry"
--- a/knapweedrill_lab/tests/dispatch_seed_repeats.rs
+++ b/knapweedrill_lab/tests/dispatch_seed_repeats.rs
@@ -14,16 +14,6 @@
 /// The timeout of callers, in milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 1_500;
 
-/// The kinds of faults that are drawn besides the usual ones.
-const ALL_EXTRA_FAULTS: [Fault; 6] = [
-    Fault::Suspend,
-    Fault::DisconnectCallers,
-    Fault::FreezeAndDisconnect,
-    Fault::SuspendAndDisconnect,
-    Fault::DelayOrders,
-    Fault::KillThenFreezeSidecars,
-];
-
 /// Submits random jobs of both queues for a while, and waits until all must be answered.
 fn submit_random_jobs(simulation: &mut Simulation, for_ms: u64) {
     simulation.warm_up();
@@ -67,7 +57,7 @@
         response_delay_max_ms: 10,
         failed_task_permille: 30,
         machine_fault_permille: 3_000,
-        extra_faults: &ALL_EXTRA_FAULTS,
+        extra_faults: &Fault::ALL_EXTRA,
         renames_minions: true,
         ..FaultSettings::default()
     };
--- a/knapweedrill_lab/tests/dispatch_simulation/fault.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/fault.rs
@@ -23,3 +23,15 @@
     /// An entry is killed, and most sidecars freeze shortly before they would stop its runs.
     KillThenFreezeSidecars,
 }
+
+impl Fault {
+    /// All kinds of faults that may be drawn besides the usual ones.
+    pub(crate) const ALL_EXTRA: [Self; 6] = [
+        Self::Suspend,
+        Self::DisconnectCallers,
+        Self::FreezeAndDisconnect,
+        Self::SuspendAndDisconnect,
+        Self::DelayOrders,
+        Self::KillThenFreezeSidecars,
+    ];
+}
