refactor(session): the budget of a link has one way to take bytes

Cause: spend_message only called spend. The imports of the entry's core were not in the usual order. Change: callers use spend; the imports are in order. Behaviour as before.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
 use super::admission::Admission;
 use super::answer::{Answer, CallerId, RefusalReason};
 use super::answer_cache::AnswerCache;
@@ -23,9 +26,6 @@
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
 use super::{EntrySettings, Submission, TaskPlacement};
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
-
 use crate::common::{Incarnation, ServiceName};
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::message::{Message, PlacementOutcome, RunEnd, TaskReport};
--- a/knapweedrill/src/dispatch/session/link_budget.rs
+++ b/knapweedrill/src/dispatch/session/link_budget.rs
@@ -61,11 +61,6 @@
         }
     }
 
-    /// Takes the bytes of a message, without its datagram.
-    pub(super) fn spend_message(&mut self, bytes: u64) {
-        self.spend(bytes);
-    }
-
     /// Takes the bytes of a datagram besides its messages.
     pub(super) fn spend_datagram(&mut self) {
         self.spend(DATAGRAM_OVERHEAD_BYTES);
@@ -76,7 +71,8 @@
         self.spend(ANSWER_BYTES);
     }
 
-    fn spend(&mut self, bytes: u64) {
+    /// Takes bytes, such as those of a message without its datagram.
+    pub(super) fn spend(&mut self, bytes: u64) {
         if let Some(rate) = &mut self.rate {
             let available = rate.available_bytes.saturating_sub_unsigned(bytes);
             rate.available_bytes = available.max(-rate.bytes_in(DEBT_TIME_MAX));
--- a/knapweedrill/src/dispatch/session/sessions.rs
+++ b/knapweedrill/src/dispatch/session/sessions.rs
@@ -139,7 +139,7 @@
             .peers
             .get_mut(&address)?
             .push(message, self.stamp_limit, now);
-        self.link_budget.spend_message(bytes);
+        self.link_budget.spend(bytes);
         self.mark_dirty(address);
         Some(number)
     }
@@ -323,7 +323,7 @@
             let first_new = peer.last_sent() + 1;
             for envelope in peer.poll(&self.own, self.stamp_limit, now) {
                 let repeated_bytes = self.sent_messages.record(&envelope, first_new);
-                self.link_budget.spend_message(repeated_bytes);
+                self.link_budget.spend(repeated_bytes);
                 self.link_budget.spend_datagram();
                 datagrams.push((address, envelope));
             }
