--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,162 @@
+//! The scripts of the cases.
+
+use std::io;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::record::Record;
+use crate::site::{CANCEL_MS, GRACE_S, Plan, Site};
+
+/// Runs a case and returns whether its rule held.
+pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<bool> {
+    match case {
+        "cancel-then-restart" => cancel_then_restart(has_trouble, record),
+        "cancel-during-cut" => cancel_during_cut(has_trouble, record),
+        "upper-case-id" => upper_case_id(has_trouble, record),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
+
+/// Returns a job of steps that follow each other, with one task of 1 s each.
+fn chain(step_count: usize) -> String {
+    let step = |index: usize| {
+        let after = match index {
+            0 => String::new(),
+            _ => format!(",\"After\":[{}]", index - 1),
+        };
+        format!("{{\"Count\":1,\"Cpu\":1000,\"MemMb\":64,\"EstimateMs\":1000{after}}}")
+    };
+    let steps: Vec<String> = (0..step_count).map(step).collect();
+    format!("{{\"Spec\":\"ms=1000\",\"BestEffort\":true,\"Steps\":[{}]}}", steps.join(","))
+}
+
+/// Returns the name of a job that this run of the script has not used.
+fn job_name(number: u64) -> String {
+    let id = u64::from(std::process::id());
+    format!("{:016x}", 0x5c0e_7a21_0000_0000 + id * 0x1_0000 + number)
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+fn other(text: &str) -> io::Error {
+    io::Error::other(text.to_owned())
+}
+
+/// Returns whether no task of a job has started later than `cancel_ms` after the cancel was
+/// acknowledged.
+fn has_no_late_start(record: &Record, job: &str, acknowledged_ms: u64) -> bool {
+    let starts = record.runs_of(job).into_iter().filter(|event| event.end.is_none());
+    let late: Vec<_> = starts.filter(|it| it.at_ms > acknowledged_ms + CANCEL_MS).collect();
+    for start in &late {
+        record.note(&format!(
+            "UNASKED: {} started task {} {} ms after the cancel was acknowledged",
+            start.minion,
+            start.task,
+            start.at_ms - acknowledged_ms
+        ));
+    }
+    late.is_empty()
+}
+
+/// The entry that has acknowledged a cancel is stopped and started again, as in a rolling restart.
+/// A copy of the submission arrives there, seconds after its 2xx response.
+fn cancel_then_restart(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let plan = Plan {
+        entry_count: 3,
+        minion_count: 3,
+        has_proxy: false,
+    };
+    let mut site = Site::start(plan, record.clone())?;
+    let (job, body) = (job_name(1), chain(4));
+    let client = site.client(0);
+    let (sent_job, sent_body) = (job.clone(), body.clone());
+    let submission =
+        thread::spawn(move || client.request("POST", &sent_job, &sent_body, 20_000));
+    sleep_ms(400);
+    let cancelled = site.request(1, "DELETE", &job, "", 4_000);
+    let acknowledged_ms = record.now_ms();
+    if !cancelled.is_some_and(|(status, _)| status / 100 == 2 || status == 410) {
+        return Err(other("the cancel was not acknowledged"));
+    }
+    let submitted = submission.join().map_err(|_| other("the client has failed"))?;
+    if !submitted.is_some_and(|(status, _)| status == 200) {
+        return Err(other("the submission has no 2xx response"));
+    }
+    if has_trouble {
+        let name = "front-zone-a-1";
+        site.signal(name, "TERM");
+        site.wait_end(name, Duration::from_secs(GRACE_S));
+        sleep_ms(500);
+        site.start_entry(1)?;
+        site.wait_ready(1)?;
+    }
+    let copy_ms = acknowledged_ms + 7_000;
+    sleep_ms(copy_ms.saturating_sub(record.now_ms()));
+    record.note("a copy of the submission arrives");
+    site.request(1, "POST", &job, &body, 8_000);
+    Ok(has_no_late_start(record, &job, acknowledged_ms))
+}
+
+/// The entry of a job is cut off from the other entries and the store when the job is cancelled at
+/// another entry.
+fn cancel_during_cut(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let plan = Plan {
+        entry_count: 3,
+        minion_count: 3,
+        has_proxy: true,
+    };
+    let site = Site::start(plan, record.clone())?;
+    let (job, body) = (job_name(2), chain(12));
+    let client = site.client(0);
+    let (sent_job, sent_body) = (job.clone(), body);
+    let submission =
+        thread::spawn(move || client.request("POST", &sent_job, &sent_body, 30_000));
+    sleep_ms(400);
+    let cut_until = Instant::now() + Duration::from_millis(5_500);
+    if has_trouble {
+        record.note("entry 0 is cut off from the other entries and the store");
+        site.set_cut(0, true);
+    }
+    sleep_ms(300);
+    let cancelled = site.request(1, "DELETE", &job, "", 4_000);
+    let acknowledged_ms = record.now_ms();
+    if !cancelled.is_some_and(|(status, _)| status / 100 == 2 || status == 410) {
+        return Err(other("the cancel was not acknowledged"));
+    }
+    thread::sleep(cut_until.saturating_duration_since(Instant::now()));
+    if has_trouble {
+        site.set_cut(0, false);
+        record.note("the cut has ended");
+    }
+    sleep_ms(3_000);
+    let _ = submission.join();
+    Ok(has_no_late_start(record, &job, acknowledged_ms))
+}
+
+/// Clients write the hexadecimal digits of their ids in upper case.
+fn upper_case_id(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let plan = Plan {
+        entry_count: 1,
+        minion_count: 2,
+        has_proxy: false,
+    };
+    let site = Site::start(plan, record.clone())?;
+    let case = |name: String| if has_trouble { name.to_ascii_uppercase() } else { name };
+    let jobs: Vec<String> = (10..14).map(|number| case(job_name(0xabc0 + number))).collect();
+    for job in &jobs {
+        site.request(0, "POST", job, &chain(1), 8_000);
+    }
+    let unknown: Vec<_> = record
+        .runs()
+        .into_iter()
+        .filter(|event| event.end.is_none())
+        .filter(|event| !jobs.iter().any(|job| event.task.split('.').next() == Some(job)))
+        .collect();
+    for start in &unknown {
+        let (minion, task) = (&start.minion, &start.task);
+        record.note(&format!("UNASKED: {minion} was told to start {task}, which no client sent"));
+    }
+    Ok(unknown.is_empty())
+}
