--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -12,6 +12,7 @@
     match case {
         "cancel-then-restart" => cancel_then_restart(has_trouble, record),
         "cancel-during-cut" => cancel_during_cut(has_trouble, record),
+        "fraction-in-bounds" => fraction_in_bounds(has_trouble, record),
         "upper-case-id" => upper_case_id(has_trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
@@ -63,12 +64,7 @@
 /// The entry that has acknowledged a cancel is stopped and started again, as in a rolling restart.
 /// A copy of the submission arrives there, seconds after its 2xx response.
 fn cancel_then_restart(has_trouble: bool, record: &Record) -> io::Result<bool> {
-    let plan = Plan {
-        entry_count: 3,
-        minion_count: 3,
-        has_proxy: false,
-    };
-    let mut site = Site::start(plan, record.clone())?;
+    let mut site = Site::start(Plan::default(), record.clone())?;
     let (job, body) = (job_name(1), chain(4));
     let client = site.client(0);
     let (sent_job, sent_body) = (job.clone(), body.clone());
@@ -103,9 +99,8 @@
 /// another entry.
 fn cancel_during_cut(has_trouble: bool, record: &Record) -> io::Result<bool> {
     let plan = Plan {
-        entry_count: 3,
-        minion_count: 3,
         has_proxy: true,
+        ..Plan::default()
     };
     let site = Site::start(plan, record.clone())?;
     let (job, body) = (job_name(2), chain(12));
@@ -140,7 +135,7 @@
     let plan = Plan {
         entry_count: 1,
         minion_count: 2,
-        has_proxy: false,
+        ..Plan::default()
     };
     let site = Site::start(plan, record.clone())?;
     let case = |name: String| if has_trouble { name.to_ascii_uppercase() } else { name };
@@ -160,3 +155,25 @@
     }
     Ok(unknown.is_empty())
 }
+
+/// A figure of `Bounds` in the settings is a fraction.
+fn fraction_in_bounds(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let plan = Plan {
+        stop_timeout_ms: if has_trouble { "49.5" } else { "50" },
+        ..Plan::default()
+    };
+    let mut site = Site::start_processes(plan, record.clone())?;
+    sleep_ms(8_000);
+    let ended = site.ended();
+    for process in &ended {
+        record.note(&format!("FAULT: ended by itself: {process}"));
+    }
+    for entry in 0..3 {
+        let job = job_name(20 + u64::from(entry));
+        let answer = site.request(entry, "POST", &job, &chain(1), 4_000);
+        if ended.is_empty() && answer.is_none_or(|(status, _)| status != 200) {
+            return Err(other("the processes run, but a request is not served"));
+        }
+    }
+    Ok(ended.is_empty())
+}
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -70,6 +70,19 @@
     pub entry_count: u8,
     pub minion_count: u8,
     pub has_proxy: bool,
+    /// The text of `Bounds.StopTimeoutMs` in the settings.
+    pub stop_timeout_ms: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entry_count: 3,
+            minion_count: 3,
+            has_proxy: false,
+            stop_timeout_ms: "50",
+        }
+    }
 }
 
 pub struct Site {
@@ -84,12 +97,26 @@
     /// The possible addresses of entries in the settings; none if the entries talk through a proxy,
     /// which seeds would bypass.
     seeds: String,
+    stop_timeout_ms: &'static str,
     /// For each entry, whether it is cut off from the other entries and the store.
     cuts: Vec<Arc<AtomicBool>>,
 }
 
 impl Site {
+    /// Starts the stand-ins and the processes, and waits until the entries are ready.
     pub fn start(plan: Plan, record: Record) -> io::Result<Self> {
+        let site = Self::start_processes(plan, record)?;
+        for entry in 0..site.entry_count {
+            site.wait_ready(entry)?;
+        }
+        // The entries find each other, and the minions register with all.
+        thread::sleep(Duration::from_millis(3_000));
+        site.record.note("all entries are ready");
+        Ok(site)
+    }
+
+    /// Starts the stand-ins and the processes.
+    pub fn start_processes(plan: Plan, record: Record) -> io::Result<Self> {
         let id = std::process::id();
         let subnet = (30 + (id / 200 % 200) as u8, (id % 200) as u8);
         let folder = std::env::temp_dir().join(format!("knapweedrill-review-{id}"));
@@ -104,6 +131,7 @@
             children: Vec::new(),
             entry_count: plan.entry_count,
             seeds: String::new(),
+            stop_timeout_ms: plan.stop_timeout_ms,
             cuts: (0..plan.entry_count).map(|_| Arc::default()).collect(),
         };
         if !plan.has_proxy {
@@ -136,12 +164,6 @@
             site.start_sidecar(minion)?;
         }
         site.configure();
-        for entry in 0..plan.entry_count {
-            site.wait_ready(entry)?;
-        }
-        // The entries find each other, and the minions register with all.
-        thread::sleep(Duration::from_millis(3_000));
-        record.note("all entries are ready");
         Ok(site)
     }
 
@@ -260,7 +282,7 @@
     ) -> io::Result<()> {
         let ip = self.address(host, 0).ip();
         let class = if role == "entry" { "front" } else { "side" };
-        let seeds = &self.seeds;
+        let (seeds, stop_ms) = (&self.seeds, self.stop_timeout_ms);
         let (first, last) = (self.ports.internal(), self.ports.internal_last());
         let settings = format!(
             "NodeName = \"{name}\"\nRole = \"{role}\"\nMachineClass = \"{class}\"\nIp = \"{ip}\"\n\
@@ -270,7 +292,7 @@
              [Zones]\nzone-a = \"region\"\n[Listen]\n{listen}\
              [Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\n\
              [Bounds]\nContactMs = 3000\nAckMs = 4000\nGraceS = {GRACE_S}\nConfigApplyMs = 2000\n\
-             HoldMaxMs = 1000\nStopTimeoutMs = 50\ncancel_ms = {CANCEL_MS}\nRetransmitMs = 1300\n\
+             HoldMaxMs = 1000\nStopTimeoutMs = {stop_ms}\ncancel_ms = {CANCEL_MS}\nRetransmitMs = 1300\n\
              [platform]\nAddress = \"{store}\"\nform = \"log\"\nkeep_s = 300\n"
         );
         let file = self.folder.join(format!("{name}.toml"));
@@ -342,6 +364,15 @@
         record.note(&format!("{name} has ended"));
     }
 
+    /// Returns the processes that have ended by themselves, with how.
+    pub fn ended(&mut self) -> Vec<String> {
+        let ended = self.children.iter_mut().filter_map(|(name, child)| {
+            let status = child.try_wait().ok()??;
+            Some(format!("{name}: {status}"))
+        });
+        ended.collect()
+    }
+
     /// Sends a request of a client and records it with its answer.
     pub fn request(
         &self,
