--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -11,6 +11,7 @@
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<bool> {
     match case {
         "cancel-then-restart" => cancel_then_restart(has_trouble, record),
+        "cancel-missed-by-restart" => cancel_missed_by_restart(has_trouble, record),
         "cancel-during-cut" => cancel_during_cut(has_trouble, record),
         "fraction-in-bounds" => fraction_in_bounds(has_trouble, record),
         "upper-case-id" => upper_case_id(has_trouble, record),
@@ -130,6 +131,51 @@
     Ok(has_no_late_start(record, &job, acknowledged_ms))
 }
 
+/// An entry that knows a cancel is restarted while it is cut off from the other entries and the store.
+/// A copy of the submission arrives there after the cut.
+fn cancel_missed_by_restart(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let plan = Plan {
+        has_proxy: true,
+        ..Plan::default()
+    };
+    let mut site = Site::start(plan, record.clone())?;
+    let (job, body) = (job_name(4), chain(4));
+    let client = site.client(0);
+    let (sent_job, sent_body) = (job.clone(), body.clone());
+    let submission =
+        thread::spawn(move || client.request("POST", &sent_job, &sent_body, 20_000));
+    sleep_ms(400);
+    let cancelled = site.request(1, "DELETE", &job, "", 4_000);
+    let acknowledged_ms = record.now_ms();
+    if !cancelled.is_some_and(|(status, _)| status / 100 == 2 || status == 410) {
+        return Err(other("the cancel was not acknowledged"));
+    }
+    let submitted = submission.join().map_err(|_| other("the client has failed"))?;
+    if !submitted.is_some_and(|(status, _)| status == 200) {
+        return Err(other("the submission has no 2xx response"));
+    }
+    sleep_ms(300);
+    if has_trouble {
+        let name = "front-zone-a-2";
+        record.note("entry 2 is cut off from the other entries and the store, and restarted");
+        site.set_cut(2, true);
+        let cut_until = Instant::now() + Duration::from_millis(5_500);
+        site.signal(name, "KILL");
+        site.wait_end(name, Duration::from_secs(1));
+        sleep_ms(300);
+        site.start_entry(2)?;
+        thread::sleep(cut_until.saturating_duration_since(Instant::now()));
+        site.set_cut(2, false);
+        record.note("the cut has ended");
+        site.wait_ready(2)?;
+    }
+    let copy_ms = acknowledged_ms + 8_000;
+    sleep_ms(copy_ms.saturating_sub(record.now_ms()));
+    record.note("a copy of the submission arrives");
+    site.request(2, "POST", &job, &body, 8_000);
+    Ok(has_no_late_start(record, &job, acknowledged_ms))
+}
+
 /// Clients write the hexadecimal digits of their ids in upper case.
 fn upper_case_id(has_trouble: bool, record: &Record) -> io::Result<bool> {
     let plan = Plan {
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -94,9 +94,7 @@
     folder: PathBuf,
     children: Vec<(String, Child)>,
     entry_count: u8,
-    /// The possible addresses of entries in the settings; none if the entries talk through a proxy,
-    /// which seeds would bypass.
-    seeds: String,
+    has_proxy: bool,
     stop_timeout_ms: &'static str,
     /// For each entry, whether it is cut off from the other entries and the store.
     cuts: Vec<Arc<AtomicBool>>,
@@ -130,15 +128,10 @@
             folder,
             children: Vec::new(),
             entry_count: plan.entry_count,
-            seeds: String::new(),
+            has_proxy: plan.has_proxy,
             stop_timeout_ms: plan.stop_timeout_ms,
             cuts: (0..plan.entry_count).map(|_| Arc::default()).collect(),
         };
-        if !plan.has_proxy {
-            let control = |entry| site.address(site.entry_host(entry), site.ports.control());
-            let seeds = (0..plan.entry_count).take(3).map(|entry| format!("\"{}\"", control(entry)));
-            site.seeds = seeds.collect::<Vec<_>>().join(",");
-        }
         for entry in 0..plan.entry_count {
             let replacements = site.replacements(entry, plan.has_proxy);
             let cut = Arc::clone(&site.cuts[usize::from(entry)]);
@@ -205,6 +198,17 @@
         pairs.map(|(from, to)| (from.to_string(), to.to_string())).collect()
     }
 
+    /// Returns the seeds in the settings of the process on a host: the addresses of up to three
+    /// other entries, as the network shows them.
+    fn seeds(&self, host: u8) -> String {
+        let others = (0..self.entry_count).filter(|entry| self.entry_host(*entry) != host).take(3);
+        let seed = |entry| {
+            let host = if self.has_proxy { 50 + entry } else { self.entry_host(entry) };
+            format!("\"{}\"", self.address(host, self.ports.control()))
+        };
+        others.map(seed).collect::<Vec<_>>().join(",")
+    }
+
     /// Passes datagrams between entries: what arrives at the proxy address of one is sent to it
     /// from the proxy address of the sender. A cut drops those from and to an entry.
     fn start_proxy(&self) -> io::Result<()> {
@@ -282,7 +286,7 @@
     ) -> io::Result<()> {
         let ip = self.address(host, 0).ip();
         let class = if role == "entry" { "front" } else { "side" };
-        let (seeds, stop_ms) = (&self.seeds, self.stop_timeout_ms);
+        let (seeds, stop_ms) = (self.seeds(host), self.stop_timeout_ms);
         let (first, last) = (self.ports.internal(), self.ports.internal_last());
         let settings = format!(
             "NodeName = \"{name}\"\nRole = \"{role}\"\nMachineClass = \"{class}\"\nIp = \"{ip}\"\n\
