--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::record::Record;
-use crate::site::{CANCEL_MS, GRACE_S, Plan, Site};
+use crate::site::{CANCEL_MS, GRACE_S, Plan, RETRANSMIT_MS, Site};
 
 /// Runs a case and returns whether its rule held.
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<bool> {
@@ -14,7 +14,7 @@
         "cancel-missed-by-restart" => cancel_missed_by_restart(has_trouble, record),
         "cancel-during-cut" => cancel_during_cut(has_trouble, record),
         "fraction-in-bounds" => fraction_in_bounds(has_trouble, record),
-        "upper-case-id" => upper_case_id(has_trouble, record),
+        "leave-behind-requests" => leave_behind_requests(has_trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -176,30 +176,90 @@
     Ok(has_no_late_start(record, &job, acknowledged_ms))
 }
 
-/// Clients write the hexadecimal digits of their ids in upper case.
-fn upper_case_id(has_trouble: bool, record: &Record) -> io::Result<bool> {
-    let plan = Plan {
-        entry_count: 1,
-        minion_count: 2,
-        ..Plan::default()
-    };
-    let site = Site::start(plan, record.clone())?;
-    let case = |name: String| if has_trouble { name.to_ascii_uppercase() } else { name };
-    let jobs: Vec<String> = (10..14).map(|number| case(job_name(0xabc0 + number))).collect();
-    for job in &jobs {
-        site.request(0, "POST", job, &chain(1), 8_000);
+/// The number of jobs that follow the first one on a channel: 255 KB.
+const FOLLOWING_JOB_COUNT: u64 = 60;
+
+/// The length of the longest `Spec`.
+const SPEC_BYTES_MAX: usize = 4_000;
+
+/// How long clients wait for an answer.
+const BUDGET_MS: u64 = 4_000;
+
+/// The clients, how many of them leave, and when.
+const CLIENT_COUNT: u64 = 5;
+const LEAVING_COUNT: u64 = 2;
+const LEAVES_AFTER_MS: u64 = 400;
+
+/// Clients send a job and many others behind it on the same channel. Some leave before their time
+/// budget, and send the first job again to another entry.
+fn leave_behind_requests(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let site = Site::start(Plan::default(), record.clone())?;
+    let jobs: Vec<String> = (0..CLIENT_COUNT).map(|number| job_name(0x100 + number)).collect();
+    let clients = jobs.iter().zip(0..).map(|(job, index)| {
+        let (first, again) = (site.client(0), site.client(1));
+        let (job, record) = (job.clone(), record.clone());
+        let leaves = has_trouble && index < LEAVING_COUNT;
+        thread::spawn(move || -> io::Result<()> {
+            let body = plain_job(2, 3_300, "");
+            let mut requests = first.text("POST", &job, &body, BUDGET_MS);
+            for number in 0..FOLLOWING_JOB_COUNT {
+                let name = job_name(0x1000 + index * 0x1000 + number);
+                let body = plain_job(1, 1, &"x".repeat(SPEC_BYTES_MAX - 5));
+                requests.push_str(&first.text("POST", &name, &body, BUDGET_MS));
+            }
+            record.note(&format!(
+                "client: POST of job {job} to entry 0, and of {FOLLOWING_JOB_COUNT} others behind it"
+            ));
+            if !leaves {
+                let answer = first.send_and_wait(&requests, BUDGET_MS)?;
+                record.note(&format!("client: job {job} at entry 0: {answer}"));
+                return Ok(());
+            }
+            first.send_and_leave(&requests, LEAVES_AFTER_MS)?;
+            record.note(&format!("client: has closed the channel of job {job} without an answer"));
+            sleep_ms(RETRANSMIT_MS);
+            again.request("POST", &job, &body, BUDGET_MS);
+            Ok(())
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    for client in clients {
+        client.join().map_err(|_| other("a client has failed"))??;
     }
-    let unknown: Vec<_> = record
-        .runs()
-        .into_iter()
-        .filter(|event| event.end.is_none())
-        .filter(|event| !jobs.iter().any(|job| event.task.split('.').next() == Some(job)))
-        .collect();
-    for start in &unknown {
-        let (minion, task) = (&start.minion, &start.task);
-        record.note(&format!("UNASKED: {minion} was told to start {task}, which no client sent"));
+    sleep_ms(500);
+    let overlaps: Vec<bool> = jobs.iter().map(|job| has_no_overlap(record, job)).collect();
+    Ok(overlaps.iter().all(|held| *held))
+}
+
+/// Returns a job of one step, whose tasks run for a time.
+fn plain_job(task_count: u64, run_ms: u64, filler: &str) -> String {
+    format!(
+        "{{\"Spec\":\"ms={run_ms};{filler}\",\"BestEffort\":true,\"Steps\":[{{\"Count\":{task_count},\
+         \"Cpu\":1000,\"MemMb\":64,\"EstimateMs\":{run_ms}}}]}}"
+    )
+}
+
+/// Returns whether no task of a job ran twice at the same time.
+fn has_no_overlap(record: &Record, job: &str) -> bool {
+    let mut running: Vec<(String, String, u64)> = Vec::new();
+    let mut held = true;
+    for event in record.runs_of(job) {
+        if event.end.is_some() {
+            running.retain(|(task, minion, _)| *task != event.task || *minion != event.minion);
+            continue;
+        }
+        for (task, minion, since_ms) in &running {
+            if *task == event.task {
+                held = false;
+                record.note(&format!(
+                    "TWICE: {task} starts on {} at {} ms while it runs on {minion} since {since_ms} ms",
+                    event.minion, event.at_ms
+                ));
+            }
+        }
+        running.push((event.task, event.minion, event.at_ms));
     }
-    Ok(unknown.is_empty())
+    held
 }
 
 /// A figure of `Bounds` in the settings is a fraction.
--- a/review/stand-ins-2/minion.rs
+++ b/review/stand-ins-2/minion.rs
@@ -1,6 +1,6 @@
 //! A minion: runs the tasks that its sidecar orders, by the page on running tasks.
 //!
-//! The `Spec` of a job is `ms=N`: its tasks run for that long.
+//! The `Spec` of a job begins with `ms=N`: its tasks run for that long.
 
 use std::collections::HashMap;
 use std::io;
@@ -163,7 +163,8 @@
         if is_old || state.runs.contains_key(task) {
             return (409, ",\"Reason\":\"old\"");
         }
-        let length_ms = spec.strip_prefix("ms=").and_then(|text| text.parse().ok()).unwrap_or(100);
+        let length = spec.strip_prefix("ms=").and_then(|text| text.split(';').next());
+        let length_ms = length.and_then(|text| text.parse().ok()).unwrap_or(100);
         let run = Run {
             number,
             began_ms: self.clock_ms(),
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -1,8 +1,8 @@
 //! A small deployment on loopback addresses: store, minions, and the processes of the project.
 
 use std::fs;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -22,6 +22,7 @@
 /// The figures of the pages that the processes get and the checks use.
 pub const CANCEL_MS: u64 = 3_000;
 pub const GRACE_S: u64 = 6;
+pub const RETRANSMIT_MS: u64 = 1_300;
 
 /// The ids of the processes that were started, for the end of a script that takes too long.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -296,7 +297,7 @@
              [Zones]\nzone-a = \"region\"\n[Listen]\n{listen}\
              [Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\n\
              [Bounds]\nContactMs = 3000\nAckMs = 4000\nGraceS = {GRACE_S}\nConfigApplyMs = 2000\n\
-             HoldMaxMs = 1000\nStopTimeoutMs = {stop_ms}\ncancel_ms = {CANCEL_MS}\nRetransmitMs = 1300\n\
+             HoldMaxMs = 1000\nStopTimeoutMs = {stop_ms}\ncancel_ms = {CANCEL_MS}\nRetransmitMs = {RETRANSMIT_MS}\n\
              [platform]\nAddress = \"{store}\"\nform = \"log\"\nkeep_s = 300\n"
         );
         let file = self.folder.join(format!("{name}.toml"));
@@ -448,6 +449,61 @@
     }
 }
 
+impl Client {
+    /// Returns the text of a request.
+    pub fn text(&self, method: &str, job: &str, body: &str, deadline_ms: u64) -> String {
+        format!(
+            "{method} {PREFIX}{job} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
+             X-Knapweedrill-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    }
+
+    /// Sends requests on one channel for as long as it takes them, and closes the channel after a time.
+    pub fn send_and_leave(&self, requests: &str, after_ms: u64) -> io::Result<()> {
+        let leaves_at = Instant::now() + Duration::from_millis(after_ms);
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_nonblocking(true)?;
+        let mut rest = requests.as_bytes();
+        while Instant::now() < leaves_at {
+            match stream.write(rest) {
+                Ok(count) => rest = &rest[count..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        self.record.note(&format!("client: {} of {} bytes were sent", requests.len() - rest.len(), requests.len()));
+        Ok(())
+    }
+
+    /// Sends requests on one channel, waits for the first answer and returns its status line, and then
+    /// reads the other answers.
+    pub fn send_and_wait(&self, requests: &str, time_ms: u64) -> io::Result<String> {
+        let mut stream = TcpStream::connect(self.address)?;
+        let mut sender = stream.try_clone()?;
+        let requests = requests.to_owned();
+        let sending = thread::spawn(move || sender.write_all(requests.as_bytes()));
+        stream.set_read_timeout(Some(Duration::from_millis(time_ms)))?;
+        let mut first = Vec::new();
+        let mut chunk = [0; 16_384];
+        loop {
+            let count = stream.read(&mut chunk)?;
+            if count == 0 {
+                return Err(io::Error::other("the channel was closed"));
+            }
+            if first.is_empty() {
+                first = chunk[..count].to_vec();
+            }
+            if sending.is_finished() {
+                break;
+            }
+        }
+        let line = String::from_utf8_lossy(&first).lines().next().unwrap_or_default().to_owned();
+        Ok(line)
+    }
+}
+
 /// Returns ports that are free at the first address of a subnet.
 fn free_ports(subnet: (u8, u8)) -> io::Result<Ports> {
     let ip = Ipv4Addr::new(127, subnet.0, subnet.1, 10);
