--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,11 +1,11 @@
 //! The scripts of the cases.
 
-use std::io;
+use std::io::{self, Read, Write};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::record::Record;
-use crate::site::{CANCEL_MS, GRACE_S, Plan, RETRANSMIT_MS, Site};
+use crate::site::{ACK_MS, CANCEL_MS, GRACE_S, Plan, RETRANSMIT_MS, Site};
 
 /// Runs a case and returns whether its rule held.
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<bool> {
@@ -13,6 +13,8 @@
         "cancel-then-restart" => cancel_then_restart(has_trouble, record),
         "cancel-missed-by-restart" => cancel_missed_by_restart(has_trouble, record),
         "cancel-during-cut" => cancel_during_cut(has_trouble, record),
+        "cancel-on-same-channel" => cancel_on_same_channel(has_trouble, record),
+        "upper-case-id" => upper_case_id(has_trouble, record),
         "fraction-in-bounds" => fraction_in_bounds(has_trouble, record),
         "leave-behind-requests" => leave_behind_requests(has_trouble, record),
         _ => Err(io::Error::other("no such case")),
@@ -47,7 +49,7 @@
 }
 
 /// Returns whether no task of a job has started later than `cancel_ms` after the cancel was
-/// acknowledged.
+/// acknowledged, or after it counts without that.
 fn has_no_late_start(record: &Record, job: &str, acknowledged_ms: u64) -> bool {
     let starts = record.runs_of(job).into_iter().filter(|event| event.end.is_none());
     let late: Vec<_> = starts.filter(|it| it.at_ms > acknowledged_ms + CANCEL_MS).collect();
@@ -262,6 +264,63 @@
     held
 }
 
+/// A client cancels a job on the channel on which it waits for the answer to its submission.
+fn cancel_on_same_channel(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let site = Site::start(Plan::default(), record.clone())?;
+    let job = job_name(5);
+    let client = site.client(0);
+    let submission = client.text("POST", &job, &chain(14), 30_000);
+    let cancel = client.text("DELETE", &job, "", 30_000);
+    let mut channel = client.open()?;
+    record.note(&format!("client: POST of job {job} to entry 0"));
+    channel.write_all(submission.as_bytes())?;
+    sleep_ms(400);
+    let sent_ms = record.now_ms();
+    if has_trouble {
+        record.note("client: DELETE of the job on the same channel");
+        channel.write_all(cancel.as_bytes())?;
+    } else {
+        site.request(0, "DELETE", &job, "", 4_000);
+    }
+    channel.set_read_timeout(Some(Duration::from_millis(20_000)))?;
+    let mut answers = Vec::new();
+    let wanted = if has_trouble { 2 } else { 1 };
+    while count_of(&answers, b"HTTP/1.1 ") < wanted {
+        let mut chunk = [0; 4_096];
+        let count = channel.read(&mut chunk)?;
+        if count == 0 {
+            return Err(other("the channel was closed"));
+        }
+        answers.extend_from_slice(&chunk[..count]);
+        let text = String::from_utf8_lossy(&chunk[..count]).replace("\r\n", " | ");
+        record.note(&format!("client: on the channel of the submission: {text}"));
+    }
+    // A cancel without a confirmation counts from AckMs after it was sent.
+    Ok(has_no_late_start(record, &job, sent_ms + ACK_MS))
+}
+
+fn count_of(bytes: &[u8], part: &[u8]) -> usize {
+    bytes.windows(part.len()).filter(|window| *window == part).count()
+}
+
+/// Clients write the hexadecimal digits of their ids in upper case.
+fn upper_case_id(has_trouble: bool, record: &Record) -> io::Result<bool> {
+    let site = Site::start(Plan::default(), record.clone())?;
+    let case = |name: String| if has_trouble { name.to_ascii_uppercase() } else { name };
+    let jobs: Vec<String> = (10..14).map(|number| case(job_name(0xabc0 + number))).collect();
+    for job in &jobs {
+        site.request(0, "POST", job, &chain(1), 8_000);
+    }
+    let is_known = |task: &str| jobs.iter().any(|job| task.split('.').next() == Some(job));
+    let starts = record.runs().into_iter().filter(|event| event.end.is_none());
+    let unknown: Vec<_> = starts.filter(|event| !is_known(&event.task)).collect();
+    for start in &unknown {
+        let (minion, task) = (&start.minion, &start.task);
+        record.note(&format!("UNASKED: {minion} was told to start {task}, which no client sent"));
+    }
+    Ok(unknown.is_empty())
+}
+
 /// A figure of `Bounds` in the settings is a fraction.
 fn fraction_in_bounds(has_trouble: bool, record: &Record) -> io::Result<bool> {
     let plan = Plan {
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -75,4 +75,9 @@
         let of_job = |event: &&RunEvent| event.task.split('.').next() == Some(job);
         contents.runs.iter().filter(of_job).cloned().collect()
     }
+
+    /// Returns all starts and ends of runs.
+    pub fn runs(&self) -> Vec<RunEvent> {
+        self.shared.lock().unwrap().runs.clone()
+    }
 }
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -21,6 +21,7 @@
 
 /// The figures of the pages that the processes get and the checks use.
 pub const CANCEL_MS: u64 = 3_000;
+pub const ACK_MS: u64 = 4_000;
 pub const GRACE_S: u64 = 6;
 pub const RETRANSMIT_MS: u64 = 1_300;
 
@@ -245,7 +246,7 @@
         let text = format!(
             "{{\"Version\":7,\"Routes\":[{{\"Name\":\"r-3hwrr6x\",\"Host\":\"{HOST}\",\
              \"PathPrefix\":\"{PREFIX}\",\"Kind\":\"non_idempotent\",\"TimeoutMs\":60000,\
-             \"TargetLatencyMs\":20000,\"Priority\":0,\"Service\":\"{SERVICE}\",\
+             \"TargetLatencyMs\":60,\"Priority\":0,\"Service\":\"{SERVICE}\",\
              \"MaxAttempts\":2,\"Stretch\":1.6}}],\
              \"Services\":[{{\"Name\":\"{SERVICE}\",\"HealthPath\":\"/health\",\"MaxConns\":64,\
              \"Protocol\":\"h1\",\"Tls\":false,\"AdmissionCheck\":true,\"Spare\":false}}],\
@@ -296,7 +297,7 @@
              HeartbeatMs = 1500\nOrders = \"rpc\"\n{rest}\
              [Zones]\nzone-a = \"region\"\n[Listen]\n{listen}\
              [Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\n\
-             [Bounds]\nContactMs = 3000\nAckMs = 4000\nGraceS = {GRACE_S}\nConfigApplyMs = 2000\n\
+             [Bounds]\nContactMs = 3000\nAckMs = {ACK_MS}\nGraceS = {GRACE_S}\nConfigApplyMs = 2000\n\
              HoldMaxMs = 1000\nStopTimeoutMs = {stop_ms}\ncancel_ms = {CANCEL_MS}\nRetransmitMs = {RETRANSMIT_MS}\n\
              [platform]\nAddress = \"{store}\"\nform = \"log\"\nkeep_s = 300\n"
         );
@@ -459,6 +460,13 @@
         )
     }
 
+    /// Opens a channel.
+    pub fn open(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(self.address)?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
     /// Sends requests on one channel for as long as it takes them, and closes the channel after a time.
     pub fn send_and_leave(&self, requests: &str, after_ms: u64) -> io::Result<()> {
         let leaves_at = Instant::now() + Duration::from_millis(after_ms);
