feat(dispatch): a sidecar takes tasks as soon as its running minion has answered

Cause: a sidecar process learned its minion from the next heartbeat, up to 1.5 s after a kill of all processes in which the minions ran on. Entries were ready after 25 ms and refused what came meanwhile.

Change: the record in the store names the minion and its start time. A starting sidecar reads it, asks the minion, and counts it as registered once the answer carries the recorded start time. Anything else waits for the heartbeat.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -12,6 +12,7 @@
 use super::crash_log::CrashLog;
 use super::fence_step::FenceStep;
 use super::hold_schedule::HoldSchedule;
+use super::known_minion::KnownMinion;
 use super::minion_state::MinionState;
 use super::minion_stats::MinionStats;
 use super::order_tracker::OrderTracker;
@@ -124,9 +125,19 @@
         }
     }
 
-    /// Returns the profile of the minion, or `None` before its first heartbeat and after it left.
+    /// Returns the profile of the minion, or `None` before it has reported or answered and after it
+    /// left.
     pub fn minion(&self) -> Option<&MinionProfile> {
-        self.minion.as_ref().map(|minion| &minion.profile)
+        let minion = self.minion.as_ref().filter(|minion| !minion.is_restored);
+        minion.map(|minion| &minion.profile)
+    }
+
+    /// Returns when the minion started, in Unix milliseconds; 0 if there is none or it has not
+    /// reported that.
+    pub fn minion_started_unix_ms(&self) -> u64 {
+        self.minion
+            .as_ref()
+            .map_or(0, |minion| minion.started_unix_ms)
     }
 
     /// Returns by how much the estimate of the minion's clock was ahead of the clock itself when a
@@ -170,7 +181,7 @@
     /// Handles a new session with an entry and sends it the profile of the minion.
     pub fn entry_connected(&mut self, entry: Incarnation, now: Instant) {
         self.entries.insert(entry, now);
-        let profile = self.minion.as_ref().map(|minion| minion.profile.clone());
+        let profile = self.minion().cloned();
         self.send(entry, Message::Minion(profile));
     }
 
@@ -185,11 +196,42 @@
         self.stop_runs_of(entry, now);
     }
 
+    /// Handles the record that an earlier process on this VM has left of the minion. The minion is
+    /// asked at once whether it is still there, and takes no tasks before it has said so.
+    ///
+    /// Ignored once the minion has reported itself.
+    pub fn restore_minion(&mut self, known: KnownMinion, now: Instant) {
+        if self.minion.is_some() {
+            return;
+        }
+        log::info!(
+            instance = known.profile.instance.as_str(), started_unix_ms = known.started_unix_ms;
+            "minion known from the record of an earlier process"
+        );
+        self.minion = Some(MinionState::restored(known));
+        self.holds.reschedule(now);
+    }
+
+    /// Forgets a minion that is only known from a record. Returns whether there was one.
+    fn forget_restored_minion(&mut self) -> bool {
+        let is_restored = self
+            .minion
+            .as_ref()
+            .is_some_and(|minion| minion.is_restored);
+        if is_restored {
+            self.minion = None;
+            self.orders.clear();
+            self.holds.reset();
+        }
+        is_restored
+    }
+
     /// Handles a heartbeat of the minion, or of another instance, which replaces the minion once that
     /// is proven to have ended.
     ///
     /// Returns whether it belongs to the latest incarnation of the minion.
     pub fn heartbeat_received(&mut self, heartbeat: MinionHeartbeat, now: Instant) -> bool {
+        self.forget_restored_minion();
         // An instance that does not answer may be one that was never there, whatever start it claimed.
         let is_reachable = self.holds.is_reachable();
         let is_displaced = self.holds.is_displaced();
@@ -262,6 +304,10 @@
     /// Ignored unless the minion is draining, since a late call may be that of an earlier
     /// incarnation.
     pub fn minion_left(&mut self, instance: &str, now: Instant) {
+        let is_named = |minion: &MinionState| minion.profile.instance == instance;
+        if self.minion.as_ref().is_some_and(is_named) && self.forget_restored_minion() {
+            return;
+        }
         self.successor.forget(instance);
         let leaves =
             |minion: &&mut MinionState| minion.profile.instance == instance && minion.is_draining;
@@ -470,6 +516,9 @@
         if failure == HoldFailure::Fenced && self.handle_fenced_hold(call, now) {
             return;
         }
+        if failure == HoldFailure::OtherIncarnation && self.forget_restored_minion() {
+            return;
+        }
         let Some(hold) = self.holds.take_pending(call) else {
             return;
         };
@@ -532,7 +581,7 @@
         if self
             .minion
             .as_ref()
-            .is_some_and(|minion| !minion.is_draining)
+            .is_some_and(|minion| !minion.is_draining && !minion.is_restored)
         {
             self.crashes.crashed(self.runs.iter(), now);
         }
@@ -556,6 +605,20 @@
         let Some(minion) = &mut self.minion else {
             return;
         };
+        if minion.is_restored {
+            if !minion.confirm_restored(answer.started_unix_ms) {
+                log::info!(
+                    started_unix_ms = answer.started_unix_ms, recorded = minion.started_unix_ms;
+                    "minion has restarted since it was recorded, its heartbeat is awaited"
+                );
+                self.forget_restored_minion();
+                return;
+            }
+            self.announce_minion();
+        }
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
         // A call in flight is abandoned when an incarnation registers, so the answer tells which one is
         // there now. If that one started earlier, the later start was odd.
         let is_unreported = minion.started_unix_ms == 0 || answer.started_unix_ms == 0;
@@ -800,7 +863,7 @@
     }
 
     fn announce_minion(&mut self) {
-        let profile = self.minion.as_ref().map(|minion| minion.profile.clone());
+        let profile = self.minion().cloned();
         let entries: Vec<_> = self.entries.iter().collect();
         for entry in entries {
             self.send(entry, Message::Minion(profile.clone()));
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::{Sidecar, SidecarAction};
+use super::{Sidecar, SidecarAction, StoredRecord};
 use crate::dispatch::message::Message;
 use crate::dispatch::session::{Envelope, SessionEvent, Sessions};
 use crate::dispatch::{Notice, Packet, SidecarRecord};
@@ -68,6 +68,16 @@
         })
     }
 
+    /// Returns the record of this sidecar for the store, or `None` without a minion.
+    pub fn stored_record(&self) -> Option<StoredRecord> {
+        let instance = self.sidecar.minion()?.instance.clone();
+        Some(StoredRecord {
+            sidecar: self.sidecar_record()?,
+            instance,
+            started_unix_ms: self.sidecar.minion_started_unix_ms(),
+        })
+    }
+
     /// Records that the store has confirmed a record of this sidecar.
     pub fn sidecar_record_confirmed(&mut self, record: SidecarRecord) {
         self.confirmed_record = Some(record);
--- /dev/null
+++ b/knapweedrill/src/dispatch/sidecar/known_minion.rs
@@ -0,0 +1,57 @@
+//! What a sidecar process leaves in the store about its minion for the next one.
+
+use knapweedrill_derive::{message, value};
+
+use crate::dispatch::SidecarRecord;
+use crate::dispatch::message::MinionProfile;
+
+/// An incarnation of a minion, as recorded for later sidecar processes on the same VM.
+///
+/// A sidecar process that starts beside a running minion would otherwise know nothing of it until its
+/// next heartbeat, which may be a whole heartbeat interval away.
+#[value]
+pub struct KnownMinion {
+    /// Service, capacity and labels of the minion.
+    pub profile: MinionProfile,
+    /// When the minion started, in Unix milliseconds; 0 if not reported.
+    pub started_unix_ms: u64,
+}
+
+/// The record of a sidecar in the store: what entries read, and what the next sidecar process on the
+/// VM needs in addition.
+#[message]
+pub struct StoredRecord {
+    /// The service discovery record.
+    #[serde(flatten)]
+    pub sidecar: SidecarRecord,
+    /// The name of the minion; empty in records of earlier versions.
+    #[serde(default)]
+    pub instance: String,
+    /// When the minion started, in Unix milliseconds; 0 if not reported.
+    #[serde(default)]
+    pub started_unix_ms: u64,
+}
+
+impl StoredRecord {
+    /// Returns the recorded minion, or `None` if the record can't tell its incarnation.
+    pub fn known_minion(self) -> Option<KnownMinion> {
+        if self.instance.is_empty() || self.started_unix_ms == 0 {
+            return None;
+        }
+        let SidecarRecord {
+            service,
+            capacity,
+            labels,
+            ..
+        } = self.sidecar;
+        Some(KnownMinion {
+            profile: MinionProfile {
+                instance: self.instance,
+                service,
+                capacity,
+                labels,
+            },
+            started_unix_ms: self.started_unix_ms,
+        })
+    }
+}
--- a/knapweedrill/src/dispatch/sidecar/minion_state.rs
+++ b/knapweedrill/src/dispatch/sidecar/minion_state.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::known_minion::KnownMinion;
 use super::{MinionHeartbeat, SidecarSettings};
 use crate::dispatch::message::{MinionProfile, StampMs};
 use crate::dispatch::run_timing::clock_drift;
@@ -29,6 +30,9 @@
     sequence: u64,
     /// Whether the profile was sent by this incarnation.
     pub(super) is_profile_current: bool,
+    /// Whether it is only known from the record of an earlier sidecar process, and has not shown yet
+    /// that it is still there.
+    pub(super) is_restored: bool,
     pub(super) is_draining: bool,
     /// Whether this incarnation has deregistered and is about to end, with all its runs.
     pub(super) has_left: bool,
@@ -58,6 +62,7 @@
             started_unix_ms: heartbeat.started_unix_ms,
             sequence: heartbeat.sequence,
             is_profile_current: true,
+            is_restored: false,
             is_draining: heartbeat.is_draining,
             has_left: false,
             clock: None,
@@ -70,6 +75,33 @@
         }
     }
 
+    /// Creates the state of an incarnation that an earlier sidecar process has recorded.
+    pub(super) fn restored(known: KnownMinion) -> Self {
+        let heartbeat = MinionHeartbeat {
+            profile: known.profile,
+            started_unix_ms: known.started_unix_ms,
+            sequence: 0,
+            is_draining: false,
+        };
+        Self {
+            is_profile_current: false,
+            is_restored: true,
+            ..Self::new(heartbeat)
+        }
+    }
+
+    /// Handles the start time in an answer to a hold call, while the incarnation is only known from a
+    /// record. Returns whether the recorded incarnation has answered.
+    pub(super) fn confirm_restored(&mut self, started_unix_ms: u64) -> bool {
+        // Without a start time, the answer may be that of a later incarnation with another profile.
+        let is_same = started_unix_ms != 0 && started_unix_ms == self.started_unix_ms;
+        if is_same {
+            self.is_restored = false;
+            self.is_profile_current = true;
+        }
+        is_same
+    }
+
     /// Returns whether a heartbeat belongs to a later incarnation.
     pub(super) fn is_superseded_by(&self, heartbeat: &MinionHeartbeat) -> bool {
         match heartbeat.started_unix_ms.cmp(&self.started_unix_ms) {
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -7,8 +7,8 @@
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use knapweedrill::dispatch::message::{MinionAvailability, StampMs};
 use knapweedrill::dispatch::sidecar::{
-    CallNumber, HoldAnswer, HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction,
-    SidecarEndpoint, SidecarSettings, first_fencing_token,
+    CallNumber, HoldAnswer, HoldFailure, KnownMinion, MinionHeartbeat, OrderAnswer, Sidecar,
+    SidecarAction, SidecarEndpoint, SidecarSettings, StoredRecord, first_fencing_token,
 };
 use knapweedrill::dispatch::{Packet, SidecarRecord};
 use knapweedrill_platform::{MinionClient, ProcessSettings, StoreClient};
@@ -24,10 +24,12 @@
 };
 use super::process_clock::{ProcessClock, time_since_boot};
 use super::sidecar_http::{handle_registration, send_orders};
-use super::store::publish_sidecar_records;
+use super::store::{publish_sidecar_records, read_known_minion};
 
 /// An event for the event loop of a sidecar.
 pub(super) enum SidecarEvent {
+    /// An earlier process on this VM has recorded this minion.
+    MinionRestored(KnownMinion),
     /// The minion sent a heartbeat; the channel confirms that it was handled.
     Heartbeat(MinionHeartbeat, oneshot::Sender<()>),
     /// The minion with this instance name exits; the channel confirms that it was handled.
@@ -92,7 +94,7 @@
     settings: ProcessSettings,
     clock: ProcessClock,
     orders: UnboundedReceiver<SidecarAction>,
-    records: watch::Receiver<Option<SidecarRecord>>,
+    records: watch::Receiver<Option<StoredRecord>>,
     metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) -> eyre::Result<()> {
@@ -103,7 +105,17 @@
         // The event loop has ended if this fails, and needs no events.
         let _ = sender.send(SidecarEvent::RecordConfirmed(record));
     };
-    tokio::spawn(publish_sidecar_records(store, records, on_confirmed));
+    tokio::spawn(publish_sidecar_records(
+        Arc::clone(&store),
+        records,
+        on_confirmed,
+    ));
+    let sender = events.clone();
+    tokio::spawn(async move {
+        if let Some(known) = read_known_minion(store, &settings.name).await {
+            let _ = sender.send(SidecarEvent::MinionRestored(known));
+        }
+    });
     let minion_address = settings.minion_address.ok_or_else(|| {
         eyre::eyre!("the settings have no minion address (app), which a sidecar needs")
     })?;
@@ -126,7 +138,7 @@
     socket: PacketSocket,
     orders: UnboundedSender<SidecarAction>,
     /// The record of this sidecar that is to be written to the store.
-    record: watch::Sender<Option<SidecarRecord>>,
+    record: watch::Sender<Option<StoredRecord>>,
     metrics: Metrics,
 }
 
@@ -188,6 +200,9 @@
         // Timeouts may be overdue after a pause of the process.
         self.endpoint.sidecar_mut().tick(now);
         match event {
+            SidecarEvent::MinionRestored(known) => {
+                self.endpoint.sidecar_mut().restore_minion(known, now);
+            }
             SidecarEvent::Heartbeat(heartbeat, handled) => {
                 self.endpoint
                     .sidecar_mut()
@@ -224,7 +239,7 @@
 
     /// Passes the record of this sidecar to the traffic thread, if it has changed.
     fn publish_record(&self) {
-        let record = self.endpoint.sidecar_record();
+        let record = self.endpoint.stored_record();
         let has_changed = record.is_some() && *self.record.borrow() != record;
         if has_changed {
             self.record.send_replace(record);
--- a/knapweedrill_daemon/src/dispatch/store.rs
+++ b/knapweedrill_daemon/src/dispatch/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use knapweedrill::dispatch::SidecarRecord;
+use knapweedrill::dispatch::sidecar::{KnownMinion, StoredRecord};
 use knapweedrill_platform::{Record, StoreClient, StoreError};
 use tokio::sync::watch;
 
@@ -90,7 +91,7 @@
 /// confirms it, and then calls `on_confirmed`.
 pub(super) async fn publish_sidecar_records(
     store: Arc<StoreClient>,
-    mut records: watch::Receiver<Option<SidecarRecord>>,
+    mut records: watch::Receiver<Option<StoredRecord>>,
     on_confirmed: impl Fn(SidecarRecord),
 ) {
     let mut backoff = Backoff::new();
@@ -110,12 +111,14 @@
                 return;
             }
         };
-        let key = record.vm.clone();
+        let key = record.sidecar.vm.clone();
         match store.append(SIDECARS_TOPIC, &Record { key, value }).await {
             Ok(()) => {
                 backoff.reset(SIDECARS_TOPIC);
-                log::info!(address:% = record.address; "store confirmed the record of the sidecar");
-                on_confirmed(record.clone());
+                log::info!(
+                    address:% = record.sidecar.address; "store confirmed the record of the sidecar"
+                );
+                on_confirmed(record.sidecar.clone());
                 confirmed = Some(record);
             }
             Err(error) => backoff.wait(SIDECARS_TOPIC, error).await,
@@ -123,6 +126,21 @@
     }
 }
 
+/// Reads what an earlier sidecar process on the VM `vm` has recorded of its minion, and retries until
+/// the store responds. Returns `None` if there is no such record.
+pub(super) async fn read_known_minion(store: Arc<StoreClient>, vm: &str) -> Option<KnownMinion> {
+    let mut backoff = Backoff::new();
+    let page = loop {
+        match store.newest(SIDECARS_TOPIC).await {
+            Ok(page) => break page,
+            Err(error) => backoff.wait(SIDECARS_TOPIC, error).await,
+        }
+    };
+    let record = page.records.into_iter().find(|record| record.key == vm)?;
+    let stored: StoredRecord = serde_json::from_slice(&record.value).ok()?;
+    stored.known_minion()
+}
+
 /// Parses the record of a sidecar, or returns `None` if it is malformed or has the key of another VM.
 pub(super) fn parse_sidecar_record(record: &Record) -> Option<SidecarRecord> {
     let sidecar: SidecarRecord = serde_json::from_slice(&record.value).ok()?;
