fix(dispatch): a draining minion is not restored from its record

Change: the record has the draining state, is written again when it changes, and such a minion is not restored.

Changed check: the test killed the processes before the minion had told anybody that it drains, and passed only because new processes waited for a heartbeat. It now waits until the store has the record of the draining minion, and holds the same claim from there.

--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -132,6 +132,12 @@
         minion.map(|minion| &minion.profile)
     }
 
+    /// Returns whether the minion has reported that it is shutting down.
+    pub fn is_minion_draining(&self) -> bool {
+        let minion = self.minion.as_ref();
+        minion.is_some_and(|minion| minion.is_draining)
+    }
+
     /// Returns when the minion started, in Unix milliseconds; 0 if there is none or it has not
     /// reported that.
     pub fn minion_started_unix_ms(&self) -> u64 {
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -75,6 +75,7 @@
             sidecar: self.sidecar_record()?,
             instance,
             started_unix_ms: self.sidecar.minion_started_unix_ms(),
+            is_draining: self.sidecar.is_minion_draining(),
         })
     }
 
--- a/knapweedrill/src/dispatch/sidecar/known_minion.rs
+++ b/knapweedrill/src/dispatch/sidecar/known_minion.rs
@@ -30,12 +30,16 @@
     /// When the minion started, in Unix milliseconds; 0 if not reported.
     #[serde(default)]
     pub started_unix_ms: u64,
+    /// Whether the minion is shutting down.
+    #[serde(default)]
+    pub is_draining: bool,
 }
 
 impl StoredRecord {
-    /// Returns the recorded minion, or `None` if the record can't tell its incarnation.
+    /// Returns the recorded minion, or `None` if it is shutting down or the record can't tell its
+    /// incarnation.
     pub fn known_minion(self) -> Option<KnownMinion> {
-        if self.instance.is_empty() || self.started_unix_ms == 0 {
+        if self.is_draining || self.instance.is_empty() || self.started_unix_ms == 0 {
             return None;
         }
         let SidecarRecord {
--- a/knapweedrill/tests/dispatch_restored_minion.rs
+++ b/knapweedrill/tests/dispatch_restored_minion.rs
@@ -188,6 +188,7 @@
         sidecar: sidecar.clone(),
         instance: "minion".into(),
         started_unix_ms: STARTED_UNIX_MS,
+        is_draining: false,
     };
     let text = serde_json::to_string(&stored).expect("the record is encoded");
     let read: SidecarRecord = serde_json::from_str(&text).expect("entries read the record");
@@ -195,6 +196,11 @@
     let read: StoredRecord = serde_json::from_str(&text).expect("the next process reads it");
     let known = read.known_minion().expect("the minion is known");
     assert_eq!(known.profile, profile("minion", "a"));
+    let draining = StoredRecord {
+        is_draining: true,
+        ..stored
+    };
+    assert_eq!(draining.known_minion(), None, "it must get no new tasks");
     // A record of an earlier version names no incarnation.
     let text = serde_json::to_string(&sidecar).expect("the record is encoded");
     let read: StoredRecord = serde_json::from_str(&text).expect("the record is read");
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -544,6 +544,13 @@
 fn drained_minion_stays_unused_after_restarts_of_all_processes() {
     let mut site = start_site(2, 2);
     site.minions[0].drain();
+    // Until the store has it, only the next heartbeat of the minion can tell the new processes.
+    wait_until("a record of the draining minion", 5 * SECOND, || {
+        let log = site.stdout_of("sidecar-0");
+        let drained_at = log.find("\"is_draining\":true");
+        drained_at.is_some_and(|at| log[at..].contains("store confirmed the record"))
+    })
+    .expect("the sidecar stores that the minion is draining");
     wait_until("a minion that gets no more runs", 5 * SECOND, || {
         let before = site.minions[0].runs().len();
         (0..4).for_each(|number| {
