feat(dispatch): evacuation of failure domains

Ruled out: the domain in the records of sidecars, which would lengthen each gossip message; a set without a revision, which a stale read or a frozen peer would turn back. Change: entries hold the evacuated failure domains with the offset up to which they are valid, read from the store and gossiped; the higher revision wins. They place nothing on minions there, do not count them, and tell their sidecars, which refuse starts and report that they are evacuated. An entry with newer knowledge corrects a sidecar that was told by entries that are gone. Jobs that only evacuated minions could run are refused at once. Without an evacuation no message is sent; a gossip message is two bytes longer at the usual offsets, and a profile by the name of its domain.

--- a/knapweedrill/src/dispatch/entry/answer.rs
+++ b/knapweedrill/src/dispatch/entry/answer.rs
@@ -46,4 +46,6 @@
     Stopping,
     /// The process stood still, so that the caller may have submitted the job elsewhere.
     StoodStill,
+    /// All minions that could run one of its tasks are in evacuated failure domains.
+    Evacuated,
 }
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -15,6 +15,8 @@
 use super::cancelled_names::CancelledNames;
 use super::confinement::{Confinement, Lane};
 use super::directory::{Directory, Source};
+use super::evacuated_minions::EvacuatedMinions;
+use super::evacuations::{EvacuationUpdate, Evacuations};
 use super::fleet::{Fleet, TaskRequirements};
 use super::gossip::{Gossip, LocalState};
 use super::job::{Job, Progress, TaskState};
@@ -72,6 +74,7 @@
     configuration: Option<Configuration>,
     /// When the configuration in force was applied.
     configured_at: Option<Instant>,
+    evacuations: Evacuations,
     gossip: Gossip,
     subset: SidecarSubset,
     fleet: Fleet,
@@ -101,6 +104,7 @@
             sessions,
             configuration: None,
             configured_at: None,
+            evacuations: Evacuations::default(),
             gossip: Gossip::new(settings.seed),
             subset: SidecarSubset::new(settings.seed, settings.orphan_run_max),
             fleet: Fleet::new(settings.probe_interval, settings.seed),
@@ -141,10 +145,12 @@
         Some(self.configuration.as_ref()?.body_bytes_max)
     }
 
-    /// Returns whether the entry can serve callers: it has a configuration and a usable minion, and
-    /// does not drain.
+    /// Returns whether the entry can serve callers: it has a configuration and a minion that is usable
+    /// or evacuated, and does not drain. Callers get a better answer here than none at all while all
+    /// minions are evacuated.
     pub fn is_ready(&self) -> bool {
-        let has_minions = self.fleet.views().any(|view| view.is_usable());
+        let mut views = self.fleet.views();
+        let has_minions = views.any(|view| view.is_usable() || view.is_evacuated());
         self.configuration.is_some() && has_minions && !self.is_draining
     }
 
@@ -255,6 +261,36 @@
         self.configured_at = Some(now);
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies what the store says about the evacuated failure domains.
+    pub fn update_evacuations(&mut self, update: EvacuationUpdate, now: Instant) {
+        if self.evacuations.apply(update, now) {
+            self.inform_sidecars(now);
+        }
+    }
+
+    fn evacuated_minions(&self) -> EvacuatedMinions<'_> {
+        EvacuatedMinions {
+            fleet: &self.fleet,
+            directory: self.subset.directory(),
+        }
+    }
+
+    fn inform_sidecar(&mut self, sidecar: Incarnation, now: Instant) {
+        self.evacuations
+            .inform(sidecar, &mut self.fleet, &mut self.sessions, now);
+    }
+
+    fn inform_sidecars(&mut self, now: Instant) {
+        self.evacuations
+            .inform_all(&mut self.fleet, &mut self.sessions, now);
+        self.is_placement_due = true;
+    }
+
     /// Reports the entry as not ready from now on because the process is about to stop. Jobs that
     /// still arrive are handled as before.
     pub fn begin_drain(&mut self) {
@@ -378,6 +414,8 @@
         };
         let job = Job::new(submission, queue, caller, now);
         let spare_count = self.subset.spare_count(&job.service);
+        let evacuated = self.evacuated_minions();
+        let spare_count = evacuated.in_service_count(&job.service, spare_count);
         let admission = Admission::new(
             &job,
             &self.jobs,
@@ -597,6 +635,7 @@
             now,
         );
         self.give_up_untriable(now);
+        self.give_up_evacuated(now);
         self.give_up_overdue(now);
         self.jobs.demote_overdue(now);
         self.answer_cache
@@ -620,6 +659,7 @@
         let own = LocalState {
             version: self.version(),
             directory: self.subset.directory(),
+            evacuations: &self.evacuations,
         };
         self.gossip.tick(own, now);
         self.is_placement_due = true;
@@ -669,6 +709,10 @@
         if !could_run {
             return Err(refused(RefusalReason::NoMinion));
         }
+        let evacuated = self.evacuated_minions();
+        if evacuated.prevent_any(&queue.service, &submission.steps) {
+            return Err(refused(RefusalReason::Evacuated));
+        }
         Ok(())
     }
 
@@ -680,7 +724,7 @@
                     return;
                 };
                 log::info!(sidecar:% = process, address:% = address; "session with sidecar established");
-                self.fleet.get_or_insert(process);
+                self.fleet.get_or_insert(process).begin_session();
                 self.subset.record_connected(address, process);
             }
             SessionEvent::Disconnected(process) => {
@@ -695,7 +739,11 @@
             SessionEvent::Status(process, status, acknowledged) => {
                 if let Some(view) = self.fleet.view_mut(process) {
                     view.set_status(status, acknowledged);
+                    let reports_evacuation = view.reports_evacuation();
                     self.confinement.record_status(process, status.crashes, now);
+                    if reports_evacuation {
+                        self.inform_sidecar(process, now);
+                    }
                 }
             }
         }
@@ -714,9 +762,13 @@
             Message::Minion(profile) => {
                 if let Some(view) = self.fleet.view_mut(from) {
                     view.set_profile(profile);
+                    self.inform_sidecar(from, now);
                 }
             }
-            Message::Start(_) | Message::Stop { .. } | Message::Withdrawn { .. } => {
+            Message::Start(_)
+            | Message::Stop { .. }
+            | Message::Withdrawn { .. }
+            | Message::Evacuation { .. } => {
                 log::warn!(process:% = from; "unexpected message: an entry takes no orders");
             }
         }
@@ -729,10 +781,19 @@
                 version,
                 sidecars,
                 is_answer,
+                evacuation_revision,
+                evacuated_domains,
             } => {
+                if self
+                    .evacuations
+                    .merge(evacuation_revision, evacuated_domains, now)
+                {
+                    self.inform_sidecars(now);
+                }
                 let own = LocalState {
                     version: self.version(),
                     directory: self.subset.directory(),
+                    evacuations: &self.evacuations,
                 };
                 self.gossip
                     .handle_gossip(from, version, is_answer, own, now);
@@ -899,6 +960,13 @@
         }
     }
 
+    /// Refuses the jobs that wait only for evacuated minions.
+    fn give_up_evacuated(&mut self, now: Instant) {
+        for name in self.evacuated_minions().prevented_jobs(&self.jobs) {
+            self.give_up(name, RefusalReason::Evacuated, now);
+        }
+    }
+
     /// Gives up jobs that can no longer end in time.
     fn give_up_overdue(&mut self, now: Instant) {
         let overdue: Vec<JobName> = self
--- a/knapweedrill/src/dispatch/entry/gossip.rs
+++ b/knapweedrill/src/dispatch/entry/gossip.rs
@@ -1,4 +1,5 @@
-//! Gossip between entries: the version of the configuration and the records of sidecars.
+//! Gossip between entries: the version of the configuration, the evacuated failure domains and the
+//! records of sidecars.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 
 use super::directory::Directory;
 use super::download::{Download, PART_BYTES};
+use super::evacuations::Evacuations;
 use crate::dispatch::configuration::{Configuration, Version};
 use crate::dispatch::{Notice, SidecarRecord};
 
@@ -55,6 +57,8 @@
     pub(super) version: Version,
     /// The known sidecars.
     pub(super) directory: &'a Directory,
+    /// The evacuated failure domains.
+    pub(super) evacuations: &'a Evacuations,
 }
 
 /// The gossip protocol between entries.
@@ -336,10 +340,13 @@
             .collect();
         let random_position = self.random.random_range(0..own.directory.len().max(1));
         sidecars.extend(own.directory.nth_wrapping(random_position).cloned());
+        let (evacuation_revision, evacuated_domains) = own.evacuations.to_gossip();
         Notice::Gossip {
             version: own.version,
             sidecars,
             is_answer,
+            evacuation_revision,
+            evacuated_domains,
         }
     }
 }
--- a/knapweedrill/src/dispatch/entry/sidecar_subset.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_subset.rs
@@ -43,6 +43,10 @@
 /// Without the limit each entry would add all sidecars while the minions of a whole fleet register.
 const SCAN_PER_TARGET: usize = 2;
 
+/// How many evacuated sidecars are skipped for each one in the target size, in addition to those
+/// that are considered. In a fleet with two in three minions evacuated, as many others are found.
+const EVACUATED_PER_TARGET: usize = 4;
+
 /// How long a retired member gets no orders before its session is closed. Far longer than the time
 /// for which a sidecar accepts an order.
 const CLOSE_AFTER: Duration = Duration::from_secs(3);
@@ -82,6 +86,12 @@
         view.is_none_or(SidecarView::takes_tasks)
     }
 
+    /// Returns whether the minion is known to be evacuated.
+    fn is_evacuated(&self, fleet: &Fleet) -> bool {
+        let view = self.sidecar.and_then(|sidecar| fleet.view(sidecar));
+        view.is_some_and(SidecarView::is_evacuated)
+    }
+
     /// Lets the sidecar get tasks again if it was retired.
     fn reinstate(&mut self, fleet: &mut Fleet) {
         if self.retired_at.take().is_some()
@@ -345,11 +355,21 @@
             .directory
             .preferred(now)
             .filter(|record| record.service == service);
-        for record in of_service.take(target_size * SCAN_PER_TARGET) {
+        let is_evacuated = |record: &&SidecarRecord| {
+            let member = self.members.get(&record.address);
+            member.is_some_and(|member| member.is_evacuated(fleet))
+        };
+        let considered: Vec<SocketAddr> = of_service
+            .take(target_size * (SCAN_PER_TARGET + EVACUATED_PER_TARGET))
+            .filter(|record| !is_evacuated(record))
+            .take(target_size * SCAN_PER_TARGET)
+            .map(|record| record.address)
+            .collect();
+        for address in considered {
             if usable_count == target_size {
                 break;
             }
-            match self.members.get_mut(&record.address) {
+            match self.members.get_mut(&address) {
                 // A member that has not answered yet counts, one that takes no tasks does not.
                 Some(member) if member.may_take_tasks(fleet) => {
                     usable_count += 1;
@@ -358,7 +378,7 @@
                 Some(_) => {}
                 None => {
                     usable_count += 1;
-                    missing.push(record.address);
+                    missing.push(address);
                 }
             }
         }
@@ -374,13 +394,15 @@
     }
 
     /// Retires the members for a service in excess of `count_max`: first those that take no tasks,
-    /// then the least preferred ones.
+    /// then the least preferred ones. Evacuated members do not count and stay, so that they are told
+    /// of each change even after a restart.
     fn retire(&mut self, service: &str, count_max: usize, fleet: &mut Fleet, now: Instant) {
         let mut candidates: Vec<(bool, Reverse<u64>, SocketAddr)> = self
             .members
             .iter()
             .filter(|(_, member)| member.service == service && member.retired_at.is_none())
             .filter(|(_, member)| member.label_until.is_none_or(|until| until <= now))
+            .filter(|(_, member)| !member.is_evacuated(fleet))
             .map(|(address, member)| {
                 let rank = Reverse(self.directory.rank_of(*address));
                 (member.may_take_tasks(fleet), rank, *address)
--- a/knapweedrill/src/dispatch/entry/sidecar_view.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_view.rs
@@ -5,7 +5,9 @@
 
 use crate::common::Incarnation;
 use crate::dispatch::Resources;
-use crate::dispatch::message::{MinionAvailability, MinionProfile, SidecarStatus};
+use crate::dispatch::message::{
+    EvacuationRevision, Message, MinionAvailability, MinionProfile, SidecarStatus,
+};
 use crate::dispatch::session::MessageNumber;
 
 /// An entry's view of one sidecar and its minion.
@@ -24,6 +26,10 @@
     /// Whether it gets no more tasks because its session is about to be closed.
     is_retired: bool,
     probed_at: Option<Instant>,
+    /// Whether the failure domain of the minion is evacuated, as far as this entry knows.
+    is_domain_evacuated: bool,
+    /// What this entry has last told the sidecar about its failure domain in this session.
+    evacuation_told: Option<(EvacuationRevision, bool)>,
 }
 
 impl SidecarView {
@@ -40,6 +46,8 @@
             placed_resources: Resources::default(),
             is_retired: false,
             probed_at: None,
+            is_domain_evacuated: false,
+            evacuation_told: None,
         }
     }
 
@@ -130,9 +138,54 @@
     /// Returns whether the sidecar can be reached and its minion takes tasks.
     pub fn takes_tasks(&self) -> bool {
         let is_reached = !self.is_silent && self.gone_at.is_none() && self.profile.is_some();
-        let takes_tasks =
-            |status: SidecarStatus| status.availability != MinionAvailability::Unavailable;
-        is_reached && self.status.is_some_and(takes_tasks)
+        let takes_tasks = |status: SidecarStatus| status.availability.takes_tasks();
+        is_reached && !self.is_domain_evacuated && self.status.is_some_and(takes_tasks)
+    }
+
+    /// Sets whether the failure domain of the minion is evacuated, as far as this entry knows.
+    pub(super) fn set_domain_evacuated(&mut self, is_evacuated: bool) {
+        self.is_domain_evacuated = is_evacuated;
+    }
+
+    /// Returns whether the minion is evacuated, by what this entry or the sidecar knows.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_domain_evacuated || self.reports_evacuation()
+    }
+
+    /// Returns whether the sidecar reports that it is evacuated.
+    pub(super) fn reports_evacuation(&self) -> bool {
+        self.status
+            .is_some_and(|status| status.availability == MinionAvailability::Evacuated)
+    }
+
+    /// Returns what the sidecar has to be told about its failure domain, if anything, by an entry
+    /// with this revision. A sidecar that was never evacuated is told nothing.
+    pub(super) fn evacuation_to_tell(&self, revision: EvacuationRevision) -> Option<Message> {
+        let is_evacuated = self.is_domain_evacuated;
+        let is_told = self
+            .evacuation_told
+            .is_some_and(|told| told.1 == is_evacuated && told.0 >= revision);
+        let was_told_otherwise = self.evacuation_told.is_some_and(|told| told.1);
+        let has_to_know = is_evacuated || was_told_otherwise || self.reports_evacuation();
+        let is_due = self.profile.is_some() && revision > 0 && has_to_know && !is_told;
+        is_due.then_some(Message::Evacuation {
+            revision,
+            is_evacuated,
+        })
+    }
+
+    /// Records what the sidecar was told about its failure domain.
+    pub(super) fn record_evacuation_told(
+        &mut self,
+        revision: EvacuationRevision,
+        is_evacuated: bool,
+    ) {
+        self.evacuation_told = Some((revision, is_evacuated));
+    }
+
+    /// Handles a new session, in which the sidecar has been told nothing.
+    pub(super) fn begin_session(&mut self) {
+        self.evacuation_told = None;
     }
 
     /// Returns whether the minion is suspect because it failed tasks of several jobs.
--- a/knapweedrill/src/dispatch/message.rs
+++ b/knapweedrill/src/dispatch/message.rs
@@ -10,6 +10,10 @@
 /// A time on the monotonic clock of a process, in milliseconds since its start.
 pub type StampMs = u64;
 
+/// The position in the operator's log up to which a set of evacuated failure domains is valid; 0
+/// without any knowledge. The set with the higher revision is newer.
+pub type EvacuationRevision = u64;
+
 /// The role of a process, which decides its end of a session.
 #[key]
 pub enum Role {
@@ -53,6 +57,13 @@
         /// The placement of the task that the order would have made.
         attempt: Attempt,
     },
+    /// Entry to sidecar: whether the failure domain of the minion is evacuated.
+    Evacuation {
+        /// The revision of the sender's knowledge.
+        revision: EvacuationRevision,
+        /// Whether the failure domain is evacuated.
+        is_evacuated: bool,
+    },
 }
 
 /// An order to run a task.
@@ -132,6 +143,8 @@
     Unhealthy,
     /// The job is on trial, and another job runs there.
     NotAlone,
+    /// The failure domain of the minion is evacuated.
+    Evacuated,
 }
 
 /// How a run ended.
@@ -162,6 +175,8 @@
     pub capacity: Resources,
     /// The labels of the minion, such as its kind and its rack.
     pub labels: Vec<String>,
+    /// The failure domain of the minion; empty if it is not known.
+    pub failure_domain: String,
 }
 
 impl MinionProfile {
@@ -180,6 +195,18 @@
     Suspect,
     /// The minion accepts no tasks: it is draining, absent or unreachable.
     Unavailable,
+    /// The minion accepts no tasks because its failure domain is evacuated.
+    Evacuated,
+}
+
+impl MinionAvailability {
+    /// Returns whether the minion accepts tasks.
+    pub fn takes_tasks(self) -> bool {
+        match self {
+            Self::Ready | Self::Suspect => true,
+            Self::Unavailable | Self::Evacuated => false,
+        }
+    }
 }
 
 /// The crashes of the minion that the sidecar has seen while runs were there.
--- a/knapweedrill/src/dispatch/notice.rs
+++ b/knapweedrill/src/dispatch/notice.rs
@@ -4,6 +4,7 @@
 
 use super::cancel_outcome::CancelOutcome;
 use super::configuration::Version;
+use super::message::EvacuationRevision;
 use super::names::JobName;
 use super::session::Envelope;
 use super::sidecar_record::SidecarRecord;
@@ -33,6 +34,10 @@
         sidecars: Vec<SidecarRecord>,
         /// Whether this is an answer, which is not answered in turn.
         is_answer: bool,
+        /// The revision of the sender's set of evacuated failure domains; 0 if it has none.
+        evacuation_revision: EvacuationRevision,
+        /// The failure domains that are evacuated at that revision.
+        evacuated_domains: Vec<String>,
     },
     /// Entry to entry: requests one part of an encoded configuration.
     ConfigurationPartRequest {
--- a/knapweedrill/src/dispatch/session/sent_messages.rs
+++ b/knapweedrill/src/dispatch/session/sent_messages.rs
@@ -34,7 +34,7 @@
             Message::Start(_) => Self::Start,
             Message::Withdrawn { .. } => Self::Withdrawal,
             Message::Stop { .. } => Self::Stop,
-            Message::Report(_) | Message::Minion(_) => Self::Other,
+            Message::Report(_) | Message::Minion(_) | Message::Evacuation { .. } => Self::Other,
         }
     }
 }
--- a/knapweedrill/src/dispatch/sidecar/core.rs
+++ b/knapweedrill/src/dispatch/sidecar/core.rs
@@ -10,6 +10,7 @@
 };
 use super::connected_entries::ConnectedEntries;
 use super::crash_log::CrashLog;
+use super::evacuation::Evacuation;
 use super::fence_step::FenceStep;
 use super::hold_schedule::HoldSchedule;
 use super::minion_state::MinionState;
@@ -23,8 +24,8 @@
 use super::successor::Successor;
 use crate::common::Incarnation;
 use crate::dispatch::message::{
-    Message, MinionAvailability, MinionProfile, PlacementOutcome, RefusalCause, RunEnd,
-    SidecarStatus, StampMs, StartOrder, TaskReport,
+    EvacuationRevision, Message, MinionAvailability, MinionProfile, PlacementOutcome, RefusalCause,
+    RunEnd, SidecarStatus, StampMs, StartOrder, TaskReport,
 };
 use crate::dispatch::units::{clamp_duration, millis};
 use crate::dispatch::{Attempt, Resources, TaskName};
@@ -56,6 +57,7 @@
     stats: MinionStats,
     recent_entries: RecentEntries,
     crashes: CrashLog,
+    evacuation: Evacuation,
     reported_runs: ReportedRuns,
     /// The number of runs that were reported as over and then found at the minion.
     false_report_count: u64,
@@ -85,6 +87,7 @@
             stats: MinionStats::default(),
             recent_entries: RecentEntries::default(),
             crashes: CrashLog::default(),
+            evacuation: Evacuation::default(),
             reported_runs: ReportedRuns::default(),
             false_report_count: 0,
             orders: OrderTracker::new(fencing_token),
@@ -162,6 +165,21 @@
         self.entries.iter()
     }
 
+    /// Returns the number of start orders that were refused because of an evacuation.
+    pub fn evacuation_refusal_count(&self) -> u64 {
+        self.evacuation.refused_count()
+    }
+
+    /// Handles what an entry knows about the evacuation of the minion's failure domain.
+    pub fn set_evacuated(
+        &mut self,
+        entry: Incarnation,
+        revision: EvacuationRevision,
+        is_evacuated: bool,
+    ) {
+        self.evacuation.update(entry, revision, is_evacuated);
+    }
+
     /// Refuses all further start orders.
     pub fn begin_drain(&mut self) {
         self.is_draining = true;
@@ -636,6 +654,8 @@
         let is_lease_unsafe = self.is_lease_ending || minion.has_inherited_lease;
         if is_stopping || !is_reachable || !is_known || is_lease_unsafe {
             MinionAvailability::Unavailable
+        } else if self.evacuation.is_evacuated() {
+            MinionAvailability::Evacuated
         } else if self.stats.is_suspect() {
             MinionAvailability::Suspect
         } else {
@@ -686,6 +706,9 @@
         if self.availability() == MinionAvailability::Unavailable {
             return Some(RefusalCause::NoMinion);
         }
+        if self.evacuation.is_evacuated() {
+            return Some(RefusalCause::Evacuated);
+        }
         if minion.profile.service != order.service {
             return Some(RefusalCause::OtherService);
         }
@@ -704,8 +727,13 @@
 
     /// Orders a run, or defers the order until the next answer to a hold call if another incarnation
     /// than the one whose clock is known may be there: the lease in the order would end much later
-    /// on its clock.
+    /// on its clock. Refuses a run that the minion can't have started if it was evacuated meanwhile.
     fn order_start(&mut self, key: RunKey, now: Instant) {
+        let may_have_started = self.runs.get(key).is_some_and(Run::may_have_started);
+        if self.evacuation.is_evacuated() && !may_have_started {
+            self.refuse_run(key, RefusalCause::Evacuated);
+            return;
+        }
         let renews = self.may_renew_lease(now);
         let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(key)) else {
             return;
@@ -1080,6 +1108,9 @@
         attempt: Attempt,
         outcome: PlacementOutcome,
     ) {
+        if outcome == PlacementOutcome::Refused(RefusalCause::Evacuated) {
+            self.evacuation.count_refusal();
+        }
         let report = TaskReport {
             task,
             attempt,
--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -192,6 +192,15 @@
             SessionEvent::Message(process, Message::Withdrawn { task, attempt }) => {
                 self.sidecar.refuse_withdrawn(process, task, attempt);
             }
+            SessionEvent::Message(
+                process,
+                Message::Evacuation {
+                    revision,
+                    is_evacuated,
+                },
+            ) => {
+                self.sidecar.set_evacuated(process, revision, is_evacuated);
+            }
             SessionEvent::Message(process, message) => {
                 log::warn!(process:% = process, message:? = message; "unexpected message ignored");
             }
--- a/knapweedrill/src/dispatch/sidecar/mod.rs
+++ b/knapweedrill/src/dispatch/sidecar/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod crash_log;
 mod endpoint;
+mod evacuation;
 mod fence_step;
 mod fencing_token;
 mod health;
--- a/knapweedrill/tests/dispatch_gossip.rs
+++ b/knapweedrill/tests/dispatch_gossip.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
-use knapweedrill::dispatch::entry::{Entry, EntrySettings, Source};
+use knapweedrill::dispatch::entry::{Entry, EntrySettings, EvacuationUpdate, Source};
 use knapweedrill::dispatch::message::Role;
 use knapweedrill::dispatch::session::{Identity, SessionSettings, Sessions};
 use knapweedrill::dispatch::{Packet, Resources, SidecarRecord};
@@ -62,6 +62,8 @@
     loss_percent: u32,
     random: SmallRng,
     sent_counts: Vec<usize>,
+    /// The length of the longest datagram.
+    bytes_max: usize,
 }
 
 impl Network {
@@ -91,6 +93,7 @@
             loss_percent,
             random: SmallRng::seed_from_u64(seed),
             sent_counts: vec![0; entry_count],
+            bytes_max: 0,
         }
     }
 
@@ -119,6 +122,8 @@
             if matches!(packet, Packet::Notice(_)) {
                 self.sent_counts[from] += 1;
             }
+            let bytes = postcard::to_stdvec(&packet).expect("packets can be encoded");
+            self.bytes_max = self.bytes_max.max(bytes.len());
             if self.random.random_range(0..100) >= self.loss_percent {
                 self.entries[to].receive(entry_address(from), packet, self.now);
             }
@@ -211,3 +216,47 @@
     let known: Vec<_> = entry.directory().page(0).cloned().collect();
     assert_eq!(known, [moved]);
 }
+
+/// Only one entry can reach the store when the operator evacuates a zone. Guards against entries that
+/// do not learn of it in time.
+#[test_case(12, 0)]
+#[test_case(60, 10)]
+fn evacuation_reaches_all_entries_in_time(entry_count: usize, loss_percent: u32) {
+    let mut network = Network::new(entry_count, loss_percent, 3);
+    network.run(Duration::from_secs(5));
+    let update = EvacuationUpdate::Snapshot {
+        revision: 4,
+        domains: vec!["zone".into()],
+    };
+    let now = network.now;
+    network.entries[entry_count - 1].update_evacuations(update, now);
+    network.run(Duration::from_millis(4_000));
+    let knows = |entry: &&Entry| entry.evacuations().contains("zone");
+    assert_eq!(network.entries.iter().filter(knows).count(), entry_count);
+}
+
+/// Guards against a datagram that is too long to arrive because of many odd records, and with it against
+/// the loss of all other gossip. A set that was cut short would return the rest to service.
+#[test]
+fn set_of_domains_that_is_too_long_is_not_gossiped() {
+    let mut network = Network::new(2, 0, 3);
+    let now = network.now;
+    let domains = |count| (0..count).map(|index| format!("{index:0240}")).collect();
+    let long = EvacuationUpdate::Snapshot {
+        revision: 4,
+        domains: domains(1_000),
+    };
+    network.entries[0].update_evacuations(long, now);
+    network.entries[0].add_sidecar(sidecar_record(1), Source::First);
+    network.run(Duration::from_secs(4));
+    assert_eq!(network.entries[1].directory().len(), 1);
+    assert_eq!(network.entries[1].evacuations().revision(), 0);
+    let short = EvacuationUpdate::Snapshot {
+        revision: 5,
+        domains: domains(16),
+    };
+    network.entries[0].update_evacuations(short, now);
+    network.run(Duration::from_secs(4));
+    assert_eq!(network.entries[1].evacuations().domains().count(), 16);
+    assert!(network.bytes_max < 8_192, "{} bytes", network.bytes_max);
+}
--- a/knapweedrill/tests/dispatch_malformed.rs
+++ b/knapweedrill/tests/dispatch_malformed.rs
@@ -124,12 +124,18 @@
             service: "service".into(),
             capacity,
             labels: Vec::new(),
+            failure_domain: "a".into(),
         }))
     });
     let stop = (task(), boundary_u64()).prop_map(|(task, attempt)| Message::Stop { task, attempt });
     let withdrawn =
         (task(), boundary_u64()).prop_map(|(task, attempt)| Message::Withdrawn { task, attempt });
-    prop_oneof![start(), report, minion, stop, withdrawn]
+    let evacuation =
+        (boundary_u64(), any::<bool>()).prop_map(|(revision, is_evacuated)| Message::Evacuation {
+            revision,
+            is_evacuated,
+        });
+    prop_oneof![start(), report, minion, stop, withdrawn, evacuation]
 }
 
 fn status() -> impl Strategy<Value = Option<SidecarStatus>> {
@@ -138,7 +144,11 @@
         status.prop_map(
             |(free, pace_permille, delay_ms, recent_entry_count)| SidecarStatus {
                 free,
-                availability: MinionAvailability::Ready,
+                availability: if pace_permille % 2 == 0 {
+                    MinionAvailability::Ready
+                } else {
+                    MinionAvailability::Evacuated
+                },
                 pace_permille,
                 delay_ms,
                 recent_entry_count,
@@ -182,13 +192,24 @@
     let part = (boundary_u64(), boundary_u32(), boundary_u32(), bytes);
     prop_oneof![
         sidecar_record().prop_map(Notice::SidecarAnnouncement),
-        (boundary_u64(), records(), any::<bool>()).prop_map(|(version, sidecars, is_answer)| {
-            Notice::Gossip {
-                version,
-                sidecars,
-                is_answer,
-            }
-        }),
+        (
+            boundary_u64(),
+            records(),
+            any::<bool>(),
+            boundary_u64(),
+            prop::collection::vec(".{0,4}", 0..4),
+        )
+            .prop_map(
+                |(version, sidecars, is_answer, evacuation_revision, evacuated_domains)| {
+                    Notice::Gossip {
+                        version,
+                        sidecars,
+                        is_answer,
+                        evacuation_revision,
+                        evacuated_domains,
+                    }
+                }
+            ),
         (boundary_u64(), boundary_u32())
             .prop_map(|(version, index)| Notice::ConfigurationPartRequest { version, index }),
         part.prop_map(|(version, index, count, bytes)| Notice::ConfigurationPart {
@@ -366,6 +387,7 @@
                 service: "service".into(),
                 capacity,
                 labels: Vec::new(),
+                failure_domain: "a".into(),
             },
             started_unix_ms,
             sequence,
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -45,6 +45,7 @@
                 ..resources(64_000)
             },
             labels: vec!["a".into(), format!("rack-{number}")],
+            failure_domain: String::new(),
         }));
         let status = SidecarStatus {
             free: Resources {
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -72,6 +72,7 @@
                 service: "service".into(),
                 capacity: resources(10),
                 labels: Vec::new(),
+                failure_domain: String::new(),
             },
             started_unix_ms: self.started_unix_ms,
             sequence: 1,
@@ -1916,3 +1917,94 @@
     // Another process may have renewed the lease of the run.
     assert_eq!(fixture.outcomes, []);
 }
+
+const EVACUATED: PlacementOutcome = PlacementOutcome::Refused(RefusalCause::Evacuated);
+
+/// An entry that was frozen knows an older revision. Guards against an entry that undoes what a newer
+/// one has told, and against starts in an evacuated failure domain.
+#[test]
+fn only_newer_knowledge_ends_an_evacuation() {
+    let mut fixture = Fixture::new();
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    assert_eq!(fixture.availability(), MinionAvailability::Evacuated);
+    fixture.order_start(0, 1);
+    fixture.sidecar.set_evacuated(ENTRY, 6, false);
+    fixture.order_start(1, 2);
+    assert_eq!(fixture.outcomes, [EVACUATED; 2]);
+    assert_eq!(fixture.starts.len(), 0);
+    assert_eq!(fixture.sidecar.evacuation_refusal_count(), 2);
+    fixture.sidecar.set_evacuated(ENTRY, 9, false);
+    assert_eq!(fixture.availability(), MinionAvailability::Ready);
+    fixture.sidecar.set_evacuated(ENTRY, 8, true);
+    fixture.order_start(2, 3);
+    assert_eq!(fixture.starts.len(), 1);
+}
+
+/// Guards against a start of a run whose order waited for an answer of the minion while the failure
+/// domain was evacuated.
+#[test]
+fn deferred_start_is_refused_after_an_evacuation() {
+    let mut fixture = Fixture::new();
+    fixture.advance(MS);
+    fixture.fail_hold();
+    fixture.order_start(0, 1);
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    fixture.advance(20 * MS);
+    fixture.answer_hold(Vec::new(), Vec::new());
+    assert_eq!(fixture.starts.len(), 0);
+    assert_eq!(fixture.outcomes, [EVACUATED]);
+}
+
+/// Guards against a repeated order that starts a run after the evacuation, although the minion has turned
+/// the first one down.
+#[test_case(OrderAnswer::LeaseExpired; "lease expired")]
+#[test_case(OrderAnswer::Fenced; "fenced")]
+#[test_case(OrderAnswer::Superseded; "superseded")]
+#[test_case(OrderAnswer::Unchecked; "not sent on an unchecked connection")]
+fn start_that_the_minion_turned_down_is_not_repeated_after_an_evacuation(answer: OrderAnswer) {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    fixture.answer_start(answer);
+    assert_eq!(fixture.starts.len(), 1);
+    assert_eq!(fixture.outcomes, [EVACUATED]);
+}
+
+/// Guards against a report that a run was not started, although the minion may have carried out its
+/// first order before the evacuation.
+#[test]
+fn start_without_an_answer_is_handled_as_before_after_an_evacuation() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.advance(40 * MS);
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    fixture.answer_start(OrderAnswer::NoAnswer);
+    assert_eq!(fixture.starts.len(), 2);
+    fixture.answer_start(OrderAnswer::Accepted);
+    assert_eq!(fixture.outcomes, []);
+    assert_eq!(fixture.stops.len(), 0);
+}
+
+/// Guards against a run that is stopped by the evacuation instead of completing where it is.
+#[test]
+fn running_task_completes_after_an_evacuation() {
+    let mut fixture = Fixture::new();
+    fixture.order_start(0, 1);
+    fixture.answer_start(OrderAnswer::Accepted);
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    fixture.advance(10 * MS);
+    fixture.answer_hold(vec![(run(0), 50)], Vec::new());
+    fixture.advance(10 * MS);
+    fixture.answer_hold(Vec::new(), vec![ended_run(1, 0)]);
+    assert_eq!(fixture.only_end(), RunEnd::Done);
+    assert_eq!(fixture.stops.len(), 0);
+}
+
+/// Guards against an unreachable minion that is taken for one that only an evacuation keeps from
+/// serving.
+#[test]
+fn unreachable_minion_is_unavailable_while_it_is_evacuated() {
+    let mut fixture = Fixture::with_unanswered_minion(1);
+    fixture.sidecar.set_evacuated(ENTRY, 7, true);
+    assert_eq!(fixture.availability(), MinionAvailability::Unavailable);
+}
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -10,12 +10,13 @@
 use hyper::StatusCode;
 use knapweedrill::dispatch::configuration::Configuration;
 use knapweedrill::dispatch::entry::{
-    Answer, CallerId, CancelAnswer, Entry, EntryAction, EntrySettings, Pause, Source,
+    Answer, CallerId, CancelAnswer, Entry, EntryAction, EntrySettings, EvacuationUpdate, Pause,
+    Source,
 };
 use knapweedrill::dispatch::{JobName, Packet, SidecarRecord};
 use knapweedrill_platform::{
-    CONFIGURATION_KEY, CallerRequest, CallerResponse, OPERATOR_TOPIC, ProcessSettings, Record,
-    StoreClient, caller_response, parse_configuration,
+    CONFIGURATION_KEY, CallerRequest, CallerResponse, OPERATOR_TOPIC, Page, PageKind,
+    ProcessSettings, Record, StoreClient, caller_response, evacuation_update, parse_configuration,
 };
 use knapweedrill_wire::PacketSocket;
 use tokio::sync::oneshot;
@@ -61,6 +62,8 @@
     ProbeAnswered(u64),
     /// A datagram arrived.
     Datagram(SocketAddr, Packet),
+    /// The store says this about the evacuated failure domains.
+    Evacuations(EvacuationUpdate),
     /// The store has this configuration.
     Configuration(Configuration),
     /// The store has the address of the entry on the VM with this name.
@@ -141,7 +144,7 @@
         ENTRIES_TOPIC,
         ADDRESS_READ_TIMING,
         metrics.clone(),
-        on_entry,
+        move |page: Page| page.records.into_iter().for_each(&on_entry),
     ));
     let sender = events.clone();
     let on_sidecar = move |record: Record| match parse_sidecar_record(&record) {
@@ -153,8 +156,9 @@
         SIDECARS_TOPIC,
         ADDRESS_READ_TIMING,
         metrics.clone(),
-        on_sidecar,
+        move |page: Page| page.records.into_iter().for_each(&on_sidecar),
     ));
+    let sender = events.clone();
     let on_operator_record = move |record: Record| {
         if record.key != CONFIGURATION_KEY {
             return;
@@ -171,7 +175,14 @@
         OPERATOR_TOPIC,
         CONFIGURATION_READ_TIMING,
         metrics.clone(),
-        on_operator_record,
+        move |page: Page| {
+            // Before the configuration of the page, with which the entry begins to place tasks.
+            let is_snapshot = matches!(page.kind, PageKind::Snapshot { .. });
+            if is_snapshot || !page.records.is_empty() {
+                let _ = sender.send(EntryEvent::Evacuations(evacuation_update(&page)));
+            }
+            page.records.into_iter().for_each(&on_operator_record);
+        },
     ));
     tokio::spawn(serve_metrics(settings.ip, metrics));
     let readiness = service.clone();
@@ -303,6 +314,7 @@
             }
             EntryEvent::ProbeAnswered(probe) => self.traffic_probe.record_answer(probe, now),
             EntryEvent::Datagram(from, packet) => self.entry.receive(from, packet, now),
+            EntryEvent::Evacuations(update) => self.entry.update_evacuations(update, now),
             EntryEvent::Configuration(configuration) => {
                 self.entry.configure(configuration, "store", now)
             }
@@ -457,6 +469,15 @@
             ),
             ("queued_messages", queued_message_count as u64),
             ("link_wait_ms", link_wait.as_millis() as u64),
+            (
+                "evacuated_zones",
+                self.entry.evacuations().domains().count() as u64,
+            ),
+            (
+                "evacuation_age_seconds",
+                self.entry.evacuations().age(now).as_secs(),
+            ),
+            ("evacuation_revision", self.entry.evacuations().revision()),
             ("ready", u64::from(self.entry.is_ready())),
             ("traffic_lag_ms", traffic_lag.as_millis() as u64),
         ];
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -209,6 +209,7 @@
         RefusalCause::Stale => "refused-stale",
         RefusalCause::Unhealthy => "refused-unhealthy",
         RefusalCause::NotAlone => "refused-not-alone",
+        RefusalCause::Evacuated => "refused-evacuated",
     }
 }
 
@@ -248,6 +249,7 @@
                 RefusalReason::NotOffered => "not-offered",
                 RefusalReason::Stopping => "stopping",
                 RefusalReason::StoodStill => "stood-still",
+                RefusalReason::Evacuated => "evacuated",
             },
         ),
     }
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -114,8 +114,10 @@
             "the settings have no registration address (Listen.Control), which a sidecar needs"
         )
     })?;
+    let own_domain: Arc<str> = settings.failure_domain.into();
     serve(address, move |request| {
-        handle_registration(events.clone(), minion_address.ip(), request)
+        let own_domain = Arc::clone(&own_domain);
+        handle_registration(events.clone(), minion_address.ip(), own_domain, request)
     })
     .await
 }
@@ -243,10 +245,12 @@
             ("delay_ms", u64::from(status.delay_ms)),
             ("clock_lead_ms", sidecar.clock_lead().as_millis() as u64),
             ("false_reports", sidecar.false_report_count()),
+            ("takes_tasks", u64::from(status.availability.takes_tasks())),
             (
-                "takes_tasks",
-                u64::from(status.availability != MinionAvailability::Unavailable),
+                "evacuated",
+                u64::from(status.availability == MinionAvailability::Evacuated),
             ),
+            ("evacuation_refusals", sidecar.evacuation_refusal_count()),
             (
                 "suspect",
                 u64::from(status.availability == MinionAvailability::Suspect),
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -23,10 +23,12 @@
 /// a millisecond, so more would only open connections that are seldom reused.
 const ORDERS_IN_FLIGHT_MAX: usize = 6;
 
-/// Handles a registration call of the minion at `minion_ip`.
+/// Handles a registration call of the minion at `minion_ip`. `own_domain` is the failure domain of this
+/// VM.
 pub(super) async fn handle_registration(
     events: Sender<SidecarEvent>,
     minion_ip: IpAddr,
+    own_domain: Arc<str>,
     request: Request<Incoming>,
 ) -> FullResponse {
     let (head, body) = request.into_parts();
@@ -35,7 +37,8 @@
         Err(status) => return json_response(status, String::new()),
     };
     let path = head.uri.path();
-    let Some(registration) = parse_registration(&head.method, path, &body, minion_ip) else {
+    let Some(registration) = parse_registration(&head.method, path, &body, minion_ip, &own_domain)
+    else {
         return json_response(StatusCode::BAD_REQUEST, String::new());
     };
     let (handled, is_handled) = oneshot::channel();
--- a/knapweedrill_daemon/src/dispatch/store.rs
+++ b/knapweedrill_daemon/src/dispatch/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use knapweedrill::dispatch::SidecarRecord;
-use knapweedrill_platform::{Record, StoreClient, StoreError};
+use knapweedrill_platform::{Page, Record, StoreClient, StoreError};
 use tokio::sync::watch;
 
 use super::metrics::Metrics;
@@ -31,14 +31,14 @@
     pub(super) pause: Duration,
 }
 
-/// Follows a topic without end: calls `on_record` for the newest record of each key and then for
-/// each new record. The gauge `store_reachable:<topic>` reports whether the store responds.
+/// Follows a topic without end: calls `on_page` with the newest record of each key and then with the
+/// new records. The gauge `store_reachable:<topic>` reports whether the store responds.
 pub(super) async fn follow_topic(
     store: Arc<StoreClient>,
     topic: &'static str,
     timing: ReadTiming,
     metrics: Metrics,
-    on_record: impl Fn(Record),
+    on_page: impl Fn(Page),
 ) {
     let gauge = format!("store_reachable:{topic}");
     let mut backoff = Backoff::new();
@@ -55,7 +55,7 @@
                 backoff.reset(topic);
                 next_offset = Some(page.next_offset);
                 let has_records = !page.records.is_empty();
-                page.records.into_iter().for_each(&on_record);
+                on_page(page);
                 if has_records {
                     tokio::time::sleep(timing.pause).await;
                 }
--- a/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/link_rate.rs
@@ -140,9 +140,13 @@
         match messages.first() {
             Some(Message::Start(_)) => self.start_bytes += bytes,
             Some(Message::Stop { .. }) => self.stop_bytes += bytes,
-            Some(Message::Report(_) | Message::Minion(_) | Message::Withdrawn { .. }) | None => {
-                self.other_bytes += bytes
-            }
+            Some(
+                Message::Report(_)
+                | Message::Minion(_)
+                | Message::Withdrawn { .. }
+                | Message::Evacuation { .. },
+            )
+            | None => self.other_bytes += bytes,
         }
     }
 }
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -30,6 +30,7 @@
 mod step_costs;
 mod trace_digest;
 mod wide_faults;
+mod zones;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -40,7 +41,7 @@
 use knapweedrill::dispatch::entry::{
     Answer, CallerId, Entry, EntryAction, EntrySettings, Pause, Source, StepRequest, Submission,
 };
-use knapweedrill::dispatch::message::{MinionAvailability, MinionProfile, Role};
+use knapweedrill::dispatch::message::{MinionProfile, Role};
 use knapweedrill::dispatch::session::{Identity, Sessions};
 use knapweedrill::dispatch::sidecar::{
     HoldFailure, MinionHeartbeat, OrderAnswer, Sidecar, SidecarAction, SidecarEndpoint,
@@ -73,6 +74,7 @@
 use slow_traffic::SlowTraffic;
 use step_costs::{RoundOutput, StepCosts};
 use trace_digest::TraceDigest;
+use zones::Zones;
 
 /// The period of the heartbeats of a minion, in milliseconds.
 const HEARTBEAT_PERIOD_MS: u64 = 1_500;
@@ -131,6 +133,7 @@
     pub(crate) clock_jump_max_ms: u64,
     pub(crate) step_costs: StepCosts,
     pub(crate) slow_traffic: SlowTraffic,
+    zones: Zones,
     epoch: Instant,
     now_ms: u64,
     random: SmallRng,
@@ -224,6 +227,7 @@
             clock_jump_max_ms: 0,
             step_costs: StepCosts::default(),
             slow_traffic: SlowTraffic::default(),
+            zones: Zones::default(),
             epoch,
             now_ms: 0,
             random,
@@ -542,7 +546,7 @@
         let mut sidecars = self.nodes[self.entry_count..].iter();
         sidecars.all(|node| {
             let sidecar = node.sidecar.as_ref().map(SidecarEndpoint::sidecar);
-            sidecar.is_some_and(|it| it.status().availability != MinionAvailability::Unavailable)
+            sidecar.is_some_and(|it| it.status().availability.takes_tasks())
         })
     }
 
@@ -585,6 +589,7 @@
         self.now_ms += 1;
         self.resume_machines();
         self.inject_random_fault();
+        self.follow_operator();
         self.freeze_sidecars_when_due();
         self.read_waiting_input();
         self.crash_minions_of_deadly_jobs();
@@ -757,6 +762,7 @@
                     service: "service".into(),
                     capacity: minion.capacity,
                     labels: labels(index),
+                    failure_domain: self.zones.domain(index),
                 },
                 started_unix_ms: minion.started_unix_ms,
                 sequence,
@@ -792,6 +798,7 @@
                 service: "service".into(),
                 capacity: self.minions[minion].capacity,
                 labels: labels(minion),
+                failure_domain: self.zones.domain(minion),
             },
             started_unix_ms: self.now_ms + 1,
             sequence: 1,
@@ -914,6 +921,7 @@
                         .push((self.now_ms, Some(start.run.task.job), text));
                     if answer == OrderAnswer::Accepted && !was_running {
                         self.started_jobs.insert(start.run.task.job);
+                        self.zones.record_start(index, self.now_ms);
                         self.observations.started_count += 1;
                         self.observations
                             .starts
@@ -1470,6 +1478,10 @@
                 ..EntrySettings::default()
             };
             let mut entry = Entry::new(settings, sessions);
+            if self.zones.is_used() {
+                // It reads the store or hears from a peer later.
+                self.zones.restart_reader(index);
+            }
             entry.configure(configuration(), "test", now);
             for other in (0..entry_count).filter(|other| *other != index) {
                 entry.add_peer(address(other), None);
