merge: evacuation of failure domains

The record that a sidecar leaves of its minion has the failure domain, and is only used if it has it, so that a restored minion is evacuated like any other.

--- a/knapweedrill/src/dispatch/sidecar/endpoint.rs
+++ b/knapweedrill/src/dispatch/sidecar/endpoint.rs
@@ -70,10 +70,11 @@
 
     /// Returns the record of this sidecar for the store, or `None` without a minion.
     pub fn stored_record(&self) -> Option<StoredRecord> {
-        let instance = self.sidecar.minion()?.instance.clone();
+        let minion = self.sidecar.minion()?;
         Some(StoredRecord {
             sidecar: self.sidecar_record()?,
-            instance,
+            instance: minion.instance.clone(),
+            failure_domain: minion.failure_domain.clone(),
             started_unix_ms: self.sidecar.minion_started_unix_ms(),
             is_draining: self.sidecar.is_minion_draining(),
         })
@@ -203,6 +204,15 @@
             SessionEvent::Message(process, Message::Withdrawn { task, attempt }) => {
                 self.sidecar.refuse_withdrawn(process, task, attempt);
             }
+            SessionEvent::Message(
+                process,
+                Message::Evacuation {
+                    revision,
+                    is_evacuated,
+                },
+            ) => {
+                self.sidecar.set_evacuated(process, revision, is_evacuated);
+            }
             SessionEvent::Message(process, message) => {
                 log::warn!(process:% = process, message:? = message; "unexpected message ignored");
             }
--- a/knapweedrill/src/dispatch/sidecar/known_minion.rs
+++ b/knapweedrill/src/dispatch/sidecar/known_minion.rs
@@ -27,6 +27,9 @@
     /// The name of the minion; empty in records of earlier versions.
     #[serde(default)]
     pub instance: String,
+    /// The failure domain of the minion; empty in records of earlier versions.
+    #[serde(default)]
+    pub failure_domain: String,
     /// When the minion started, in Unix milliseconds; 0 if not reported.
     #[serde(default)]
     pub started_unix_ms: u64,
@@ -37,9 +40,10 @@
 
 impl StoredRecord {
     /// Returns the recorded minion, or `None` if it is shutting down or the record can't tell its
-    /// incarnation.
+    /// incarnation or its failure domain, which may be evacuated.
     pub fn known_minion(self) -> Option<KnownMinion> {
-        if self.is_draining || self.instance.is_empty() || self.started_unix_ms == 0 {
+        let is_incomplete = self.instance.is_empty() || self.failure_domain.is_empty();
+        if self.is_draining || is_incomplete || self.started_unix_ms == 0 {
             return None;
         }
         let SidecarRecord {
@@ -54,6 +58,7 @@
                 service,
                 capacity,
                 labels,
+                failure_domain: self.failure_domain,
             },
             started_unix_ms: self.started_unix_ms,
         })
--- a/knapweedrill/tests/dispatch_restored_minion.rs
+++ b/knapweedrill/tests/dispatch_restored_minion.rs
@@ -88,6 +88,7 @@
             accelerator_count: 0,
         },
         labels: vec![label.into()],
+        failure_domain: "zone-a".into(),
     }
 }
 
@@ -187,6 +188,7 @@
     let stored = StoredRecord {
         sidecar: sidecar.clone(),
         instance: "minion".into(),
+        failure_domain: "zone-a".into(),
         started_unix_ms: STARTED_UNIX_MS,
         is_draining: false,
     };
