test(dispatch): evacuations on real processes and in large fleets

Cause: the cases on the state machines had at most four minions, and nothing showed the way from a record in the store to a sidecar on processes. Change: the stand-in of a minion reports a zone that a test can set. One case evacuates it by a record with a value nested forty deep, restarts an entry while the store is down, and returns the zone. Two cases have 90 and 150 minions, of which an entry knows a part. The level of entries is named evacuated_domains, as nothing outside of platform has its names.

--- a/knapweedrill/tests/dispatch_evacuation.rs
+++ b/knapweedrill/tests/dispatch_evacuation.rs
@@ -63,6 +63,21 @@
     assert_eq!(world.entries[0].usable_minion_count(), 2);
 }
 
+/// Guards against an entry that goes on until the sidecars report that they are evacuated, so that orders
+/// are refused in the meantime.
+#[test]
+fn entry_places_nothing_in_a_domain_from_the_read_of_its_record_on() {
+    let mut world = World::new(1, &["a", "a", "a", "b"]);
+    world.read_record(0, 4, "a", true);
+    assert_eq!(world.entries[0].usable_minion_count(), 1);
+    let before = world.count_starts();
+    let job = world.submit(0, 4);
+    world.advance(2 * RUN_MS);
+    assert_eq!(world.refusals, []);
+    assert_eq!(world.starts_since(&before)["b"], 4);
+    assert_eq!(world.answers.get(&job), Some(&Answer::Completed));
+}
+
 /// The store is out while an entry restarts. Guards against an entry that places tasks in an evacuated
 /// failure domain because it has not heard of it.
 #[test]
@@ -375,3 +390,46 @@
     run_jobs(&mut world);
     assert_eq!(world.evacuation_message_count, count);
 }
+
+/// Most of a fleet that is far larger than the subset of an entry is evacuated. Guards against an entry
+/// that finds none of the minions in service, or refuses jobs because it knows none.
+#[test]
+fn entry_finds_the_minions_in_service_beyond_its_subset() {
+    let domains: Vec<&str> = ["a", "b", "c"].into_iter().cycle().take(90).collect();
+    let mut world = World::new(1, &domains);
+    world.read_snapshot(0, 9, &["a", "b"]);
+    world.advance(2 * STATUS_MS);
+    let usable_count = world.entries[0].usable_minion_count();
+    assert!(usable_count >= 12, "{usable_count} minions");
+    let before = world.count_starts();
+    let job = world.submit(0, 40);
+    world.advance(4 * RUN_MS);
+    assert_eq!(world.answers.get(&job), Some(&Answer::Completed));
+    let starts = world.starts_since(&before);
+    assert_eq!((starts["a"], starts["b"], starts["c"]), (0, 0, 40));
+}
+
+/// All of such a fleet is evacuated. Guards against jobs that wait because no failure domain is known of
+/// the minions without a session, and against sessions with the whole fleet.
+#[test]
+fn jobs_are_refused_at_once_while_a_large_fleet_is_evacuated() {
+    let domains: Vec<&str> = ["a", "b", "c"].into_iter().cycle().take(150).collect();
+    let mut world = World::new(1, &domains);
+    world.read_snapshot(0, 9, &["a", "b", "c"]);
+    world.advance(STATUS_MS);
+    let job = world.submit(0, 1);
+    assert!(is_refused_as_evacuated(world.answers.get(&job)));
+    world.advance(3_000);
+    let session_count = world.entries[0].session_count();
+    assert!(session_count <= 100, "{session_count} sessions");
+    world.read_snapshot(0, 10, &[]);
+    world.advance(STATUS_MS);
+    let job = world.submit(0, 40);
+    world.advance(4 * RUN_MS);
+    assert_eq!(world.answers.get(&job), Some(&Answer::Completed));
+    // Minions that the entry has told nothing were never closed.
+    for sidecar in 0..150 {
+        let availability = world.sidecar(sidecar).status().availability;
+        assert_eq!(availability, MinionAvailability::Ready, "sidecar {sidecar}");
+    }
+}
--- a/knapweedrill/tests/dispatch_sidecar.rs
+++ b/knapweedrill/tests/dispatch_sidecar.rs
@@ -1933,6 +1933,8 @@
     assert_eq!(fixture.outcomes, [EVACUATED; 2]);
     assert_eq!(fixture.starts.len(), 0);
     assert_eq!(fixture.sidecar.evacuation_refusal_count(), 2);
+    // An entry that gets no start takes no share of the minion.
+    assert_eq!(fixture.sidecar.status().recent_entry_count, 0);
     fixture.sidecar.set_evacuated(ENTRY, 9, false);
     assert_eq!(fixture.availability(), MinionAvailability::Ready);
     fixture.sidecar.set_evacuated(ENTRY, 8, true);
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -470,7 +470,7 @@
             ("queued_messages", queued_message_count as u64),
             ("link_wait_ms", link_wait.as_millis() as u64),
             (
-                "evacuated_zones",
+                "evacuated_domains",
                 self.entry.evacuations().domains().count() as u64,
             ),
             (
--- a/knapweedrill_lab/src/stand_in/platform/minion_server.rs
+++ b/knapweedrill_lab/src/stand_in/platform/minion_server.rs
@@ -88,6 +88,8 @@
     /// The run time of tasks, in percent of the specified one.
     run_time_percent: u64,
     is_draining: bool,
+    /// The zone that heartbeats name.
+    zone: String,
     epoch: Instant,
     waiting_holds: Vec<(Request, u64)>,
     unanswered: Vec<Request>,
@@ -123,6 +125,7 @@
             faults: MinionFaults::default(),
             run_time_percent: 100,
             is_draining: false,
+            zone: "zone-a".into(),
             epoch,
             waiting_holds: Vec::new(),
             unanswered: Vec::new(),
@@ -164,6 +167,11 @@
         lock(&self.state).is_draining = true;
     }
 
+    /// Reports this zone in heartbeats from now on.
+    pub fn set_zone(&self, zone: &str) {
+        lock(&self.state).zone = zone.into();
+    }
+
     /// Returns the active runs.
     pub fn running(&self) -> Vec<RunKey> {
         lock(&self.state).model.running().collect()
@@ -419,7 +427,7 @@
             let body = json!({
                 "Service": service,
                 "Address": address.to_string(),
-                "Zone": "zone-a",
+                "Zone": state.zone,
                 "Version": "v1",
                 "Slots": 8,
                 "State": if state.is_draining { "draining" } else { "ready" },
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -579,3 +579,63 @@
     assert_eq!(site.minions[0].runs().len(), before);
     assert!(!site.minions[1].runs().is_empty());
 }
+
+/// Returns the value of a level of a process, or `None` if it can't be read.
+fn level(site: &PlatformSite, entry: usize, name: &str) -> Option<u64> {
+    let url = format!("http://{}:9464/metrics", site.entry_ip(entry));
+    let text = attohttpc::get(url).send().ok()?.text().ok()?;
+    let prefix = format!("knapweedrill_level{{name=\"{name}\"}} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&prefix))?;
+    line.parse().ok()
+}
+
+/// Writes a record of the operator on a zone, and waits until both entries have read it.
+fn write_evacuation(site: &PlatformSite, value: &[u8]) {
+    let revision = level(site, 0, "evacuation_revision").expect("the entry has metrics");
+    site.store.write("keyed.op", "evacuate/zone-b", value);
+    wait_until("entries that know of the record", 3 * SECOND, || {
+        (0..2).all(|entry| level(site, entry, "evacuation_revision") > Some(revision))
+    })
+    .expect("the entries read the record");
+}
+
+/// Guards against an evacuation that does not reach the processes, that an odd value of its record hides,
+/// that an entry forgets which starts while the store is down, or that never ends.
+#[test]
+fn evacuated_minion_gets_no_starts_until_its_zone_is_returned() {
+    let mut site = start_site(2, 2);
+    site.minions[1].set_zone("zone-b");
+    let nested = format!("{}7{}", "[".repeat(40), "]".repeat(40));
+    write_evacuation(&site, nested.as_bytes());
+    let is_evacuated = |site: &PlatformSite| {
+        let ip = site.minions[1].address().ip();
+        let text = attohttpc::get(format!("http://{ip}:9464/metrics")).send();
+        let text = text.and_then(attohttpc::Response::text).unwrap_or_default();
+        text.contains("knapweedrill_level{name=\"evacuated\"} 1")
+    };
+    wait_until("an evacuated minion", 5 * SECOND, || is_evacuated(&site))
+        .expect("the sidecar is told");
+    let before = site.minions[1].runs().len();
+    assert!(submit_for(&site, SECOND) > 0);
+    assert_eq!(site.minions[1].runs().len(), before);
+    // One entry starts while the store is down.
+    site.store.set_fault(StoreFault::Unavailable);
+    let entry = site.entry_mut(0).expect("the process was started");
+    entry.kill().expect("the process ends");
+    site.start_entry(0).expect("the process starts");
+    site.wait_ready(0).expect("the entry becomes ready");
+    assert!(submit_for(&site, SECOND) > 0);
+    assert_eq!(site.minions[1].runs().len(), before);
+    wait_until("metrics of the entry", 3 * SECOND, || {
+        level(&site, 0, "evacuated_domains") == Some(1)
+    })
+    .expect("the entry knows of the evacuation");
+    site.store.set_fault(StoreFault::None);
+    write_evacuation(&site, b"");
+    wait_until("runs at the minion", 5 * SECOND, || {
+        submit_for(&site, SECOND / 5);
+        site.minions[1].runs().len() > before
+    })
+    .expect("the minion is back in service");
+    assert_eq!(site.overlapping_runs(), Vec::<String>::new());
+}
