feat(dispatch): the penalty for a remote run follows Bounds.RemoteFactor

Cause: a minion outside of the rack that a task names counted as slower by half of the estimate, whatever the deployment says (factors 1.5 and 2). Change: the settings have remote_run_factor_permille (missing, odd, 1 or less: none). With it, the penalty in Fleet::choose is the estimate times the factor minus 1. A full minion with the data no longer counts as one that would be in time: the task waited for it without a limit. Without the setting nothing changes.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -103,7 +103,8 @@
             configured_at: None,
             gossip: Gossip::new(settings.seed),
             subset: SidecarSubset::new(settings.seed, settings.orphan_run_max),
-            fleet: Fleet::new(settings.probe_interval, settings.seed),
+            fleet: Fleet::new(settings.probe_interval, settings.seed)
+                .with_remote_run_factor(settings.remote_run_factor_permille),
             jobs: Jobs::default(),
             is_placement_due: false,
             placer: Placer::default(),
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -37,8 +37,8 @@
     pub time_left: Duration,
     /// A label that the minion must have.
     pub required_label: Option<&'a str>,
-    /// A label that the minion should have; a minion without it counts as slower by half of the
-    /// estimate.
+    /// A label that the minion should have; a minion without it counts as slower by the remote run
+    /// factor of the fleet.
     pub preferred_label: Option<&'a str>,
 }
 
@@ -58,6 +58,9 @@
     /// The sidecars that became busy or idle since the last call of `take_busy_changes`.
     busy_changes: Vec<Incarnation>,
     probe_interval: Duration,
+    /// The factor by which a task takes longer on a minion without its preferred label, in
+    /// thousandths, if the deployment names one.
+    remote_run_factor_permille: Option<u32>,
     random: SmallRng,
 }
 
@@ -69,10 +72,19 @@
             views: HashMap::new(),
             busy_changes: Vec::new(),
             probe_interval,
+            remote_run_factor_permille: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets the factor by which a task takes longer on a minion without its preferred label, in
+    /// thousandths. Without one, such a minion counts as slower by half of the estimate.
+    #[must_use]
+    pub fn with_remote_run_factor(mut self, factor_permille: Option<u32>) -> Self {
+        self.remote_run_factor_permille = factor_permille;
+        self
+    }
+
     /// Returns the view of a sidecar and creates it if there is none.
     pub fn get_or_insert(&mut self, sidecar: Incarnation) -> &mut SidecarView {
         self.views
@@ -257,6 +269,7 @@
     ) -> Option<Incarnation> {
         let trusts_all = self.has_too_many_suspects(requirements.service);
         let probe_interval = self.probe_interval;
+        let remote_penalty = remote_penalty(requirements.estimate, self.remote_run_factor_permille);
         let mut candidates: Vec<Candidate> = self
             .of_service(requirements.service)
             .filter(|view| view.is_usable() && requirements.resources.fits_into(view.free()))
@@ -267,7 +280,7 @@
                 let profile = view.profile()?;
                 let mut time = view.run_time(requirements.estimate) + penalty(view.incarnation())?;
                 if !profile.has_label(requirements.preferred_label) {
-                    time += requirements.estimate / 2;
+                    time += remote_penalty;
                 }
                 profile
                     .has_label(requirements.required_label)
@@ -295,10 +308,33 @@
     }
 
     /// Returns whether any minion, with room or without, could run a task within the time left.
+    ///
+    /// With a remote run factor, whether a task waits for a minion with its preferred label is
+    /// decided before the choice, so that such a minion does not count here: the task would wait for
+    /// it without a limit.
     fn has_faster_minion(&self, requirements: &TaskRequirements<'_>) -> bool {
+        let remote_penalty = match (
+            requirements.preferred_label,
+            self.remote_run_factor_permille,
+        ) {
+            (Some(label), Some(factor)) => {
+                Some((label, remote_penalty(requirements.estimate, Some(factor))))
+            }
+            _ => None,
+        };
         self.of_service(requirements.service)
             .filter(|view| view.is_usable() && !view.is_suspect())
-            .any(|view| view.run_time(requirements.estimate) <= requirements.time_left)
+            .any(|view| {
+                let time = view.run_time(requirements.estimate);
+                let time = match remote_penalty {
+                    None => Some(time),
+                    Some((label, penalty)) => {
+                        let is_there = view.profile().is_some_and(|it| it.has_label(Some(label)));
+                        (!is_there).then_some(time + penalty)
+                    }
+                };
+                time.is_some_and(|time| time <= requirements.time_left)
+            })
     }
 
     fn of_service(&self, service: &str) -> impl Iterator<Item = &SidecarView> {
@@ -314,3 +350,12 @@
         suspects.len() * SUSPECTS_DIVISOR > suspects.len() + others.len()
     }
 }
+
+/// Returns how much longer a task with the given estimate takes on a minion without its preferred
+/// label.
+fn remote_penalty(estimate: Duration, factor_permille: Option<u32>) -> Duration {
+    match factor_permille {
+        Some(factor_permille) => estimate * factor_permille.saturating_sub(1_000) / 1_000,
+        None => estimate / 2,
+    }
+}
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -34,6 +34,10 @@
     pub cancel_answer_max: Duration,
     /// The minimum interval between two probes of a suspect minion by this entry.
     pub probe_interval: Duration,
+    /// The factor by which a task takes longer outside of the rack that holds its data, in
+    /// thousandths. Without it, such a task counts as slower by half of its estimate, and none waits
+    /// for its rack.
+    pub remote_run_factor_permille: Option<u32>,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -53,6 +57,7 @@
             cancelled_name_retention: Duration::from_secs(120),
             cancel_answer_max: Duration::from_millis(400),
             probe_interval: Duration::from_millis(500),
+            remote_run_factor_permille: None,
             seed: 1,
         }
     }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -221,6 +221,46 @@
     assert_eq!(choose(1_000, &task), None);
 }
 
+/// Guards against the penalty of half an estimate where the deployment names the true factor, and
+/// against a task that waits without a limit because a full minion with its data would be in time.
+#[test_case(None, 1_000, Some(2); "half an estimate without a factor")]
+#[test_case(None, 2_000, Some(1); "without a factor no more than half an estimate")]
+#[test_case(Some(2_000), 1_500, Some(2); "whole estimate by the factor")]
+#[test_case(Some(1_100), 1_500, Some(1); "tenth of an estimate by the factor")]
+fn minion_without_the_data_is_slower_by_the_factor(
+    factor_permille: Option<u32>,
+    pace_there: u32,
+    expected: Option<u64>,
+) {
+    let mut fleet = fleet(&[
+        (MinionAvailability::Ready, 64_000, 1_000),
+        (MinionAvailability::Ready, 64_000, pace_there),
+    ])
+    .with_remote_run_factor(factor_permille);
+    let mut task = requirements(6_200, 100 * MS);
+    task.preferred_label = Some("rack-2");
+    for _ in 0..20 {
+        let chosen = fleet.choose(&task, Instant::now(), |_| Some(Duration::ZERO));
+        assert_eq!(chosen, expected);
+    }
+}
+
+#[test]
+fn task_whose_rack_is_full_is_placed_elsewhere_although_it_will_be_late() {
+    let mut fleet = fleet(&[
+        (MinionAvailability::Ready, 64_000, 1_000),
+        (MinionAvailability::Ready, 1_000, 1_000),
+    ])
+    .with_remote_run_factor(Some(2_000));
+    let task = TaskRequirements {
+        time_left: 1_500 * MS,
+        preferred_label: Some("rack-2"),
+        ..requirements(6_200, 900 * MS)
+    };
+    let chosen = fleet.choose(&task, Instant::now(), |_| Some(Duration::ZERO));
+    assert_eq!(chosen, Some(1));
+}
+
 /// A burst of long tasks fills the fleet.
 #[test]
 fn job_that_would_miss_its_objective_is_refused() {
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -92,6 +92,7 @@
     let mut entry = Entry::new(
         EntrySettings {
             seed: rand::random(),
+            remote_run_factor_permille: process.settings.remote_run_factor_permille,
             ..EntrySettings::new(process.run_timing(), process.settings.resubmission_delay)
         },
         process.sessions(),
