feat(dispatch): a task waits for the rack that holds its data while that pays

Cause: a task whose rack was full ran elsewhere at once, where it takes Bounds.RemoteFactor times as long, or waited without a limit if only that was in time. Change: PlaceWait decides for each task from the run times there and elsewhere, the expected ends of this entry's runs on the rack, the line for the rack, the time left and the other tasks of the step. RackWaits keeps the waits of an entry. Waiting tasks do not count towards the limit of skipped jobs, and the rest of their job and the jobs behind are placed. Without the setting nothing changes. Ruled out: to place at once whenever other work found no room a short time ago. Only a task ahead in the order that found no room, while this one sees some, ends a wait.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -21,7 +21,8 @@
 use super::jobs::Jobs;
 use super::pause::Pause;
 use super::paused_connections::PausedConnections;
-use super::placer::{Placer, Targets, stop_placements};
+use super::placer::{Placer, Targets};
+use super::rack_waits::RackWaitCounts;
 use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
@@ -107,7 +108,7 @@
                 .with_remote_run_factor(settings.remote_run_factor_permille),
             jobs: Jobs::default(),
             is_placement_due: false,
-            placer: Placer::default(),
+            placer: Placer::new(settings.remote_run_factor_permille),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             cancelled_names: CancelledNames::default(),
@@ -191,6 +192,11 @@
         self.sessions.sent_messages()
     }
 
+    /// Returns the number of tasks that have waited for the rack that holds their data.
+    pub fn rack_wait_counts(&self) -> RackWaitCounts {
+        self.placer.rack_wait_counts()
+    }
+
     /// Returns the number of messages that sidecars have not acknowledged.
     pub fn queued_message_count(&self) -> usize {
         self.sessions.queued_message_count()
@@ -836,6 +842,7 @@
     fn release_placement(&mut self, at: Incarnation, name: JobName, position: usize) {
         if let Some(job) = self.jobs.get(name) {
             self.fleet.record_end(at, job.resources(position));
+            self.placer.record_end(at, job, position);
         }
     }
 
@@ -939,7 +946,8 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        stop_placements(&job, &mut self.fleet, &mut self.sessions, now);
+        self.placer
+            .stop_placements(&job, &mut self.fleet, &mut self.sessions, now);
         let Some(answer) = answer else {
             return;
         };
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -329,6 +329,28 @@
         u32::try_from(self.tasks.iter().filter(is_there).count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the placements of the other tasks of a task's step.
+    pub(super) fn placed_siblings(&self, position: usize) -> SmallVec<[(Incarnation, Attempt); 8]> {
+        let step = self.tasks[position].step;
+        let siblings = self.tasks.iter().filter(|task| task.step == step);
+        let placed = siblings.filter_map(|task| match task.state {
+            TaskState::Placed(sidecar) => Some((sidecar, task.attempt)),
+            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
+        });
+        placed.collect()
+    }
+
+    /// Returns the CPU that the waiting tasks of a task's step require from this one on, in
+    /// millicores.
+    pub(super) fn waiting_step_millicores(&self, position: usize) -> u64 {
+        let step = self.tasks[position].step;
+        let later = self.waiting_positions().filter(|other| *other >= position);
+        later
+            .filter(|other| self.tasks[*other].step == step)
+            .map(|other| u64::from(self.resources(other).cpu_millicores))
+            .sum()
+    }
+
     /// Returns whether all tasks of a step have succeeded.
     fn is_step_done(&self, step: usize) -> bool {
         self.tasks
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -8,6 +8,8 @@
 use super::fleet::{Fleet, TaskRequirements};
 use super::job::{Job, TaskState};
 use super::jobs::Jobs;
+use super::place_wait::PlaceDecision;
+use super::rack_waits::{RackTask, RackWaitCounts, RackWaits};
 use super::sidecar_subset::SidecarSubset;
 use crate::common::Incarnation;
 use crate::dispatch::Attempt;
@@ -31,6 +33,17 @@
 #[derive(Debug, Default)]
 pub(super) struct Placer {
     last_attempt: Attempt,
+    rack_waits: RackWaits,
+}
+
+/// What became of the waiting tasks of a job, or of one of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placing {
+    Placed,
+    /// Some wait for their rack and the others are placed.
+    Held,
+    /// The first that found no place ended the search.
+    NoRoom,
 }
 
 /// The sidecars to place tasks on, and what decides which of them a job may use.
@@ -43,6 +56,25 @@
 }
 
 impl Placer {
+    /// Creates a placer. `remote_run_factor_permille` is the factor by which a task takes longer
+    /// outside of the rack that holds its data, in thousandths.
+    pub(super) fn new(remote_run_factor_permille: Option<u32>) -> Self {
+        Self {
+            last_attempt: 0,
+            rack_waits: RackWaits::new(remote_run_factor_permille),
+        }
+    }
+
+    /// Returns the number of tasks that have waited for their rack.
+    pub(super) fn rack_wait_counts(&self) -> RackWaitCounts {
+        self.rack_waits.counts()
+    }
+
+    /// Records that a placement has ended.
+    pub(super) fn record_end(&mut self, at: Incarnation, job: &Job, position: usize) {
+        self.rack_waits.record_end(at, job.tasks[position].attempt);
+    }
+
     /// Places the waiting tasks in the order of their jobs while resources are free and the link has
     /// room.
     pub(super) fn place_waiting(
@@ -52,6 +84,7 @@
         now: Instant,
     ) {
         let mut skipped_count = 0;
+        self.rack_waits.begin_pass();
         let mut next = jobs.waiting().first();
         while let Some(queue_position) = next {
             if !targets.sessions.has_link_room(now) {
@@ -60,8 +93,9 @@
             next = jobs.waiting().after(&queue_position);
             let is_skipped = jobs.change(queue_position.job(), |job| {
                 let lane = targets.confinement.lane(job);
-                // Jobs that wait for a trial say nothing about the resources that are free.
-                !self.place_job(job, lane, targets, now) && lane != Lane::Trial
+                // Jobs that wait for a trial or for their rack say nothing about the resources that
+                // are free.
+                self.place_job(job, lane, targets, now) == Placing::NoRoom && lane != Lane::Trial
             });
             if is_skipped == Some(true) {
                 skipped_count += 1;
@@ -76,18 +110,24 @@
         }
     }
 
-    /// Places the waiting tasks of a job and returns whether all were placed.
+    /// Places the waiting tasks of a job until one finds no room.
     fn place_job(
         &mut self,
         job: &mut Job,
         lane: Lane,
         targets: &mut Targets<'_>,
         now: Instant,
-    ) -> bool {
+    ) -> Placing {
         let waiting: SmallVec<[usize; 16]> = job.waiting_positions().collect();
-        waiting
-            .into_iter()
-            .all(|position| self.place_task(job, position, lane, targets, now))
+        let mut placing = Placing::Placed;
+        for position in waiting {
+            match self.place_task(job, position, lane, targets, now) {
+                Placing::Placed => {}
+                Placing::Held => placing = Placing::Held,
+                Placing::NoRoom => return Placing::NoRoom,
+            }
+        }
+        placing
     }
 
     fn place_task(
@@ -97,7 +137,7 @@
         lane: Lane,
         targets: &mut Targets<'_>,
         now: Instant,
-    ) -> bool {
+    ) -> Placing {
         let Targets {
             fleet,
             subset,
@@ -105,7 +145,7 @@
             confinement,
         } = targets;
         if !sessions.has_link_room(now) {
-            return false;
+            return Placing::NoRoom;
         }
         let task = &job.tasks[position];
         let step = &job.steps[usize::from(task.step)];
@@ -116,7 +156,7 @@
             }
             subset.request_label(&job.service, label, fleet, sessions, now);
             if subset.is_label_pending(label, now) {
-                return false;
+                return Placing::NoRoom;
             }
         }
         let requirements = TaskRequirements {
@@ -154,11 +194,39 @@
                 u32::from(task.avoided_sidecars.contains(&sidecar)) * AVOIDED_PENALTY_FACTOR;
             Some(step.estimate * factor)
         };
+        if let Some(rack) = step
+            .data_rack
+            .as_deref()
+            .filter(|_| self.rack_waits.is_enabled())
+        {
+            let rack_task = RackTask {
+                name: job.task_name(position),
+                requirements: &requirements,
+                step_millicores: job.waiting_step_millicores(position),
+                siblings: &job.placed_siblings(position),
+                // A task that was refused, failed or was lost has waited enough.
+                may_wait: lane != Lane::Trial && task.placement_count == 0,
+            };
+            let is_open = |sidecar| penalty(sidecar).is_some();
+            match self.rack_waits.decide(rack_task, fleet, is_open, now) {
+                PlaceDecision::There => {}
+                decision => {
+                    // Others of its minions may have room.
+                    subset.request_label(&job.service, rack, fleet, sessions, now);
+                    if let PlaceDecision::Wait(_) = decision {
+                        return Placing::Held;
+                    }
+                }
+            }
+        }
         let Some(sidecar) = fleet.choose(&requirements, now, penalty) else {
-            return false;
+            if lane != Lane::Trial {
+                self.rack_waits.record_unserved(&job.service, job.name, now);
+            }
+            return Placing::NoRoom;
         };
         let Some((stamp_ms, received_at)) = sessions.newest_stamp(sidecar) else {
-            return false;
+            return Placing::NoRoom;
         };
         let attempt = self.last_attempt + 1;
         let (resources, estimate) = (step.resources, step.estimate);
@@ -177,36 +245,49 @@
             run_number: task.placement_count + 1,
         };
         let Some(number) = sessions.send(sidecar, Message::Start(order), now) else {
-            return false;
+            return Placing::NoRoom;
         };
         self.last_attempt = attempt;
+        let rack_wait = fleet.view(sidecar).map_or(Duration::ZERO, |view| {
+            let name = job.task_name(position);
+            self.rack_waits
+                .record_placement(name, &requirements, view, attempt, now)
+        });
         log::info!(
             job:% = job.name, task = task.index, attempt, sidecar:% = sidecar,
             free_millicores = fleet.view(sidecar).map_or(0, |view| view.free().cpu_millicores),
             stamp_age_ms = millis(now.saturating_duration_since(received_at)),
-            estimate_ms = millis(estimate); "task placed"
+            estimate_ms = millis(estimate), rack_wait_ms = millis(rack_wait); "task placed"
         );
         fleet.record_placement(sidecar, number, resources, now);
         job.mark_placed(position, sidecar, attempt);
         if lane == Lane::Trial {
             job.begin_trial(sidecar);
         }
-        true
+        Placing::Placed
     }
-}
 
-/// Sends stop orders for all placements of a job and releases their resources.
-pub(super) fn stop_placements(job: &Job, fleet: &mut Fleet, sessions: &mut Sessions, now: Instant) {
-    for (position, task) in job.tasks.iter().enumerate() {
-        let TaskState::Placed(sidecar) = task.state else {
-            continue;
-        };
-        let stop = Message::Stop {
-            task: job.task_name(position),
-            attempt: task.attempt,
-        };
-        // Without a session the sidecar stops the run by itself.
-        let _ = sessions.send(sidecar, stop, now);
-        fleet.record_end(sidecar, job.resources(position));
+    /// Sends stop orders for all placements of a job that has ended and releases their resources.
+    pub(super) fn stop_placements(
+        &mut self,
+        job: &Job,
+        fleet: &mut Fleet,
+        sessions: &mut Sessions,
+        now: Instant,
+    ) {
+        for (position, task) in job.tasks.iter().enumerate() {
+            let TaskState::Placed(sidecar) = task.state else {
+                self.rack_waits.forget(job.task_name(position), now);
+                continue;
+            };
+            let stop = Message::Stop {
+                task: job.task_name(position),
+                attempt: task.attempt,
+            };
+            // Without a session the sidecar stops the run by itself.
+            let _ = sessions.send(sidecar, stop, now);
+            fleet.record_end(sidecar, job.resources(position));
+            self.record_end(sidecar, job, position);
+        }
     }
 }
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -172,6 +172,7 @@
     /// The profiles of tasks that differ from the default.
     task_profiles: HashMap<TaskName, TaskProfile>,
     default_profile: TaskProfile,
+    remote_run_factor_permille: Option<u32>,
     /// The specification of new jobs.
     spec: String,
     pub(crate) deadly_jobs: DeadlyJobs,
@@ -188,6 +189,17 @@
         sidecar_count: usize,
         seed: u64,
         faults: FaultSettings,
+    ) -> Self {
+        Self::with_remote_run_factor(entry_count, sidecar_count, seed, faults, None)
+    }
+
+    /// Creates entries that know by what factor a task takes longer outside of its rack.
+    pub(crate) fn with_remote_run_factor(
+        entry_count: usize,
+        sidecar_count: usize,
+        seed: u64,
+        faults: FaultSettings,
+        remote_run_factor_permille: Option<u32>,
     ) -> Self {
         let epoch = Instant::now();
         let mut random = SmallRng::seed_from_u64(seed);
@@ -248,6 +260,7 @@
             started_jobs: HashSet::new(),
             task_profiles: HashMap::new(),
             default_profile,
+            remote_run_factor_permille,
             spec: "what to run".into(),
             deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
@@ -1467,6 +1480,7 @@
         if is_entry {
             let settings = EntrySettings {
                 seed,
+                remote_run_factor_permille: self.remote_run_factor_permille,
                 ..EntrySettings::default()
             };
             let mut entry = Entry::new(settings, sessions);
