--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -427,6 +427,8 @@
         let traffic_lag = self.traffic_probe.take_lag_max();
         self.metrics
             .update_sent_messages(self.entry.sent_messages());
+        self.metrics
+            .update_rack_waits(self.entry.rack_wait_counts());
         let queued_message_count = self.entry.queued_message_count();
         if queued_message_count >= LOGGED_QUEUED_MESSAGE_COUNT_MIN {
             log::warn!(
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use knapweedrill::dispatch::entry::{Answer, RefusalReason};
+use knapweedrill::dispatch::entry::{Answer, RackWaitCounts, RefusalReason};
 use knapweedrill::dispatch::message::{PlacementOutcome, RefusalCause, RunEnd};
 use knapweedrill::dispatch::session::{SentKind, SentMessages};
 use knapweedrill::dispatch::sidecar::OrderAnswer;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// The port at which metrics are served; the deployment file names the same port.
@@ -35,6 +36,8 @@
     minion_calls: IntCounterVec,
     sent_messages: IntCounterVec,
     sent_message_bytes: IntCounterVec,
+    rack_waits: IntCounterVec,
+    rack_wait_milliseconds: IntCounter,
     gauges: IntGaugeVec,
 }
 
@@ -90,6 +93,17 @@
             ),
             &["kind"],
         );
+        let rack_waits = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_rack_waits_total",
+                "Tasks that waited for the rack of their data, by how the wait ended.",
+            ),
+            &["outcome"],
+        );
+        let rack_wait_milliseconds = IntCounter::new(
+            "knapweedrill_rack_wait_milliseconds_total",
+            "Time that tasks waited for the rack of their data.",
+        );
         let gauges = IntGaugeVec::new(
             Opts::new("knapweedrill_level", "Levels that rise and fall, by name."),
             &["name"],
@@ -104,6 +118,9 @@
             sent_messages: sent_messages.wrap_err("can't create the counter of sent messages")?,
             sent_message_bytes: sent_message_bytes
                 .wrap_err("can't create the counter of sent bytes")?,
+            rack_waits: rack_waits.wrap_err("can't create the counter of rack waits")?,
+            rack_wait_milliseconds: rack_wait_milliseconds
+                .wrap_err("can't create the counter of the time waited for racks")?,
             gauges: gauges.wrap_err("can't create the gauges")?,
         };
         let registry = &metrics.registry;
@@ -114,6 +131,8 @@
         registry.register(Box::new(metrics.minion_calls.clone()))?;
         registry.register(Box::new(metrics.sent_messages.clone()))?;
         registry.register(Box::new(metrics.sent_message_bytes.clone()))?;
+        registry.register(Box::new(metrics.rack_waits.clone()))?;
+        registry.register(Box::new(metrics.rack_wait_milliseconds.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         Ok(metrics)
     }
@@ -161,6 +180,23 @@
         }
     }
 
+    /// Updates the counters of the tasks that waited for their rack to the counts since the start of
+    /// the process.
+    pub(super) fn update_rack_waits(&self, counts: RackWaitCounts) {
+        let outcomes = [
+            ("placed", counts.placed),
+            ("given-up", counts.given_up),
+            ("ended", counts.ended),
+        ];
+        for (outcome, count) in outcomes {
+            let counter = self.rack_waits.with_label_values(&[outcome]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        let counter = &self.rack_wait_milliseconds;
+        let waited_ms = u64::try_from(counts.waited.as_millis()).unwrap_or(u64::MAX);
+        counter.inc_by(waited_ms.saturating_sub(counter.get()));
+    }
+
     /// Sets the gauge with this name.
     pub(super) fn set_gauge(&self, name: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
