feat(dispatch): an entry knows up to 12 minions of a wanted rack if locality counts

Cause: an entry added 4 sidecars for a label. Of a rack of 12 minions it saw a third, and a burst ran elsewhere while the rest was idle. Change: with the remote run factor set, 12 members are added for a label; without it still 4.

--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -10,7 +10,7 @@
 use super::jobs::Jobs;
 use super::place_wait::PlaceDecision;
 use super::rack_waits::{RackTask, RackWaitCounts, RackWaits};
-use super::sidecar_subset::SidecarSubset;
+use super::sidecar_subset::{LABEL_SUBSET_SIZE, RACK_SUBSET_SIZE, SidecarSubset};
 use crate::common::Incarnation;
 use crate::dispatch::Attempt;
 use crate::dispatch::message::{Message, StartOrder};
@@ -149,12 +149,17 @@
         }
         let task = &job.tasks[position];
         let step = &job.steps[usize::from(task.step)];
+        let member_count = if self.rack_waits.is_enabled() {
+            RACK_SUBSET_SIZE
+        } else {
+            LABEL_SUBSET_SIZE
+        };
         let labels = [&step.required_label, &step.data_rack];
         for label in labels.into_iter().flatten() {
             if fleet.has_label(&job.service, label) {
                 continue;
             }
-            subset.request_label(&job.service, label, fleet, sessions, now);
+            subset.request_label(&job.service, label, member_count, fleet, sessions, now);
             if subset.is_label_pending(label, now) {
                 return Placing::NoRoom;
             }
@@ -212,7 +217,7 @@
                 PlaceDecision::There => {}
                 decision => {
                     // Others of its minions may have room.
-                    subset.request_label(&job.service, rack, fleet, sessions, now);
+                    subset.request_label(&job.service, rack, member_count, fleet, sessions, now);
                     if let PlaceDecision::Wait(_) = decision {
                         return Placing::Held;
                     }
--- a/knapweedrill/src/dispatch/entry/sidecar_subset.rs
+++ b/knapweedrill/src/dispatch/entry/sidecar_subset.rs
@@ -54,7 +54,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// The number of members that are added for a label that tasks ask for.
-const LABEL_SUBSET_SIZE: usize = 4;
+pub(super) const LABEL_SUBSET_SIZE: usize = 4;
+
+/// The same where tasks wait for the rack of their data: all minions of a usual rack. With 4 of 12, a
+/// burst ran elsewhere while most of its rack was idle.
+pub(super) const RACK_SUBSET_SIZE: usize = 12;
 
 /// How long a label counts as requested.
 const LABEL_RETENTION: Duration = Duration::from_secs(3);
@@ -183,11 +187,13 @@
         self.is_early_round_due = true;
     }
 
-    /// Records that a task asks for a label, and adds sidecars with this label to the subset.
+    /// Records that a task asks for a label, and adds up to `member_count` sidecars with this label to
+    /// the subset.
     pub(super) fn request_label(
         &mut self,
         service: &str,
         label: &str,
+        member_count: usize,
         fleet: &mut Fleet,
         sessions: &mut Sessions,
         now: Instant,
@@ -203,7 +209,7 @@
             .directory
             .preferred(now)
             .filter(fits)
-            .take(LABEL_SUBSET_SIZE)
+            .take(member_count)
             .map(|record| record.address)
             .collect();
         self.labels
--- a/knapweedrill_lab/tests/dispatch_rack_waits.rs
+++ b/knapweedrill_lab/tests/dispatch_rack_waits.rs
@@ -1,9 +1,9 @@
 //! Tasks that wait for the rack that holds their data, in simulated entries and sidecars. Each rack
-//! of the simulation has one minion.
+//! of the simulation has one minion if not said otherwise.
 
 mod dispatch_simulation;
 
-use dispatch_simulation::{FaultSettings, Simulation};
+use dispatch_simulation::{FaultSettings, Racks, Simulation};
 use knapweedrill::dispatch::JobName;
 use knapweedrill::dispatch::entry::RackWaitCounts;
 use test_case::test_case;
@@ -19,7 +19,11 @@
 /// Starts one entry and eight minions, and fills the wanted rack.
 fn start(factor_permille: Option<u32>) -> Simulation {
     let faults = FaultSettings::default();
-    let mut simulation = Simulation::with_remote_run_factor(1, 8, 5, faults, factor_permille);
+    let racks = Racks {
+        remote_run_factor_permille: factor_permille,
+        ..Racks::default()
+    };
+    let mut simulation = Simulation::with_racks(1, 8, 5, faults, racks);
     simulation.set_run_ms(RUN_MS);
     simulation.warm_up();
     let job = submit(&mut simulation, TASKS_PER_MINION);
@@ -135,3 +139,36 @@
     let counts = counts(&simulation);
     assert_eq!((counts.placed, counts.given_up), (0, 4));
 }
+
+/// Guards against tasks that run elsewhere although most of their rack is idle, as the entry has
+/// sessions with a few of its minions only: racks of 12 minions, of which one is wanted by 15 jobs of
+/// four tasks.
+#[test]
+fn tasks_of_a_burst_find_the_idle_minions_of_their_rack() {
+    let racks = Racks {
+        minions_per_rack: 12,
+        remote_run_factor_permille: Some(2_000),
+    };
+    let mut simulation = Simulation::with_racks(1, 60, 3, FaultSettings::default(), racks);
+    simulation.warm_up();
+    simulation.advance(6_000);
+    simulation.set_run_ms(400);
+    let mut there_count = 0;
+    let jobs: Vec<_> = (0..15)
+        .map(|_| {
+            let job = submit(&mut simulation, 4);
+            simulation.advance(4);
+            job
+        })
+        .collect();
+    simulation.advance(100);
+    for job in &jobs {
+        let minions = simulation.minions_of(*job);
+        there_count += usize::from(minions.iter().all(|minion| minion / 12 == WANTED));
+    }
+    // With four members for a label 5 of the jobs ran there.
+    assert!(
+        there_count >= 12,
+        "{there_count} of 15 jobs ran on their rack only"
+    );
+}
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -172,7 +172,7 @@
     /// The profiles of tasks that differ from the default.
     task_profiles: HashMap<TaskName, TaskProfile>,
     default_profile: TaskProfile,
-    remote_run_factor_permille: Option<u32>,
+    racks: Racks,
     /// The specification of new jobs.
     spec: String,
     pub(crate) deadly_jobs: DeadlyJobs,
@@ -183,6 +183,33 @@
     trace_digest: Option<TraceDigest>,
 }
 
+/// The racks of the minions.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Racks {
+    pub(crate) minions_per_rack: usize,
+    /// What entries know of how much longer a task takes outside of its rack.
+    pub(crate) remote_run_factor_permille: Option<u32>,
+}
+
+impl Default for Racks {
+    fn default() -> Self {
+        Self {
+            minions_per_rack: 1,
+            remote_run_factor_permille: None,
+        }
+    }
+}
+
+impl Racks {
+    /// Returns the labels of a minion: one that all have, and its rack.
+    pub(crate) fn labels(self, minion: usize) -> Vec<String> {
+        vec![
+            "kind".into(),
+            format!("rack-{}", minion / self.minions_per_rack),
+        ]
+    }
+}
+
 impl Simulation {
     pub(crate) fn new(
         entry_count: usize,
@@ -190,16 +217,17 @@
         seed: u64,
         faults: FaultSettings,
     ) -> Self {
-        Self::with_remote_run_factor(entry_count, sidecar_count, seed, faults, None)
+        Self::with_racks(entry_count, sidecar_count, seed, faults, Racks::default())
     }
 
-    /// Creates entries that know by what factor a task takes longer outside of its rack.
-    pub(crate) fn with_remote_run_factor(
+    /// Creates a simulation with racks of several minions, or in which a task takes longer outside of
+    /// its rack.
+    pub(crate) fn with_racks(
         entry_count: usize,
         sidecar_count: usize,
         seed: u64,
         faults: FaultSettings,
-        remote_run_factor_permille: Option<u32>,
+        racks: Racks,
     ) -> Self {
         let epoch = Instant::now();
         let mut random = SmallRng::seed_from_u64(seed);
@@ -260,7 +288,7 @@
             started_jobs: HashSet::new(),
             task_profiles: HashMap::new(),
             default_profile,
-            remote_run_factor_permille,
+            racks,
             spec: "what to run".into(),
             deadly_jobs: DeadlyJobs::default(),
             trace: Vec::new(),
@@ -769,7 +797,7 @@
                     instance: minion.instance.clone(),
                     service: "service".into(),
                     capacity: minion.capacity,
-                    labels: labels(index),
+                    labels: self.racks.labels(index),
                 },
                 started_unix_ms: minion.started_unix_ms,
                 sequence,
@@ -804,7 +832,7 @@
                 instance: format!("successor-{minion}"),
                 service: "service".into(),
                 capacity: self.minions[minion].capacity,
-                labels: labels(minion),
+                labels: self.racks.labels(minion),
             },
             started_unix_ms: self.now_ms + 1,
             sequence: 1,
@@ -1480,7 +1508,7 @@
         if is_entry {
             let settings = EntrySettings {
                 seed,
-                remote_run_factor_permille: self.remote_run_factor_permille,
+                remote_run_factor_permille: self.racks.remote_run_factor_permille,
                 ..EntrySettings::default()
             };
             let mut entry = Entry::new(settings, sessions);
@@ -1489,7 +1517,8 @@
                 entry.add_peer(address(other), None);
             }
             for sidecar in entry_count..node_count {
-                entry.add_sidecar(sidecar_record(sidecar, entry_count), Source::First);
+                let labels = self.racks.labels(sidecar - entry_count);
+                entry.add_sidecar(sidecar_record(sidecar, labels), Source::First);
             }
             node.entry = Some(entry);
         } else {
@@ -1532,7 +1561,7 @@
     }
 }
 
-fn sidecar_record(index: usize, entry_count: usize) -> SidecarRecord {
+fn sidecar_record(index: usize, labels: Vec<String>) -> SidecarRecord {
     SidecarRecord {
         vm: format!("vm-{index}"),
         address: address(index),
@@ -1542,15 +1571,10 @@
             memory_mib: 100 * TASKS_PER_MINION,
             accelerator_count: 0,
         },
-        labels: labels(index - entry_count),
+        labels,
     }
 }
 
-/// Returns the labels of a minion: one that all have, and a rack that no other minion has.
-pub(crate) fn labels(minion: usize) -> Vec<String> {
-    vec!["kind".into(), format!("rack-{minion}")]
-}
-
 fn node_index(address: SocketAddr) -> Option<usize> {
     usize::from(address.port()).checked_sub(10_000)
 }
