--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -23,7 +23,8 @@
 use super::jobs::Jobs;
 use super::pause::Pause;
 use super::paused_connections::PausedConnections;
-use super::placer::{Placer, Targets, stop_placements};
+use super::placer::{Placer, Targets};
+use super::rack_waits::RackWaitCounts;
 use super::retry_after::retry_after;
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
@@ -107,10 +108,11 @@
             evacuations: Evacuations::default(),
             gossip: Gossip::new(settings.seed),
             subset: SidecarSubset::new(settings.seed, settings.orphan_run_max),
-            fleet: Fleet::new(settings.probe_interval, settings.seed),
+            fleet: Fleet::new(settings.probe_interval, settings.seed)
+                .with_remote_run_factor(settings.remote_run_factor_permille),
             jobs: Jobs::default(),
             is_placement_due: false,
-            placer: Placer::default(),
+            placer: Placer::new(settings.remote_run_factor_permille),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             cancelled_names: CancelledNames::default(),
@@ -196,6 +198,11 @@
         self.sessions.sent_messages()
     }
 
+    /// Returns the number of tasks that have waited for the rack that holds their data.
+    pub fn rack_wait_counts(&self) -> RackWaitCounts {
+        self.placer.rack_wait_counts()
+    }
+
     /// Returns the number of messages that sidecars have not acknowledged.
     pub fn queued_message_count(&self) -> usize {
         self.sessions.queued_message_count()
@@ -896,6 +903,7 @@
     fn release_placement(&mut self, at: Incarnation, name: JobName, position: usize) {
         if let Some(job) = self.jobs.get(name) {
             self.fleet.record_end(at, job.resources(position));
+            self.placer.record_end(at, job, position);
         }
     }
 
@@ -1006,7 +1014,8 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        stop_placements(&job, &mut self.fleet, &mut self.sessions, now);
+        self.placer
+            .stop_placements(&job, &mut self.fleet, &mut self.sessions, now);
         let Some(answer) = answer else {
             return;
         };
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -95,6 +95,7 @@
     let mut entry = Entry::new(
         EntrySettings {
             seed: rand::random(),
+            remote_run_factor_permille: process.settings.remote_run_factor_permille,
             ..EntrySettings::new(process.run_timing(), process.settings.resubmission_delay)
         },
         process.sessions(),
@@ -438,6 +439,8 @@
         let traffic_lag = self.traffic_probe.take_lag_max();
         self.metrics
             .update_sent_messages(self.entry.sent_messages());
+        self.metrics
+            .update_rack_waits(self.entry.rack_wait_counts());
         let queued_message_count = self.entry.queued_message_count();
         if queued_message_count >= LOGGED_QUEUED_MESSAGE_COUNT_MIN {
             log::warn!(
