--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -59,6 +59,8 @@
     sidecar_proxies: Vec<SidecarProxies>,
     /// Second and third octet of the addresses of the site.
     subnet: (u8, u8),
+    /// Lines of the section `Limits` in the settings of the processes.
+    limits: String,
     directory: ScratchDirectory,
 }
 
@@ -80,7 +82,18 @@
     ///
     /// Returns an error if a process can't be started.
     pub fn start(entry_count: u8, minion_count: u8) -> Result<Self> {
+        Self::start_with_limits(entry_count, minion_count, "")
+    }
+
+    /// Starts a site whose processes have these lines in the section `Limits` of their settings;
+    /// entries need not be ready on return.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started.
+    pub fn start_with_limits(entry_count: u8, minion_count: u8, limits: &str) -> Result<Self> {
         let mut site = Self::create(entry_count, minion_count)?;
+        limits.clone_into(&mut site.limits);
         site.start_processes()?;
         Ok(site)
     }
@@ -158,6 +171,7 @@
             entry_proxies: Vec::new(),
             sidecar_proxies: Vec::new(),
             subnet,
+            limits: String::new(),
             directory: ScratchDirectory::create()?,
         })
     }
@@ -184,6 +198,17 @@
         proxies.map_or(direct, |proxies| proxies.callers.address())
     }
 
+    /// Returns the address for readiness probes of an entry.
+    pub fn readiness_address(&self, entry: usize) -> SocketAddr {
+        SocketAddr::new(self.entry_ip(entry), READINESS_PORT)
+    }
+
+    /// Returns the address for registration calls of a sidecar.
+    pub fn registration_address(&self, sidecar: usize) -> SocketAddr {
+        let host = sidecar_host(u8::try_from(sidecar).unwrap_or(0));
+        SocketAddr::new(site_ip(self.subnet, host), REGISTRATION_PORT)
+    }
+
     /// Returns the directory with the settings and output of the processes.
     pub fn directory(&self) -> &Path {
         self.directory.path()
@@ -231,7 +256,7 @@
 
     /// Returns whether an entry is ready for callers.
     pub fn is_ready(&self, entry: usize) -> bool {
-        let address = SocketAddr::new(self.entry_ip(entry), READINESS_PORT);
+        let address = self.readiness_address(entry);
         let response = attohttpc::get(format!("http://{address}/v1/ready")).send();
         response.is_ok_and(|response| response.status().as_u16() == 200)
     }
@@ -414,7 +439,8 @@
              InternalPorts = [{first},{last}]\nSeeds = []\n{role_settings}\
              [Listen]\n{listen}\
              [Bounds]\nGraceS = 3\nHoldMaxMs = 1000\nStopTimeoutMs = 50\nRetransmitMs = 1300\n\
-             [platform]\nAddress = \"{store}\"\n"
+             [platform]\nAddress = \"{store}\"\n[Limits]\n{limits}\n",
+            limits = self.limits,
         );
         let file = self.directory.path().join(format!("{name}.toml"));
         std::fs::write(&file, settings)
