fix(daemon): clients share one budget of memory and connections per process

Cause: bodies were kept as lists of received parts, which keep their read buffers alive; nothing bounded the bodies, heads and connections of all clients together, and an unfinished head held its connection for 75 s. A crowd of 300 connections took 102,676 kB at an entry with 48 MB.

Change: `MemoryBudget`, a pure decision, on which all HTTP listeners of a process draw. Bodies are copied into one buffer whose capacity is charged; heads, jobs that wait and large responses are charged too; small requests are not, as the limit on connections bounds their sum. Large requests that do not fit are answered 503 with Retry-After before their body is read, and the slowest connections are closed.

--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -20,6 +20,7 @@
 use knapweedrill_wire::PacketSocket;
 use tokio::sync::oneshot;
 
+use super::client_limits::{BudgetLimits, ClientGate};
 use super::entry_http::{CallerService, PendingRequest, PublishedState};
 use super::http::{json_response, serve, serve_connections, serve_metrics};
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
@@ -173,23 +174,29 @@
         metrics.clone(),
         on_operator_record,
     ));
-    tokio::spawn(serve_metrics(settings.ip, metrics));
+    let gate = ClientGate::new(BudgetLimits::for_machine(
+        settings.memory_bytes,
+        settings.descriptor_count_max,
+    ));
+    tokio::spawn(gate.clone().watch(metrics.clone()));
+    tokio::spawn(serve_metrics(settings.ip, gate.clone(), metrics));
     let readiness = service.clone();
     if let Some(address) = settings.readiness_address {
-        tokio::spawn(serve(address, move |request| {
+        tokio::spawn(serve(address, gate.clone(), move |_, request| {
             std::future::ready(readiness.readiness(&request))
         }));
     }
     if let Some(address) = settings.registration_address {
         // The platform lists this VM among the seeds of others only if the address is served.
-        tokio::spawn(serve(address, |_| {
+        tokio::spawn(serve(address, gate.clone(), |_, _| {
             std::future::ready(json_response(StatusCode::NOT_FOUND, String::new()))
         }));
     }
     let callers_address = settings.callers_address.ok_or_else(|| {
         eyre::eyre!("the settings have no address for callers (Listen.Front), which an entry needs")
     })?;
-    serve_connections(callers_address, move || service.on_connection(clock.now())).await
+    let accept = move || service.on_connection(clock.now());
+    serve_connections(callers_address, gate, accept).await
 }
 
 /// A caller that waits for the outcome of its job.
--- a/knapweedrill_daemon/src/dispatch/entry_http.rs
+++ b/knapweedrill_daemon/src/dispatch/entry_http.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::Sender;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use knapweedrill::dispatch::JobName;
 use knapweedrill::dispatch::entry::CallerId;
 use knapweedrill_platform::{
@@ -17,8 +17,9 @@
 };
 use tokio::sync::oneshot;
 
+use super::client_limits::ClientConnection;
 use super::entry::EntryEvent;
-use super::http::{FullResponse, json_response, read_body};
+use super::http::{FullResponse, json_response, memory_refusal, read_body};
 
 /// The response to a request, once it is ready.
 type ResponseFuture = Pin<Box<dyn Future<Output = FullResponse> + Send>>;
@@ -69,6 +70,44 @@
     next_caller: Arc<AtomicU64>,
 }
 
+/// What is used of the head of a request. The head itself keeps the buffer alive that it was read into.
+struct RequestHead {
+    method: Method,
+    host: String,
+    path: String,
+    deadline: Option<String>,
+}
+
+impl RequestHead {
+    /// Returns what is used of a head, and the body.
+    fn split(request: Request<Incoming>) -> (Self, Incoming) {
+        let (head, body) = request.into_parts();
+        let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
+        let host = head.headers.get(HOST).and_then(text).unwrap_or_default();
+        let used = Self {
+            host: host.split(':').next().unwrap_or_default().to_owned(),
+            path: head.uri.path().to_owned(),
+            deadline: head.headers.get(DEADLINE_HEADER).and_then(text),
+            method: head.method,
+        };
+        (used, body)
+    }
+}
+
+/// The memory of a step of a job in the event loop, in bytes, with that of its tasks before they run.
+const STEP_BYTES: u64 = 512;
+
+/// Returns the memory that a request holds until its response, in bytes.
+fn request_bytes(request: &CallerRequest) -> u64 {
+    match request {
+        CallerRequest::Submit(submission) => {
+            let strings_bytes = submission.spec.len() + submission.path.len();
+            strings_bytes as u64 + STEP_BYTES * submission.steps.len() as u64
+        }
+        _ => 0,
+    }
+}
+
 /// Drop guard that notifies the event loop when a caller disconnects before its response.
 struct DisconnectGuard {
     events: Sender<EntryEvent>,
@@ -110,23 +149,27 @@
     pub(super) fn on_connection(
         &self,
         accepted_at: Instant,
-    ) -> impl Fn(Request<Incoming>) -> ResponseFuture + Send + use<> {
+    ) -> impl Fn(ClientConnection, Request<Incoming>) -> ResponseFuture + Send + use<> {
         let service = self.clone();
         let connection = Arc::new(CallerConnection {
             accepted_at,
             is_closing: AtomicBool::new(false),
         });
-        move |request| Box::pin(service.clone().handle(Arc::clone(&connection), request))
+        move |client, request| {
+            let connection = Arc::clone(&connection);
+            Box::pin(service.clone().handle(client, connection, request))
+        }
     }
 
     /// Returns the response to a request of a caller.
     async fn handle(
         self,
+        client: ClientConnection,
         connection: Arc<CallerConnection>,
         request: Request<Incoming>,
     ) -> FullResponse {
         let published = Arc::clone(&self.published);
-        let mut response = self.respond(&connection, request).await;
+        let mut response = self.respond(&client, &connection, request).await;
         let is_closing = connection.is_closing.load(Ordering::Relaxed);
         if is_closing || published.closes_connections.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
@@ -137,6 +180,7 @@
 
     async fn respond(
         self,
+        client: &ClientConnection,
         connection: &Arc<CallerConnection>,
         request: Request<Incoming>,
     ) -> FullResponse {
@@ -144,18 +188,24 @@
         if bytes_max == 0 {
             return json_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
         }
-        let (head, body) = request.into_parts();
-        let body = match read_body(body, bytes_max as usize).await {
+        let (request, body) = RequestHead::split(request);
+        let body = match read_body(client, body, bytes_max as usize).await {
             Ok(body) => body,
-            Err(status) => return json_response(status, String::new()),
+            Err(response) => return response,
         };
-        let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
-        let host = head.headers.get(HOST).and_then(text).unwrap_or_default();
-        let host = host.split(':').next().unwrap_or_default().to_owned();
-        let path = head.uri.path().to_owned();
-        let deadline = head.headers.get(DEADLINE_HEADER).and_then(text);
-        let request = parse_request(&head.method, &host, &path, deadline.as_deref(), &body);
-        self.forward(connection, host, path, request).await
+        let RequestHead {
+            method,
+            host,
+            path,
+            deadline,
+        } = request;
+        let request = parse_request(&method, &host, &path, deadline.as_deref(), &body);
+        drop(body);
+        // A request that is refused here has not reached the event loop.
+        match client.begin_answer(request_bytes(&request)).await {
+            Ok(()) => self.forward(connection, host, path, request).await,
+            Err(_) => memory_refusal(),
+        }
     }
 
     /// Passes a request to the event loop and waits for its response.
--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -2,18 +2,22 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use eyre::WrapErr;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::{Instant, timeout_at};
 
+use super::client_limits::{ClientConnection, ClientGate, MemoryRefusal};
 use super::metrics::{METRICS_PATH, METRICS_PORT, Metrics};
 use super::shared_stream::SharedStream;
 
@@ -30,95 +34,222 @@
 /// The pause after a failed accept, in which file descriptors may be released.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The maximum number of connections that wait to be accepted.
+const BACKLOG_CONNECTION_COUNT: u32 = 1_024;
+
+/// The capacity of the buffer of a body at first, in bytes: that of an ordinary request.
+const FIRST_BODY_CAPACITY_BYTES: usize = 4_096;
+
+/// When a client that was refused for lack of memory may retry at the latest, in seconds. Most unfinished
+/// requests have ended by then.
+const MEMORY_RETRY_AFTER_MAX_S: u64 = 3;
+
 /// A response whose whole body is in memory.
 pub(super) type FullResponse = Response<Full<Bytes>>;
 
-/// Serves requests at an address, with one handler for all connections.
+/// Serves requests at an address, with one handler for all connections, within the limits of `gate`.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub(super) async fn serve<H, F>(address: SocketAddr, handler: H) -> eyre::Result<()>
+pub(super) async fn serve<H, F>(
+    address: SocketAddr,
+    gate: ClientGate,
+    handler: H,
+) -> eyre::Result<()>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(ClientConnection, Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    serve_connections(address, move || handler.clone()).await
+    serve_connections(address, gate, move || handler.clone()).await
 }
 
-/// Serves requests at an address. `accept` creates the handler of each connection. The future of a
-/// handler is dropped when its caller disconnects, also while further requests of the caller wait on
-/// the connection.
+/// Serves requests at an address, within the limits of `gate`. `accept` creates the handler of each
+/// connection. The future of a handler is dropped when its caller disconnects, also while further
+/// requests of the caller wait on the connection.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub(super) async fn serve_connections<A, H, F>(address: SocketAddr, accept: A) -> eyre::Result<()>
+pub(super) async fn serve_connections<A, H, F>(
+    address: SocketAddr,
+    gate: ClientGate,
+    accept: A,
+) -> eyre::Result<()>
 where
     A: Fn() -> H,
-    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    H: Fn(ClientConnection, Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    let listener = TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("can't listen for HTTP at {address}"))?;
+    let listener =
+        listen(address, &gate).wrap_err_with(|| format!("can't listen for HTTP at {address}"))?;
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(error:% = error; "can't accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
+        let Some(client) = gate.accept(peer.ip()).await else {
+            continue;
+        };
         // With Nagle's algorithm the end of a response may wait for an acknowledgement. A failure
         // to disable it only delays responses.
         let _ = stream.set_nodelay(true);
-        let stream = SharedStream::new(stream);
+        let stream = SharedStream::new(stream, client.clone());
         let handler = accept();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = handler(request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_READ_TIMEOUT)
-                .max_buf_size(HEADER_BYTES_MAX.max(MIN_BUFFER_BYTES))
-                .serve_connection(TokioIo::new(stream.clone()), service);
-            // The HTTP library does not read the stream, and so does not see its end, while it has
-            // bytes of the next request. What can be answered at once is answered first.
-            tokio::select! {
-                biased;
-                result = connection => if let Err(error) = result {
-                    log::debug!(error:% = error; "connection ended");
-                },
-                () = stream.read_closed() => log::debug!("connection closed by the peer"),
-            }
-        });
+        tokio::spawn(serve_connection(stream, client, handler));
+    }
+}
+
+/// Listens with a bounded receive buffer for each accepted connection: what is received and not yet read
+/// is memory of this process on some machines.
+fn listen(address: SocketAddr, gate: &ClientGate) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit it.
+    socket.set_recv_buffer_size(gate.receive_buffer_bytes())?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG_CONNECTION_COUNT)
+}
+
+/// Serves the requests of a connection until it ends or has to be closed.
+async fn serve_connection<H, F>(stream: SharedStream, client: ClientConnection, handler: H)
+where
+    H: Fn(ClientConnection, Request<Incoming>) -> F,
+    F: Future<Output = FullResponse>,
+{
+    let requests = client.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        requests.end_head(request.body().size_hint().lower());
+        let response = handler(requests.clone(), request);
+        let client = requests.clone();
+        async move { Ok::<_, Infallible>(within_memory(response.await, &client)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(HEADER_BYTES_MAX.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream.clone()), service);
+    // The HTTP library does not read the stream, and so does not see its end, while it has
+    // bytes of the next request. What can be answered at once is answered first.
+    tokio::select! {
+        biased;
+        () = client.closed() => log::debug!("connection closed for its use of memory"),
+        result = connection => if let Err(error) = result {
+            log::debug!(error:% = error; "connection ended");
+        },
+        () = stream.read_closed() => log::debug!("connection closed by the peer"),
+    }
+}
+
+/// Returns the response if there is memory for its body, or else a refusal.
+fn within_memory(response: FullResponse, client: &ClientConnection) -> FullResponse {
+    let bytes = response.body().size_hint().lower();
+    match client.end_answer(bytes) {
+        true => response,
+        false => memory_refusal(),
     }
 }
 
 /// The minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Reads the body of a request.
+/// Reads the body of a request into one buffer, whose capacity is charged to the memory budget.
 ///
 /// # Errors
 ///
-/// Fails with the status of the response if the body is too large, too slow or incomplete.
-pub(super) async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, StatusCode> {
-    if body.size_hint().lower() > bytes_max as u64 {
-        // The header already announces a body that is too large, so it is not read.
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+/// Fails with the response if the body is too large, too slow or incomplete, or if there is no memory
+/// for it. The connection is closed after that response.
+pub(super) async fn read_body(
+    client: &ClientConnection,
+    body: Incoming,
+    bytes_max: usize,
+) -> Result<Vec<u8>, FullResponse> {
+    let deadline = Instant::now() + BODY_READ_TIMEOUT;
+    match timeout_at(deadline, read_whole_body(client, body, bytes_max)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyFailure::Status(status))) => Err(closing_response(status)),
+        Ok(Err(BodyFailure::Memory)) => Err(memory_refusal()),
+        Err(_) => Err(closing_response(StatusCode::REQUEST_TIMEOUT)),
     }
-    let limited = Limited::new(body, bytes_max).collect();
-    match tokio::time::timeout(BODY_READ_TIMEOUT, limited).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+}
+
+/// Why a body could not be read.
+enum BodyFailure {
+    /// The request is answered with this status.
+    Status(StatusCode),
+    /// There is no memory for it.
+    Memory,
+}
+
+impl From<MemoryRefusal> for BodyFailure {
+    fn from(MemoryRefusal: MemoryRefusal) -> Self {
+        Self::Memory
+    }
+}
+
+async fn read_whole_body(
+    client: &ClientConnection,
+    mut body: Incoming,
+    bytes_max: usize,
+) -> Result<Vec<u8>, BodyFailure> {
+    let too_large = || BodyFailure::Status(StatusCode::PAYLOAD_TOO_LARGE);
+    let declared_bytes = body.size_hint().exact();
+    // A body that the header declares too large, or for which there is no memory, is not read.
+    let declared_bytes = match declared_bytes {
+        Some(bytes) if bytes > bytes_max as u64 => return Err(too_large()),
+        Some(bytes) => {
+            client.admit_body(bytes).await?;
+            Some(bytes as usize)
+        }
+        None => None,
+    };
+    let capacity_max = declared_bytes.unwrap_or(bytes_max);
+    let mut buffer = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyFailure::Status(StatusCode::BAD_REQUEST))?;
+        client.receive_frame();
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = buffer.len() + data.len();
+        if length > bytes_max {
+            return Err(too_large());
+        }
+        if length > buffer.capacity() {
+            let doubled = (2 * buffer.capacity()).max(FIRST_BODY_CAPACITY_BYTES);
+            let capacity = doubled.min(capacity_max).max(length);
+            client.hold(capacity as u64).await?;
+            buffer.reserve_exact(capacity - buffer.len());
+        }
+        buffer.extend_from_slice(data);
     }
+    Ok(buffer)
+}
+
+/// Returns the response to a request for which there is no memory. It has not been carried out.
+pub(super) fn memory_refusal() -> FullResponse {
+    let mut response = closing_response(StatusCode::SERVICE_UNAVAILABLE);
+    // Clients that were refused together should not return together.
+    let retry_after_s = rand::random_range(1..=MEMORY_RETRY_AFTER_MAX_S);
+    response
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
+    response
+}
+
+/// Returns an empty response after which the connection is closed.
+fn closing_response(status: StatusCode) -> FullResponse {
+    let mut response = json_response(status, String::new());
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
 }
 
 /// Returns a response with a body of JSON, or an empty one.
@@ -133,9 +264,9 @@
 }
 
 /// Serves the metrics of a process. A failure is logged and does not stop the process.
-pub(super) async fn serve_metrics(ip: IpAddr, metrics: Metrics) {
+pub(super) async fn serve_metrics(ip: IpAddr, gate: ClientGate, metrics: Metrics) {
     let address = SocketAddr::new(ip, METRICS_PORT);
-    let served = serve(address, move |request| {
+    let served = serve(address, gate, move |_, request| {
         let (status, body) = match request.uri().path() {
             METRICS_PATH => (StatusCode::OK, metrics.encode()),
             _ => (StatusCode::NOT_FOUND, String::new()),
--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -11,6 +11,8 @@
     HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use super::client_limits::{BudgetCounts, BudgetUsage};
+
 /// The port at which metrics are served; the deployment file names the same port.
 pub(super) const METRICS_PORT: u16 = 9_464;
 
@@ -35,6 +37,7 @@
     minion_calls: IntCounterVec,
     sent_messages: IntCounterVec,
     sent_message_bytes: IntCounterVec,
+    client_limits: IntCounterVec,
     gauges: IntGaugeVec,
 }
 
@@ -90,6 +93,13 @@
             ),
             &["kind"],
         );
+        let client_limits = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_client_limits_total",
+                "Requests refused and connections closed because of a limit for clients.",
+            ),
+            &["action"],
+        );
         let gauges = IntGaugeVec::new(
             Opts::new("knapweedrill_level", "Levels that rise and fall, by name."),
             &["name"],
@@ -104,6 +114,7 @@
             sent_messages: sent_messages.wrap_err("can't create the counter of sent messages")?,
             sent_message_bytes: sent_message_bytes
                 .wrap_err("can't create the counter of sent bytes")?,
+            client_limits: client_limits.wrap_err("can't create the counter of client limits")?,
             gauges: gauges.wrap_err("can't create the gauges")?,
         };
         let registry = &metrics.registry;
@@ -114,6 +125,7 @@
         registry.register(Box::new(metrics.minion_calls.clone()))?;
         registry.register(Box::new(metrics.sent_messages.clone()))?;
         registry.register(Box::new(metrics.sent_message_bytes.clone()))?;
+        registry.register(Box::new(metrics.client_limits.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         Ok(metrics)
     }
@@ -161,6 +173,22 @@
         }
     }
 
+    /// Updates what clients use, and how often they were refused or closed since the start of the process.
+    pub(super) fn update_clients(&self, usage: BudgetUsage, counts: &BudgetCounts) {
+        self.set_gauge("client_connections", usage.connection_count as u64);
+        self.set_gauge("client_large_bytes", usage.large_bytes);
+        for (action, count) in [
+            ("request-refused", counts.refused_requests),
+            ("connection-refused", counts.refused_connections),
+            ("closed-head", counts.closed_for_head),
+            ("closed-memory", counts.closed_for_memory),
+            ("closed-connections", counts.closed_for_connections),
+        ] {
+            let counter = self.client_limits.with_label_values(&[action]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the gauge with this name.
     pub(super) fn set_gauge(&self, name: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Entry and sidecar processes on the platform. The main thread owns the state and runs the event
 //! loop, the traffic thread handles HTTP, and a third thread receives datagrams.
 
+mod client_limits;
 mod entry;
 mod entry_http;
 mod http;
@@ -17,6 +18,9 @@
 
 use std::process::ExitCode;
 
+pub use client_limits::{
+    BudgetCounts, BudgetLimits, BudgetUsage, CloseCause, ConnectionId, Decision, MemoryBudget,
+};
 use process::Process;
 pub use process_clock::{ProcessClock, time_since_boot};
 
--- a/knapweedrill_daemon/src/dispatch/shared_stream.rs
+++ b/knapweedrill_daemon/src/dispatch/shared_stream.rs
@@ -10,16 +10,28 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A TCP stream whose clones use the same socket.
+use super::client_limits::ClientConnection;
+
+/// The maximum number of bytes that are read at a time.
+const READ_BYTES_MAX: usize = 16_384;
+
+/// A TCP stream whose clones use the same socket. What is read is charged to the memory budget.
 ///
 /// The clones of a stream may be read, written and observed by one task at a time.
 #[derive(Debug, Clone)]
-pub(super) struct SharedStream(Arc<TcpStream>);
+pub(super) struct SharedStream(Arc<Inner>);
+
+// The socket is closed before its place in the budget is free.
+#[derive(Debug)]
+struct Inner {
+    stream: TcpStream,
+    client: ClientConnection,
+}
 
 impl SharedStream {
     /// Creates the first owner of a stream.
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+    pub(super) fn new(stream: TcpStream, client: ClientConnection) -> Self {
+        Self(Arc::new(Inner { stream, client }))
     }
 
     /// Waits until the peer has closed or reset the connection, or at least its direction to this
@@ -27,7 +39,7 @@
     pub(super) async fn read_closed(&self) {
         // Readable interest would be met by unread data all the time. Priority interest also covers
         // the end of the stream, and the socket is not registered for priority data itself.
-        while let Ok(ready) = self.0.ready(Interest::PRIORITY).await {
+        while let Ok(ready) = self.0.stream.ready(Interest::PRIORITY).await {
             if ready.is_read_closed() {
                 return;
             }
@@ -42,9 +54,15 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(context))?;
+            let bytes_max = buffer.remaining().min(READ_BYTES_MAX);
+            let unfilled = buffer.initialize_unfilled_to(bytes_max);
+            match self.0.stream.try_read(unfilled) {
                 Ok(read_bytes) => {
+                    if !self.0.client.receive(read_bytes) {
+                        let error = io::Error::other("the client exceeds its share of memory");
+                        return Poll::Ready(Err(error));
+                    }
                     buffer.advance(read_bytes);
                     return Poll::Ready(Ok(()));
                 }
@@ -82,7 +100,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
 
@@ -93,8 +111,8 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
+            ready!(self.0.stream.poll_write_ready(context))?;
+            match write(&self.0.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
             }
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 
+use super::client_limits::{BudgetLimits, ClientGate};
 use super::http::{serve, serve_metrics};
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
 use super::process::{
@@ -96,7 +97,12 @@
     metrics: Metrics,
     events: Sender<SidecarEvent>,
 ) -> eyre::Result<()> {
-    tokio::spawn(serve_metrics(settings.ip, metrics.clone()));
+    let gate = ClientGate::new(BudgetLimits::for_machine(
+        settings.memory_bytes,
+        settings.descriptor_count_max,
+    ));
+    tokio::spawn(gate.clone().watch(metrics.clone()));
+    tokio::spawn(serve_metrics(settings.ip, gate.clone(), metrics.clone()));
     let store = Arc::new(StoreClient::new(settings.store_address));
     let sender = events.clone();
     let on_confirmed = move |record| {
@@ -114,8 +120,8 @@
             "the settings have no registration address (Listen.Control), which a sidecar needs"
         )
     })?;
-    serve(address, move |request| {
-        handle_registration(events.clone(), minion_address.ip(), request)
+    serve(address, gate, move |client, request| {
+        handle_registration(events.clone(), minion_address.ip(), client, request)
     })
     .await
 }
--- a/knapweedrill_daemon/src/dispatch/sidecar_http.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar_http.rs
@@ -11,7 +11,8 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Semaphore, oneshot};
 
-use super::http::{FullResponse, json_response, read_body};
+use super::client_limits::ClientConnection;
+use super::http::{FullResponse, json_response, memory_refusal, read_body};
 use super::metrics::{Metrics, order_answer_label};
 use super::process_clock::ProcessClock;
 use super::sidecar::SidecarEvent;
@@ -27,17 +28,22 @@
 pub(super) async fn handle_registration(
     events: Sender<SidecarEvent>,
     minion_ip: IpAddr,
+    client: ClientConnection,
     request: Request<Incoming>,
 ) -> FullResponse {
-    let (head, body) = request.into_parts();
-    let body = match read_body(body, HEARTBEAT_BYTES_MAX).await {
+    // The head itself would keep the buffer alive that it was read into.
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    let body = match read_body(&client, request.into_body(), HEARTBEAT_BYTES_MAX).await {
         Ok(body) => body,
-        Err(status) => return json_response(status, String::new()),
+        Err(response) => return response,
     };
-    let path = head.uri.path();
-    let Some(registration) = parse_registration(&head.method, path, &body, minion_ip) else {
+    let Some(registration) = parse_registration(&method, &path, &body, minion_ip) else {
         return json_response(StatusCode::BAD_REQUEST, String::new());
     };
+    // A heartbeat is held until it is handled; its labels are no larger than its text.
+    if client.begin_answer(body.capacity() as u64).await.is_err() {
+        return memory_refusal();
+    }
     let (handled, is_handled) = oneshot::channel();
     let event = match registration {
         Registration::Heartbeat(heartbeat) => SidecarEvent::Heartbeat(heartbeat, handled),
--- a/knapweedrill_lab/tests/hostile_clients.rs
+++ b/knapweedrill_lab/tests/hostile_clients.rs
@@ -403,79 +403,66 @@
 }
 
 #[test]
-#[ignore = "without a memory budget: 102,676 kB at peak and 318 descriptors"]
 fn whole_large_bodies_at_callers_port() {
     check_callers_port(whole_bodies(BODY_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 95,880 kB at peak and 318 descriptors"]
 fn pieces_of_large_bodies_at_callers_port() {
     check_callers_port(pieces_of_bodies(BODY_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 98,580 kB at peak and 318 descriptors"]
 fn large_chunks_at_callers_port() {
     check_callers_port(large_chunks(BODY_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 84,588 kB at peak"]
 fn small_chunks_at_callers_port() {
     check_callers_port(small_chunks);
 }
 
 #[test]
-#[ignore = "without a memory budget: 318 descriptors"]
 fn unfinished_heads_at_callers_port() {
     check_callers_port(unfinished_heads);
 }
 
 #[test]
-#[ignore = "without a memory budget: 316 descriptors"]
 fn whole_large_bodies_at_heartbeat_port() {
     check_heartbeat_port(whole_bodies(HEARTBEAT_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 40,424 kB at peak and 316 descriptors"]
 fn pieces_of_large_bodies_at_heartbeat_port() {
     check_heartbeat_port(pieces_of_bodies(HEARTBEAT_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 40,460 kB at peak and 316 descriptors"]
 fn large_chunks_at_heartbeat_port() {
     check_heartbeat_port(large_chunks(HEARTBEAT_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 85,216 kB at peak"]
 fn small_chunks_at_heartbeat_port() {
     check_heartbeat_port(small_chunks);
 }
 
 #[test]
-#[ignore = "without a memory budget: 316 descriptors"]
 fn unfinished_heads_at_heartbeat_port() {
     check_heartbeat_port(unfinished_heads);
 }
 
 #[test]
-#[ignore = "without a memory budget: 49,756 kB with unread bytes and 256 descriptors"]
 fn whole_large_bodies_at_readiness_port() {
     check_readiness_port(whole_bodies(BODY_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 277 descriptors in some runs"]
 fn pieces_of_large_bodies_at_readiness_port() {
     check_readiness_port(pieces_of_bodies(BODY_BYTES_MAX));
 }
 
 #[test]
-#[ignore = "without a memory budget: 256 descriptors"]
 fn large_chunks_at_readiness_port() {
     check_readiness_port(large_chunks(BODY_BYTES_MAX));
 }
@@ -486,7 +473,6 @@
 }
 
 #[test]
-#[ignore = "without a memory budget: 318 descriptors"]
 fn unfinished_heads_at_readiness_port() {
     check_readiness_port(unfinished_heads);
 }
