--- a/knapweedrill_daemon/src/dispatch/metrics.rs
+++ b/knapweedrill_daemon/src/dispatch/metrics.rs
@@ -12,6 +12,8 @@
     TextEncoder,
 };
 
+use super::client_limits::{BudgetCounts, BudgetUsage};
+
 /// The port at which metrics are served; the deployment file names the same port.
 pub(super) const METRICS_PORT: u16 = 9_464;
 
@@ -38,6 +40,7 @@
     sent_message_bytes: IntCounterVec,
     rack_waits: IntCounterVec,
     rack_wait_milliseconds: IntCounter,
+    client_limits: IntCounterVec,
     gauges: IntGaugeVec,
 }
 
@@ -104,6 +107,13 @@
             "knapweedrill_rack_wait_milliseconds_total",
             "Time that tasks waited for the rack of their data.",
         );
+        let client_limits = IntCounterVec::new(
+            Opts::new(
+                "knapweedrill_client_limits_total",
+                "Requests refused and connections closed because of a limit for clients.",
+            ),
+            &["action"],
+        );
         let gauges = IntGaugeVec::new(
             Opts::new("knapweedrill_level", "Levels that rise and fall, by name."),
             &["name"],
@@ -121,6 +131,7 @@
             rack_waits: rack_waits.wrap_err("can't create the counter of rack waits")?,
             rack_wait_milliseconds: rack_wait_milliseconds
                 .wrap_err("can't create the counter of the time waited for racks")?,
+            client_limits: client_limits.wrap_err("can't create the counter of client limits")?,
             gauges: gauges.wrap_err("can't create the gauges")?,
         };
         let registry = &metrics.registry;
@@ -133,6 +144,7 @@
         registry.register(Box::new(metrics.sent_message_bytes.clone()))?;
         registry.register(Box::new(metrics.rack_waits.clone()))?;
         registry.register(Box::new(metrics.rack_wait_milliseconds.clone()))?;
+        registry.register(Box::new(metrics.client_limits.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         Ok(metrics)
     }
@@ -197,6 +209,22 @@
         counter.inc_by(waited_ms.saturating_sub(counter.get()));
     }
 
+    /// Updates what clients use, and how often they were refused or closed since the start of the process.
+    pub(super) fn update_clients(&self, usage: BudgetUsage, counts: &BudgetCounts) {
+        self.set_gauge("client_connections", usage.connection_count as u64);
+        self.set_gauge("client_large_bytes", usage.large_bytes);
+        for (action, count) in [
+            ("request-refused", counts.refused_requests),
+            ("connection-refused", counts.refused_connections),
+            ("closed-head", counts.closed_for_head),
+            ("closed-memory", counts.closed_for_memory),
+            ("closed-connections", counts.closed_for_connections),
+        ] {
+            let counter = self.client_limits.with_label_values(&[action]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the gauge with this name.
     pub(super) fn set_gauge(&self, name: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
