feat(dispatch): admitted and refused jobs are logged with wait, slack, priority, rate and reason

The line of an admitted job said nothing about the prediction behind it, so that it could not be compared with that of a refused one. Both lines contain the same fields now. The decision is unchanged. dispatch_overload prints its shares.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -11,8 +11,33 @@
 /// The priority of the most urgent queues; lower is more urgent.
 const HIGHEST_PRIORITY: u8 = 0;
 
+/// Why a job is admitted or refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionReason {
+    /// It is admitted: nothing waits ahead of it.
+    NothingAhead,
+    /// It is admitted: its predicted wait fits into its slack.
+    FitsSlack,
+    /// It is refused: its predicted wait exceeds its slack.
+    ExceedsSlack,
+    /// It is admitted: a minion for its trial is free soon.
+    TrialCapacity,
+    /// It is refused: too many jobs wait for a trial.
+    NoTrialCapacity,
+}
+
+impl AdmissionReason {
+    /// Returns whether the job is admitted.
+    pub fn is_admitted(self) -> bool {
+        match self {
+            Self::NothingAhead | Self::FitsSlack | Self::TrialCapacity => true,
+            Self::ExceedsSlack | Self::NoTrialCapacity => false,
+        }
+    }
+}
+
 /// The inputs of the admission decision for one job.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default, Clone, Copy)]
 pub struct Admission {
     /// The estimated work queued ahead of the job, in millicores times milliseconds.
     pub work_ahead_millicore_ms: u64,
@@ -70,9 +95,20 @@
         Duration::from_millis(wait_ms).max(self.link_delay)
     }
 
+    /// Returns whether the job is admitted, and why.
+    pub fn reason(&self) -> AdmissionReason {
+        if self.work_ahead_millicore_ms == 0 {
+            AdmissionReason::NothingAhead
+        } else if self.wait() <= self.slack {
+            AdmissionReason::FitsSlack
+        } else {
+            AdmissionReason::ExceedsSlack
+        }
+    }
+
     /// Returns whether the job is admitted: nothing is queued ahead of it, or its wait fits into
     /// its slack.
     pub fn is_admitted(&self) -> bool {
-        self.work_ahead_millicore_ms == 0 || self.wait() <= self.slack
+        self.reason().is_admitted()
     }
 }
--- a/knapweedrill/src/dispatch/entry/confinement.rs
+++ b/knapweedrill/src/dispatch/entry/confinement.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::SidecarView;
+use super::admission::AdmissionReason;
 use super::directory::Directory;
 use super::fleet::Fleet;
 use super::job::Job;
@@ -119,12 +120,16 @@
         }
     }
 
-    /// Returns whether a new job can be on trial soon: there is a minion for it, and few others
+    /// Decides whether a new job can be on trial soon: there is a minion for it, and few others
     /// wait.
-    pub(super) fn has_trial_capacity(&self, job: &Job, jobs: &Jobs, fleet: &Fleet) -> bool {
+    pub(super) fn trial_reason(&self, job: &Job, jobs: &Jobs, fleet: &Fleet) -> AdmissionReason {
         let minion_count = self.trial_minion_count(job, fleet);
         let waiting_count = self.waiting_for_trial(jobs).count();
-        waiting_count < minion_count.div_ceil(WAITING_DIVISOR)
+        if waiting_count < minion_count.div_ceil(WAITING_DIVISOR) {
+            AdmissionReason::TrialCapacity
+        } else {
+            AdmissionReason::NoTrialCapacity
+        }
     }
 
     /// Returns the number of usable minions for the trial of a job.
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -386,17 +386,16 @@
             &self.sessions,
             spare_count,
         );
-        let is_admitted = match self.confinement.lane(&job) {
-            Lane::Any | Lane::Rest => admission.is_admitted(),
-            Lane::Trial => self
-                .confinement
-                .has_trial_capacity(&job, &self.jobs, &self.fleet),
+        let reason = match self.confinement.lane(&job) {
+            Lane::Any | Lane::Rest => admission.reason(),
+            Lane::Trial => self.confinement.trial_reason(&job, &self.jobs, &self.fleet),
         };
-        if !is_admitted {
+        if !reason.is_admitted() {
             log::warn!(
-                job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
-                slack_ms = millis(admission.slack), waiting = self.jobs.waiting().len();
-                "refused: expected to miss its objective"
+                job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
+                wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
+                rate_millicores = admission.share_millicores, reason:? = reason,
+                waiting = self.jobs.waiting().len(); "refused: expected to miss its objective"
             );
             let answer = Answer::Refused {
                 reason: RefusalReason::Overload,
@@ -406,8 +405,11 @@
             return;
         }
         log::info!(
-            job:% = name, queue = job.queue.as_str(), tasks = job.tasks.len(),
-            estimate_ms = millis(job.critical_path), version = self.version(); "admitted"
+            job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
+            wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
+            rate_millicores = admission.share_millicores, reason:? = reason,
+            tasks = job.tasks.len(), estimate_ms = millis(job.critical_path),
+            version = self.version(); "admitted"
         );
         let (service, minions) = (job.service.clone(), job.minion_count_min());
         self.subset.require_minions(&service, minions, now);
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -28,7 +28,7 @@
 mod unreachable_sidecars;
 mod waiting_work;
 
-pub use admission::Admission;
+pub use admission::{Admission, AdmissionReason};
 pub use answer::{Answer, CallerId, RefusalReason};
 pub use cancel_answer::CancelAnswer;
 pub use core::{Entry, EntryAction};
--- a/knapweedrill_lab/tests/dispatch_overload.rs
+++ b/knapweedrill_lab/tests/dispatch_overload.rs
@@ -58,6 +58,7 @@
 fn most_of_the_possible_jobs_are_in_time_when_a_third_more_arrives_than_fits() {
     for seed in 1..=5 {
         let share = share_in_time(seed, 6);
+        println!("a third too much, seed {seed}: {share:.3}");
         assert!(share >= 0.5, "seed {seed}: {share:.3}");
     }
 }
@@ -66,6 +67,7 @@
 fn all_jobs_are_in_time_at_two_thirds_of_the_capacity() {
     for seed in 1..=5 {
         let share = share_in_time(seed, 12);
+        println!("two thirds, seed {seed}: {share:.3}");
         assert!(share >= 0.97, "seed {seed}: {share:.3}");
     }
 }
