feat(dispatch): a job waits only for the work ahead of it, at the rate that higher priorities leave

Admission counted all waiting work for jobs that are not of priority 0. Long jobs of priority 2 that waited thus led to refusals of short jobs of priority 1, although these overtake them in the queue.

A job of a lower priority now counts the work ahead of it in queue order. Its rate is the entry's share minus the rate at which work of higher priorities was admitted in the last second, at least 20 % of the share. Refused work does not count as arriving: it takes no capacity. EntrySettings::counts_work_ahead turns the rule off.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -1,11 +1,14 @@
 //! Admission control: whether a job can start early enough to meet its objective.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use super::EntrySettings;
 use super::confinement::Confinement;
 use super::fleet::Fleet;
 use super::job::Job;
 use super::jobs::Jobs;
+use super::load_history::LoadHistory;
+use super::queue_floor::QUEUE_FLOOR_PERCENT;
 use crate::dispatch::session::Sessions;
 
 /// The priority of the most urgent queues; lower is more urgent.
@@ -43,55 +46,80 @@
     pub work_ahead_millicore_ms: u64,
     /// The CPU capacity of the minions that this entry can count on, in millicores.
     pub share_millicores: u64,
+    /// The rate at which work of higher priorities has been admitted recently, in millicores.
+    pub higher_arrival_millicores: u64,
     /// How long the link of this entry needs for what is queued ahead of the job.
     pub link_delay: Duration,
     /// How long the job can wait and still meet its latency objective.
     pub slack: Duration,
 }
 
+/// The state of an entry that the admission of a job depends on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AdmissionState<'a> {
+    pub(super) settings: &'a EntrySettings,
+    pub(super) jobs: &'a Jobs,
+    pub(super) fleet: &'a Fleet,
+    pub(super) confinement: &'a Confinement,
+    pub(super) sessions: &'a Sessions,
+    pub(super) load: &'a LoadHistory,
+    /// The number of minions that would join the subset of the entry under load.
+    pub(super) spare_count: u64,
+}
+
 impl Admission {
-    /// Collects the inputs for a new job. `spare_count` is the number of minions that would join the
-    /// subset of the entry under load.
-    pub(super) fn new(
-        job: &Job,
-        jobs: &Jobs,
-        fleet: &Fleet,
-        confinement: &Confinement,
-        sessions: &Sessions,
-        spare_count: u64,
-    ) -> Self {
-        let waiting = jobs.waiting();
-        let lane = confinement.lane(job);
-        // A job of the most urgent queues only waits for the work ahead of it. For the others all
-        // admitted work counts, whatever its position, so that jobs that were admitted before
-        // still meet their objectives.
+    /// Collects the inputs for a new job.
+    pub(super) fn new(job: &Job, state: AdmissionState<'_>, now: Instant) -> Self {
+        let waiting = state.jobs.waiting();
+        let lane = state.confinement.lane(job);
+        let counts_work_ahead = state.settings.counts_work_ahead;
         let work_ahead = if job.policy.priority == HIGHEST_PRIORITY {
             waiting.work_ahead(job)
+        } else if counts_work_ahead {
+            waiting.work_ahead(job) + waiting.overdue_work(job.policy.priority)
         } else {
             waiting.total_work()
         };
         // Jobs that wait for a trial take no resources of the others.
-        let trial_work = confinement.waiting_trial_work(jobs);
+        let trial_work = state.confinement.waiting_trial_work(state.jobs);
+        let higher_arrival_millicores = if counts_work_ahead {
+            state.load.arrival_rate_above(job, now)
+        } else {
+            0
+        };
+        let is_counted = |sidecar| state.confinement.is_in_lane(lane, sidecar);
         Self {
             work_ahead_millicore_ms: work_ahead
                 .millicore_ms
                 .saturating_sub(trial_work.millicore_ms),
-            link_delay: sessions.link_delay(
+            share_millicores: state.fleet.share_millicores_of(
+                &job.service,
+                state.spare_count,
+                is_counted,
+            ),
+            higher_arrival_millicores,
+            link_delay: state.sessions.link_delay(
                 work_ahead
                     .order_bytes
                     .saturating_sub(trial_work.order_bytes),
             ),
-            share_millicores: fleet.share_millicores_of(&job.service, spare_count, |sidecar| {
-                confinement.is_in_lane(lane, sidecar)
-            }),
             slack: job.objective().saturating_sub(job.critical_path),
         }
     }
 
+    /// Returns the rate at which the work ahead of the job is expected to be placed, in millicores:
+    /// what higher priorities leave of the share, and at least the floor of the job's priority.
+    pub fn rate_millicores(&self) -> u64 {
+        let floor = self.share_millicores * QUEUE_FLOOR_PERCENT / 100;
+        self.share_millicores
+            .saturating_sub(self.higher_arrival_millicores)
+            .max(floor)
+    }
+
     /// Returns the estimated queueing delay of the job: the minions and the link work at the same
     /// time.
     pub fn wait(&self) -> Duration {
-        let wait_ms = self.work_ahead_millicore_ms / self.share_millicores.max(1);
+        let wait_ms = self.work_ahead_millicore_ms / self.rate_millicores().max(1);
         Duration::from_millis(wait_ms).max(self.link_delay)
     }
 
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::admission::Admission;
+use super::admission::{Admission, AdmissionState};
 use super::answer::{Answer, CallerId, RefusalReason};
 use super::answer_cache::AnswerCache;
 use super::cancel_answer::CancelAnswer;
@@ -19,6 +19,7 @@
 use super::gossip::{Gossip, LocalState};
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
+use super::load_history::LoadHistory;
 use super::pause::Pause;
 use super::paused_connections::PausedConnections;
 use super::placer::{Placer, Targets, stop_placements};
@@ -79,6 +80,7 @@
     /// Whether an event since the last placement may allow waiting tasks to be placed.
     is_placement_due: bool,
     placer: Placer,
+    load: LoadHistory,
     confinement: Confinement,
     answer_cache: AnswerCache,
     cancelled_names: CancelledNames,
@@ -107,6 +109,7 @@
             jobs: Jobs::default(),
             is_placement_due: false,
             placer: Placer::default(),
+            load: LoadHistory::default(),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             cancelled_names: CancelledNames::default(),
@@ -378,14 +381,16 @@
         };
         let job = Job::new(submission, queue, caller, now);
         let spare_count = self.subset.spare_count(&job.service);
-        let admission = Admission::new(
-            &job,
-            &self.jobs,
-            &self.fleet,
-            &self.confinement,
-            &self.sessions,
+        let state = AdmissionState {
+            settings: &self.settings,
+            jobs: &self.jobs,
+            fleet: &self.fleet,
+            confinement: &self.confinement,
+            sessions: &self.sessions,
+            load: &self.load,
             spare_count,
-        );
+        };
+        let admission = Admission::new(&job, state, now);
         let reason = match self.confinement.lane(&job) {
             Lane::Any | Lane::Rest => admission.reason(),
             Lane::Trial => self.confinement.trial_reason(&job, &self.jobs, &self.fleet),
@@ -394,7 +399,7 @@
             log::warn!(
                 job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
                 wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
-                rate_millicores = admission.share_millicores, reason:? = reason,
+                rate_millicores = admission.rate_millicores(), reason:? = reason,
                 waiting = self.jobs.waiting().len(); "refused: expected to miss its objective"
             );
             let answer = Answer::Refused {
@@ -407,12 +412,13 @@
         log::info!(
             job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
             wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
-            rate_millicores = admission.share_millicores, reason:? = reason,
+            rate_millicores = admission.rate_millicores(), reason:? = reason,
             tasks = job.tasks.len(), estimate_ms = millis(job.critical_path),
             version = self.version(); "admitted"
         );
         let (service, minions) = (job.service.clone(), job.minion_count_min());
         self.subset.require_minions(&service, minions, now);
+        self.load.record_admitted(&job, now);
         self.jobs.insert(job);
         self.is_placement_due = true;
         self.place_waiting(now);
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -185,6 +185,16 @@
             .sum()
     }
 
+    /// Returns the estimated work of all tasks, in millicores times milliseconds.
+    pub(super) fn total_millicore_ms(&self) -> u64 {
+        let works = self.steps.iter().map(|step| {
+            u64::from(step.resources.cpu_millicores)
+                .saturating_mul(millis(step.estimate))
+                .saturating_mul(step.task_count.into())
+        });
+        works.fold(0, u64::saturating_add)
+    }
+
     /// Returns the minimum number of minions that the job needs because its steps limit the tasks
     /// per minion.
     pub(super) fn minion_count_min(&self) -> usize {
--- /dev/null
+++ b/knapweedrill/src/dispatch/entry/load_history.rs
@@ -0,0 +1,39 @@
+//! The recent load of an entry, by service.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use super::job::Job;
+use super::priority_rates::PriorityRates;
+use crate::common::ServiceName;
+
+/// The recent load of one service.
+#[derive(Debug, Default)]
+struct ServiceLoad {
+    /// The work of admitted jobs.
+    arrived: PriorityRates,
+}
+
+/// The recent load of an entry. It is lost with the process, and a new one begins without load.
+#[derive(Debug, Default)]
+pub(super) struct LoadHistory {
+    services: BTreeMap<ServiceName, ServiceLoad>,
+}
+
+impl LoadHistory {
+    /// Records that a job was admitted.
+    pub(super) fn record_admitted(&mut self, job: &Job, now: Instant) {
+        self.services
+            .entry(job.service.clone())
+            .or_default()
+            .arrived
+            .record(job.policy.priority, job.total_millicore_ms(), now);
+    }
+
+    /// Returns the rate at which work of higher priorities than that of a job has been admitted for
+    /// its service, in millicores.
+    pub(super) fn arrival_rate_above(&self, job: &Job, now: Instant) -> u64 {
+        let load = self.services.get(&job.service);
+        load.map_or(0, |load| load.arrived.rate_above(job.policy.priority, now))
+    }
+}
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -87,4 +87,15 @@
         let works = self.work_by_position.range(..QueuePosition::of(job));
         works.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
     }
+
+    /// Returns the work of the overdue jobs of a priority.
+    pub(super) fn overdue_work(&self, priority: u8) -> WaitingWork {
+        let of_priority = self
+            .work_by_position
+            .iter()
+            .skip_while(|(position, _)| position.priority < priority)
+            .take_while(|(position, _)| position.priority == priority);
+        let overdue = of_priority.filter(|(position, _)| position.is_overdue);
+        overdue.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
+    }
 }
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -34,6 +34,9 @@
     pub cancel_answer_max: Duration,
     /// The minimum interval between two probes of a suspect minion by this entry.
     pub probe_interval: Duration,
+    /// Whether a job waits only for the work ahead of it in the queue, at the rate that higher
+    /// priorities leave; otherwise all waiting work counts for all but the most urgent jobs.
+    pub counts_work_ahead: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -53,6 +56,7 @@
             cancelled_name_retention: Duration::from_secs(120),
             cancel_answer_max: Duration::from_millis(400),
             probe_interval: Duration::from_millis(500),
+            counts_work_ahead: true,
             seed: 1,
         }
     }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -229,6 +229,7 @@
         share_millicores: 200_000,
         link_delay: Duration::ZERO,
         slack: 180 * MS,
+        ..Admission::default()
     };
     assert!(admission(0).is_admitted());
     // The entry's share is 200 cores, so 200 cores times 180 ms of work fit ahead of the job.
@@ -243,6 +244,7 @@
         share_millicores: 0,
         link_delay: 5 * MS,
         slack: Duration::ZERO,
+        ..Admission::default()
     };
     assert!(admission.is_admitted());
 }
@@ -261,10 +263,29 @@
         share_millicores: 1_000,
         link_delay: Duration::from_millis(link_ms),
         slack: Duration::from_millis(slack_ms),
+        ..Admission::default()
     };
     assert_eq!(admission.is_admitted(), is_admitted);
 }
 
+/// Guards against jobs of a low priority that are admitted as if they had the whole share, while
+/// urgent jobs go on arriving ahead of them; and against none being admitted any more.
+#[test_case(0, 200_000; "no urgent load")]
+#[test_case(150_000, 50_000; "urgent load leaves a quarter")]
+#[test_case(500_000, 40_000; "urgent load exceeds the share, the floor is left")]
+fn lower_priority_counts_on_what_higher_ones_leave(higher_millicores: u64, left_millicores: u64) {
+    let admission = |work_ahead_millicore_ms| Admission {
+        work_ahead_millicore_ms,
+        share_millicores: 200_000,
+        higher_arrival_millicores: higher_millicores,
+        slack: 600 * MS,
+        ..Admission::default()
+    };
+    assert_eq!(admission(1).rate_millicores(), left_millicores);
+    assert!(admission(left_millicores * 600).is_admitted());
+    assert!(!admission(left_millicores * 602).is_admitted());
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
