feat(dispatch): each priority with waiting work keeps a floor of what is placed

Placement followed the priorities strictly, so that a priority starved as long as higher ones took all capacity.

Each priority with waiting work now keeps 20 % of the work that was placed in the last second, and admission of higher priorities counts on what the floors leave. A priority gives way to a lower one below its floor only once it has used up, with all higher ones, what the floors leave. A job that fits nowhere ends the precedence of its priority for the round. EntrySettings::keeps_floors turns the rule off.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -8,7 +8,7 @@
 use super::job::Job;
 use super::jobs::Jobs;
 use super::load_history::LoadHistory;
-use super::queue_floor::QUEUE_FLOOR_PERCENT;
+use super::queue_floor::{floor_of, left_by_floors};
 use crate::dispatch::session::Sessions;
 
 /// The priority of the most urgent queues; lower is more urgent.
@@ -48,6 +48,8 @@
     pub share_millicores: u64,
     /// The rate at which work of higher priorities has been admitted recently, in millicores.
     pub higher_arrival_millicores: u64,
+    /// The number of lower priorities with waiting work, each of which keeps its floor.
+    pub lower_waiting_count: u64,
     /// How long the link of this entry needs for what is queued ahead of the job.
     pub link_delay: Duration,
     /// How long the job can wait and still meet its latency objective.
@@ -87,6 +89,11 @@
         } else {
             0
         };
+        let lower_waiting_count = if state.settings.keeps_floors {
+            waiting.lower_priority_count(job.policy.priority)
+        } else {
+            0
+        };
         let is_counted = |sidecar| state.confinement.is_in_lane(lane, sidecar);
         Self {
             work_ahead_millicore_ms: work_ahead
@@ -98,6 +105,7 @@
                 is_counted,
             ),
             higher_arrival_millicores,
+            lower_waiting_count,
             link_delay: state.sessions.link_delay(
                 work_ahead
                     .order_bytes
@@ -108,12 +116,12 @@
     }
 
     /// Returns the rate at which the work ahead of the job is expected to be placed, in millicores:
-    /// what higher priorities leave of the share, and at least the floor of the job's priority.
+    /// what higher priorities and the floors of lower ones leave of the share, and at least the floor
+    /// of the job's priority.
     pub fn rate_millicores(&self) -> u64 {
-        let floor = self.share_millicores * QUEUE_FLOOR_PERCENT / 100;
-        self.share_millicores
+        left_by_floors(self.share_millicores, self.lower_waiting_count)
             .saturating_sub(self.higher_arrival_millicores)
-            .max(floor)
+            .max(floor_of(self.share_millicores))
     }
 
     /// Returns the estimated queueing delay of the job: the minions and the link work at the same
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -562,6 +562,8 @@
             subset: &mut self.subset,
             sessions: &mut self.sessions,
             confinement: &self.confinement,
+            load: &mut self.load,
+            has_floors: self.settings.keeps_floors,
         };
         self.placer.place_waiting(&mut self.jobs, &mut targets, now);
     }
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -185,6 +185,12 @@
             .sum()
     }
 
+    /// Returns the estimated work of a task, in millicores times milliseconds.
+    pub(super) fn millicore_ms(&self, position: usize) -> u64 {
+        let millicores = u64::from(self.resources(position).cpu_millicores);
+        millicores.saturating_mul(millis(self.estimate(position)))
+    }
+
     /// Returns the estimated work of all tasks, in millicores times milliseconds.
     pub(super) fn total_millicore_ms(&self) -> u64 {
         let works = self.steps.iter().map(|step| {
--- a/knapweedrill/src/dispatch/entry/load_history.rs
+++ b/knapweedrill/src/dispatch/entry/load_history.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadHistory {
     services: BTreeMap<ServiceName, ServiceLoad>,
+    /// The work that was placed, of all services together like the queue.
+    placed: PriorityRates,
 }
 
 impl LoadHistory {
@@ -36,4 +38,15 @@
         let load = self.services.get(&job.service);
         load.map_or(0, |load| load.arrived.rate_above(job.policy.priority, now))
     }
+
+    /// Records that a task of a job was placed.
+    pub(super) fn record_placed(&mut self, job: &Job, position: usize, now: Instant) {
+        let millicore_ms = job.millicore_ms(position);
+        self.placed.record(job.policy.priority, millicore_ms, now);
+    }
+
+    /// Returns the work that was placed recently.
+    pub(super) fn placed(&self) -> &PriorityRates {
+        &self.placed
+    }
 }
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -8,6 +8,8 @@
 use super::fleet::{Fleet, TaskRequirements};
 use super::job::{Job, TaskState};
 use super::jobs::Jobs;
+use super::load_history::LoadHistory;
+use super::queue_floor::PlacementOrder;
 use super::sidecar_subset::SidecarSubset;
 use crate::common::Incarnation;
 use crate::dispatch::Attempt;
@@ -40,6 +42,9 @@
     pub(super) subset: &'a mut SidecarSubset,
     pub(super) sessions: &'a mut Sessions,
     pub(super) confinement: &'a Confinement,
+    pub(super) load: &'a mut LoadHistory,
+    /// Whether a priority below its floor goes first.
+    pub(super) has_floors: bool,
 }
 
 impl Placer {
@@ -52,19 +57,20 @@
         now: Instant,
     ) {
         let mut skipped_count = 0;
-        let mut next = jobs.waiting().first();
-        while let Some(queue_position) = next {
-            if !targets.sessions.has_link_room(now) {
+        let mut order = PlacementOrder::new(jobs.waiting(), targets.has_floors);
+        while targets.sessions.has_link_room(now) {
+            let placed = targets.load.placed();
+            let Some(queue_position) = order.next(jobs.waiting(), placed, now) else {
                 break;
-            }
-            next = jobs.waiting().after(&queue_position);
-            let is_skipped = jobs.change(queue_position.job(), |job| {
+            };
+            let skipped_lane = jobs.change(queue_position.job(), |job| {
                 let lane = targets.confinement.lane(job);
-                // Jobs that wait for a trial say nothing about the resources that are free.
-                !self.place_job(job, lane, targets, now) && lane != Lane::Trial
+                (!self.place_job(job, lane, targets, now)).then_some(lane)
             });
-            if is_skipped == Some(true) {
-                skipped_count += 1;
+            if let Some(Some(lane)) = skipped_lane {
+                order.record_skipped(&queue_position);
+                // Jobs that wait for a trial say nothing about the resources that are free.
+                skipped_count += usize::from(lane != Lane::Trial);
             }
             if skipped_count >= SKIPPED_JOBS_MAX {
                 break;
@@ -85,9 +91,13 @@
         now: Instant,
     ) -> bool {
         let waiting: SmallVec<[usize; 16]> = job.waiting_positions().collect();
-        waiting
-            .into_iter()
-            .all(|position| self.place_task(job, position, lane, targets, now))
+        waiting.into_iter().all(|position| {
+            let is_placed = self.place_task(job, position, lane, targets, now);
+            if is_placed {
+                targets.load.record_placed(job, position, now);
+            }
+            is_placed
+        })
     }
 
     fn place_task(
@@ -103,6 +113,7 @@
             subset,
             sessions,
             confinement,
+            ..
         } = targets;
         if !sessions.has_link_room(now) {
             return false;
--- a/knapweedrill/src/dispatch/entry/priority_rates.rs
+++ b/knapweedrill/src/dispatch/entry/priority_rates.rs
@@ -29,4 +29,23 @@
         let above = self.millicore_ms_by_priority.range(..priority);
         above.fold(0, |sum: u64, (_, work)| sum.saturating_add(work.sum(now))) / millis(RATE_WINDOW)
     }
+
+    /// Returns the work of a priority within the window, in millicores times milliseconds.
+    pub(super) fn work_of(&self, priority: u8, now: Instant) -> u64 {
+        let work = self.millicore_ms_by_priority.get(&priority);
+        work.map_or(0, |work| work.sum(now))
+    }
+
+    /// Returns the work of a priority and all higher ones within the window, in millicores times
+    /// milliseconds.
+    pub(super) fn work_up_to(&self, priority: u8, now: Instant) -> u64 {
+        let works = self.millicore_ms_by_priority.range(..=priority);
+        works.fold(0, |sum: u64, (_, work)| sum.saturating_add(work.sum(now)))
+    }
+
+    /// Returns the work of all priorities within the window, in millicores times milliseconds.
+    pub(super) fn total_work(&self, now: Instant) -> u64 {
+        let works = self.millicore_ms_by_priority.values();
+        works.fold(0, |sum: u64, work| sum.saturating_add(work.sum(now)))
+    }
 }
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -14,7 +14,8 @@
 pub(super) struct QueuePosition {
     priority: u8,
     is_overdue: bool,
-    latest_start: Instant,
+    /// `None` only in the position before all jobs of a priority.
+    latest_start: Option<Instant>,
     name: JobName,
 }
 
@@ -23,11 +24,26 @@
         Self {
             priority: job.policy.priority,
             is_overdue: job.is_overdue,
-            latest_start: job.latest_start(),
+            latest_start: Some(job.latest_start()),
             name: job.name,
         }
     }
 
+    /// Returns the position before all jobs of a priority.
+    fn before(priority: u8) -> Self {
+        Self {
+            priority,
+            is_overdue: false,
+            latest_start: None,
+            name: JobName(0),
+        }
+    }
+
+    /// Returns the priority of the job.
+    pub(super) fn priority(&self) -> u8 {
+        self.priority
+    }
+
     /// Returns the name of the job.
     pub(super) fn job(&self) -> JobName {
         self.name
@@ -55,16 +71,29 @@
         self.work_by_position.remove(&QueuePosition::of(job));
     }
 
-    /// Returns the position of the first job.
-    pub(super) fn first(&self) -> Option<QueuePosition> {
-        self.work_by_position.keys().next().copied()
+    /// Returns the positions of the first jobs of all priorities, most urgent first.
+    pub(super) fn first_of_priorities(&self) -> impl Iterator<Item = QueuePosition> + '_ {
+        let first = self.work_by_position.keys().next().copied();
+        std::iter::successors(first, |position| {
+            let next_priority = position.priority.checked_add(1)?;
+            let later = self
+                .work_by_position
+                .range(QueuePosition::before(next_priority)..);
+            later.map(|(position, _)| *position).next()
+        })
+    }
+
+    /// Returns the number of less urgent priorities with waiting jobs.
+    pub(super) fn lower_priority_count(&self, priority: u8) -> u64 {
+        let firsts = self.first_of_priorities();
+        firsts.filter(|first| first.priority > priority).count() as u64
     }
 
-    /// Returns the position of the first job after the given position.
+    /// Returns the position of the first job of the same priority after the given position.
     pub(super) fn after(&self, position: &QueuePosition) -> Option<QueuePosition> {
         let later = (Bound::Excluded(position), Bound::Unbounded);
-        let next = self.work_by_position.range(later).next();
-        next.map(|(position, _)| *position)
+        let (next, _) = self.work_by_position.range(later).next()?;
+        (next.priority == position.priority).then_some(*next)
     }
 
     /// Returns the names of all jobs, in the order of placement.
@@ -90,12 +119,11 @@
 
     /// Returns the work of the overdue jobs of a priority.
     pub(super) fn overdue_work(&self, priority: u8) -> WaitingWork {
-        let of_priority = self
+        let positions = self
             .work_by_position
-            .iter()
-            .skip_while(|(position, _)| position.priority < priority)
+            .range(QueuePosition::before(priority)..)
             .take_while(|(position, _)| position.priority == priority);
-        let overdue = of_priority.filter(|(position, _)| position.is_overdue);
+        let overdue = positions.filter(|(position, _)| position.is_overdue);
         overdue.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
     }
 }
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -37,6 +37,8 @@
     /// Whether a job waits only for the work ahead of it in the queue, at the rate that higher
     /// priorities leave; otherwise all waiting work counts for all but the most urgent jobs.
     pub counts_work_ahead: bool,
+    /// Whether each priority with waiting work keeps a minimum share of what is placed.
+    pub keeps_floors: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -57,6 +59,7 @@
             cancel_answer_max: Duration::from_millis(400),
             probe_interval: Duration::from_millis(500),
             counts_work_ahead: true,
+            keeps_floors: true,
             seed: 1,
         }
     }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -286,6 +286,21 @@
     assert!(!admission(left_millicores * 602).is_admitted());
 }
 
+/// Guards against urgent jobs that are admitted to the capacity that the floors of waiting, less
+/// urgent jobs take: a burst of all kinds of jobs.
+#[test_case(0, 200_000; "nothing less urgent waits")]
+#[test_case(1, 160_000; "one lower priority waits")]
+#[test_case(2, 120_000; "two lower priorities wait")]
+#[test_case(9, 80_000; "the floors never take more than three fifths")]
+fn admission_counts_on_what_the_floors_leave(lower_waiting_count: u64, left_millicores: u64) {
+    let admission = Admission {
+        share_millicores: 200_000,
+        lower_waiting_count,
+        ..Admission::default()
+    };
+    assert_eq!(admission.rate_millicores(), left_millicores);
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
