feat(dispatch): admission counts on the rate at which an entry's waiting work was placed

The share of an entry divides each minion by the entries that have sent orders there within a second, however few. A busy entry among idle ones thus refused jobs that the fleet would have taken.

The rate that admission counts on is now the greater of the share and the mean rate at which work of the service was placed in the last 300 ms while work waited, at most the capacity of the usable minions. What is placed while nothing waits does not count: it follows the demand and not the capacity. EntrySettings::counts_drain_rate turns the rule off.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -46,6 +46,10 @@
     pub work_ahead_millicore_ms: u64,
     /// The CPU capacity of the minions that this entry can count on, in millicores.
     pub share_millicores: u64,
+    /// The rate at which this entry's work was placed recently while work waited, in millicores.
+    pub drain_millicores: u64,
+    /// The CPU capacity of all usable minions that this entry has sessions with, in millicores.
+    pub capacity_millicores: u64,
     /// The rate at which work of higher priorities has been admitted recently, in millicores.
     pub higher_arrival_millicores: u64,
     /// The number of lower priorities with waiting work, each of which keeps its floor.
@@ -94,6 +98,11 @@
         } else {
             0
         };
+        let drain_millicores = if state.settings.counts_drain_rate {
+            state.load.drain_rate(&job.service, now)
+        } else {
+            0
+        };
         let is_counted = |sidecar| state.confinement.is_in_lane(lane, sidecar);
         Self {
             work_ahead_millicore_ms: work_ahead
@@ -104,6 +113,8 @@
                 state.spare_count,
                 is_counted,
             ),
+            drain_millicores,
+            capacity_millicores: state.fleet.capacity_millicores_of(&job.service, is_counted),
             higher_arrival_millicores,
             lower_waiting_count,
             link_delay: state.sessions.link_delay(
@@ -115,13 +126,24 @@
         }
     }
 
+    /// Returns the rate at which all work of this entry is expected to be placed, in millicores: its
+    /// share, or more if it was recently given more.
+    ///
+    /// Sidecars give to the entries that ask for it what others leave, which no share accounts for.
+    pub fn total_rate_millicores(&self) -> u64 {
+        // Many long tasks placed at once exceed what can be placed in the long run.
+        let drain_millicores = self.drain_millicores.min(self.capacity_millicores);
+        self.share_millicores.max(drain_millicores)
+    }
+
     /// Returns the rate at which the work ahead of the job is expected to be placed, in millicores:
-    /// what higher priorities and the floors of lower ones leave of the share, and at least the floor
-    /// of the job's priority.
+    /// what higher priorities and the floors of lower ones leave, and at least the floor of the job's
+    /// priority.
     pub fn rate_millicores(&self) -> u64 {
-        left_by_floors(self.share_millicores, self.lower_waiting_count)
+        let total = self.total_rate_millicores();
+        left_by_floors(total, self.lower_waiting_count)
             .saturating_sub(self.higher_arrival_millicores)
-            .max(floor_of(self.share_millicores))
+            .max(floor_of(total))
     }
 
     /// Returns the estimated queueing delay of the job: the minions and the link work at the same
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -195,6 +195,20 @@
         share + spare_share * spare_free_permille / 1_000
     }
 
+    /// Returns the CPU capacity of the usable minions of a service that `is_counted` selects, in
+    /// millicores.
+    pub(super) fn capacity_millicores_of(
+        &self,
+        service: &str,
+        is_counted: impl Fn(Incarnation) -> bool,
+    ) -> u64 {
+        self.of_service(service)
+            .filter(|view| view.is_usable() && is_counted(view.incarnation()))
+            .filter_map(SidecarView::profile)
+            .map(|profile| u64::from(profile.capacity.cpu_millicores))
+            .sum()
+    }
+
     /// Returns the CPU allocated to this entry's tasks of a service, in millicores.
     pub(super) fn placed_millicores(&self, service: &str) -> u64 {
         self.of_service(service)
--- a/knapweedrill/src/dispatch/entry/load_history.rs
+++ b/knapweedrill/src/dispatch/entry/load_history.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use super::drain_rate::DrainRate;
 use super::job::Job;
 use super::priority_rates::PriorityRates;
 use crate::common::ServiceName;
@@ -12,6 +13,7 @@
 struct ServiceLoad {
     /// The work of admitted jobs.
     arrived: PriorityRates,
+    drain: DrainRate,
 }
 
 /// The recent load of an entry. It is lost with the process, and a new one begins without load.
@@ -43,6 +45,30 @@
     pub(super) fn record_placed(&mut self, job: &Job, position: usize, now: Instant) {
         let millicore_ms = job.millicore_ms(position);
         self.placed.record(job.policy.priority, millicore_ms, now);
+        if let Some(load) = self.services.get_mut(&job.service) {
+            load.drain.record_placed(millicore_ms, now);
+        }
+    }
+
+    /// Records that the current round of placement leaves a job waiting for resources.
+    pub(super) fn record_left_waiting(&mut self, job: &Job) {
+        if let Some(load) = self.services.get_mut(&job.service) {
+            load.drain.record_left_waiting();
+        }
+    }
+
+    /// Ends a round of placement.
+    pub(super) fn end_round(&mut self) {
+        for load in self.services.values_mut() {
+            load.drain.end_round();
+        }
+    }
+
+    /// Returns the recent rate at which work of a service was placed while some of it waited, in
+    /// millicores.
+    pub(super) fn drain_rate(&self, service: &str, now: Instant) -> u64 {
+        let load = self.services.get(service);
+        load.map_or(0, |load| load.drain.millicores(now))
     }
 
     /// Returns the work that was placed recently.
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -65,7 +65,13 @@
             };
             let skipped_lane = jobs.change(queue_position.job(), |job| {
                 let lane = targets.confinement.lane(job);
-                (!self.place_job(job, lane, targets, now)).then_some(lane)
+                if self.place_job(job, lane, targets, now) {
+                    return None;
+                }
+                if lane != Lane::Trial {
+                    targets.load.record_left_waiting(job);
+                }
+                Some(lane)
             });
             if let Some(Some(lane)) = skipped_lane {
                 order.record_skipped(&queue_position);
@@ -76,6 +82,7 @@
                 break;
             }
         }
+        targets.load.end_round();
         // More sidecars would not help while the link is full.
         if skipped_count > 0 && targets.sessions.has_link_room(now) {
             targets.subset.request_early_round();
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -39,6 +39,9 @@
     pub counts_work_ahead: bool,
     /// Whether each priority with waiting work keeps a minimum share of what is placed.
     pub keeps_floors: bool,
+    /// Whether admission counts on the recent rate of placement while work waited if that exceeds
+    /// this entry's share.
+    pub counts_drain_rate: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -60,6 +63,7 @@
             probe_interval: Duration::from_millis(500),
             counts_work_ahead: true,
             keeps_floors: true,
+            counts_drain_rate: true,
             seed: 1,
         }
     }
--- a/knapweedrill/src/dispatch/entry/sliding_sum.rs
+++ b/knapweedrill/src/dispatch/entry/sliding_sum.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::dispatch::units::millis;
+
 /// The number of buckets of a window. The sum covers the newest one, which is not full yet, and the
 /// others.
 const BUCKET_COUNT: usize = 4;
@@ -50,6 +52,16 @@
         recent.iter().copied().fold(0, u64::saturating_add)
     }
 
+    /// Returns the mean of the amounts per millisecond of the time that the buckets cover.
+    pub(super) fn mean_per_ms(&self, now: Instant) -> u64 {
+        let full_duration = self.bucket_duration * (BUCKET_COUNT as u32 - 1);
+        let covered = self.newest_began_at.map_or(full_duration, |began_at| {
+            let age = now.saturating_duration_since(began_at);
+            full_duration + age.min(self.bucket_duration)
+        });
+        self.sum(now) / millis(covered).max(1)
+    }
+
     /// Returns the number of buckets that have begun since the newest one, at most all.
     fn passed_buckets(&self, now: Instant) -> usize {
         let Some(began_at) = self.newest_began_at else {
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
-use knapweedrill::dispatch::entry::{Admission, Fleet, TaskRequirements};
+use knapweedrill::dispatch::entry::{Admission, DrainRate, Fleet, TaskRequirements};
 use knapweedrill::dispatch::message::{
     CrashRecord, MinionAvailability, MinionProfile, SidecarStatus,
 };
@@ -301,6 +301,49 @@
     assert_eq!(admission.rate_millicores(), left_millicores);
 }
 
+/// Guards against the refusals of a busy entry whose peers are idle: its share counts them like
+/// itself, while the sidecars give it what they leave.
+#[test_case(0, 100_000; "nothing waited recently")]
+#[test_case(60_000, 100_000; "less than the share")]
+#[test_case(350_000, 350_000; "idle entries lend their part")]
+#[test_case(900_000, 400_000; "many long tasks were placed at once")]
+fn busy_entry_counts_on_what_it_was_given(drain_millicores: u64, rate_millicores: u64) {
+    let admission = Admission {
+        share_millicores: 100_000,
+        drain_millicores,
+        capacity_millicores: 400_000,
+        ..Admission::default()
+    };
+    assert_eq!(admission.rate_millicores(), rate_millicores);
+}
+
+/// Guards against an entry that goes on counting on capacity after the demand has moved to another
+/// one, or that refuses for long after it has moved here. 40 cores are placed while work waits.
+#[test]
+fn drain_rate_follows_the_demand_within_its_window() {
+    let begin = Instant::now();
+    let mut drain = DrainRate::default();
+    let mut place = |from_ms: u32, until_ms: u32, waits: bool| {
+        for at_ms in (from_ms..until_ms).step_by(5) {
+            drain.record_placed(40_000 * 5, begin + MS * at_ms);
+            if waits {
+                drain.record_left_waiting();
+            }
+            drain.end_round();
+        }
+        drain.millicores(begin + MS * until_ms)
+    };
+    // What is placed while nothing waits only shows the demand.
+    assert_eq!(place(0, 300, false), 0);
+    let rate = place(300, 600, true);
+    assert!((34_000..=44_000).contains(&rate), "{rate}");
+    // The demand is elsewhere for a while.
+    assert!((1..34_000).contains(&place(600, 750, false)));
+    assert_eq!(place(750, 905, false), 0);
+    let rate = place(905, 1_205, true);
+    assert!((34_000..=44_000).contains(&rate), "{rate}");
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
