feat(dispatch): a job is admitted if the free capacity can hold it beside all waiting work

Jobs can wait while minions are free: for a label, for a faster minion, for a trial. Their work counts as ahead of other jobs, which were refused although they could have started at once.

A job that would be refused is now admitted if the CPU that is free for its first tasks, where they would end in time, is at least the CPU of all waiting tasks and of its own first tasks. Free CPU counts in whole tasks of the job, on usable minions in its lane that have its label and are not suspect. EntrySettings::admits_into_free_capacity turns the rule off.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -4,11 +4,12 @@
 
 use super::EntrySettings;
 use super::confinement::Confinement;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, TaskRequirements};
 use super::job::Job;
 use super::jobs::Jobs;
 use super::load_history::LoadHistory;
 use super::queue_floor::{floor_of, left_by_floors};
+use crate::common::Incarnation;
 use crate::dispatch::session::Sessions;
 
 /// The priority of the most urgent queues; lower is more urgent.
@@ -21,6 +22,8 @@
     NothingAhead,
     /// It is admitted: its predicted wait fits into its slack.
     FitsSlack,
+    /// It is admitted: the free capacity can hold it beside all waiting work.
+    FreeCapacity,
     /// It is refused: its predicted wait exceeds its slack.
     ExceedsSlack,
     /// It is admitted: a minion for its trial is free soon.
@@ -33,7 +36,7 @@
     /// Returns whether the job is admitted.
     pub fn is_admitted(self) -> bool {
         match self {
-            Self::NothingAhead | Self::FitsSlack | Self::TrialCapacity => true,
+            Self::NothingAhead | Self::FitsSlack | Self::FreeCapacity | Self::TrialCapacity => true,
             Self::ExceedsSlack | Self::NoTrialCapacity => false,
         }
     }
@@ -54,6 +57,13 @@
     pub higher_arrival_millicores: u64,
     /// The number of lower priorities with waiting work, each of which keeps its floor.
     pub lower_waiting_count: u64,
+    /// The CPU that is free for the first tasks of the job where they would end in time, in
+    /// millicores.
+    pub free_millicores: u64,
+    /// The CPU that all waiting tasks require, in millicores.
+    pub waiting_millicores: u64,
+    /// The CPU that the first tasks of the job require, in millicores.
+    pub needed_millicores: u64,
     /// How long the link of this entry needs for what is queued ahead of the job.
     pub link_delay: Duration,
     /// How long the job can wait and still meet its latency objective.
@@ -104,6 +114,11 @@
             0
         };
         let is_counted = |sidecar| state.confinement.is_in_lane(lane, sidecar);
+        let free_millicores = if state.settings.admits_into_free_capacity {
+            free_millicores_for(job, state.fleet, now, is_counted)
+        } else {
+            0
+        };
         Self {
             work_ahead_millicore_ms: work_ahead
                 .millicore_ms
@@ -117,6 +132,9 @@
             capacity_millicores: state.fleet.capacity_millicores_of(&job.service, is_counted),
             higher_arrival_millicores,
             lower_waiting_count,
+            free_millicores,
+            waiting_millicores: waiting.total_work().millicores,
+            needed_millicores: job.waiting_millicores(),
             link_delay: state.sessions.link_delay(
                 work_ahead
                     .order_bytes
@@ -153,20 +171,56 @@
         Duration::from_millis(wait_ms).max(self.link_delay)
     }
 
+    /// Returns whether the free capacity can hold the first tasks of the job beside all waiting ones,
+    /// and the link does not delay it for too long.
+    fn has_free_capacity(&self) -> bool {
+        let taken = self
+            .waiting_millicores
+            .saturating_add(self.needed_millicores);
+        let has_room = self.free_millicores > 0 && taken <= self.free_millicores;
+        has_room && self.link_delay <= self.slack
+    }
+
     /// Returns whether the job is admitted, and why.
     pub fn reason(&self) -> AdmissionReason {
         if self.work_ahead_millicore_ms == 0 {
             AdmissionReason::NothingAhead
         } else if self.wait() <= self.slack {
             AdmissionReason::FitsSlack
+        } else if self.has_free_capacity() {
+            AdmissionReason::FreeCapacity
         } else {
             AdmissionReason::ExceedsSlack
         }
     }
 
-    /// Returns whether the job is admitted: nothing is queued ahead of it, or its wait fits into
-    /// its slack.
+    /// Returns whether the job is admitted: nothing is queued ahead of it, its wait fits into its
+    /// slack, or the free capacity can hold it.
     pub fn is_admitted(&self) -> bool {
         self.reason().is_admitted()
     }
 }
+
+/// Returns the CPU that is free for each of the first steps of a job where its tasks would end in
+/// time, in millicores.
+fn free_millicores_for(
+    job: &Job,
+    fleet: &Fleet,
+    now: Instant,
+    is_counted: impl Fn(Incarnation) -> bool,
+) -> u64 {
+    let first_steps = job.steps.iter().filter(|step| step.after.is_empty());
+    let free = first_steps.map(|step| {
+        let requirements = TaskRequirements {
+            service: &job.service,
+            resources: step.resources,
+            estimate: step.estimate,
+            time_left: job.run_time_left(step.estimate, now),
+            required_label: step.required_label.as_deref(),
+            preferred_label: None,
+        };
+        let per_minion_max = step.per_minion_max.unwrap_or(u32::MAX);
+        fleet.free_millicores_for(&requirements, per_minion_max, &is_counted)
+    });
+    free.min().unwrap_or(0)
+}
--- a/knapweedrill/src/dispatch/entry/fleet.rs
+++ b/knapweedrill/src/dispatch/entry/fleet.rs
@@ -9,6 +9,7 @@
 use super::SidecarView;
 use crate::common::Incarnation;
 use crate::dispatch::Resources;
+use crate::dispatch::message::MinionProfile;
 use crate::dispatch::session::MessageNumber;
 
 /// Minions whose estimated run times differ by at most this much count as equal. The error of a
@@ -209,6 +210,31 @@
             .sum()
     }
 
+    /// Returns the CPU that is free for equal tasks, in millicores: where they would end in time, with
+    /// at most `per_minion_max` on each of the usable minions that `is_counted` selects.
+    pub(super) fn free_millicores_for(
+        &self,
+        requirements: &TaskRequirements<'_>,
+        per_minion_max: u32,
+        is_counted: impl Fn(Incarnation) -> bool,
+    ) -> u64 {
+        let resources = requirements.resources;
+        self.of_service(requirements.service)
+            .filter(|view| view.is_usable() && !view.is_suspect())
+            .filter(|view| is_counted(view.incarnation()))
+            .filter(|view| view.run_time(requirements.estimate) <= requirements.time_left)
+            .filter(|view| {
+                let has_label =
+                    |profile: &MinionProfile| profile.has_label(requirements.required_label);
+                view.profile().is_some_and(has_label)
+            })
+            .map(|view| {
+                let count = resources.count_in(view.free()).min(per_minion_max);
+                u64::from(count) * u64::from(resources.cpu_millicores)
+            })
+            .sum()
+    }
+
     /// Returns the CPU allocated to this entry's tasks of a service, in millicores.
     pub(super) fn placed_millicores(&self, service: &str) -> u64 {
         self.of_service(service)
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -378,6 +378,7 @@
             let millicores = u64::from(step.resources.cpu_millicores);
             WaitingWork {
                 millicore_ms: millicores.saturating_mul(millis(step.estimate)),
+                millicores,
                 order_bytes: self.spec.len() as u64 + ORDER_OVERHEAD_BYTES,
             }
         });
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -42,6 +42,8 @@
     /// Whether admission counts on the recent rate of placement while work waited if that exceeds
     /// this entry's share.
     pub counts_drain_rate: bool,
+    /// Whether a job is admitted that the free capacity can hold beside all waiting work.
+    pub admits_into_free_capacity: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -64,6 +66,7 @@
             counts_work_ahead: true,
             keeps_floors: true,
             counts_drain_rate: true,
+            admits_into_free_capacity: true,
             seed: 1,
         }
     }
--- a/knapweedrill/src/dispatch/resources.rs
+++ b/knapweedrill/src/dispatch/resources.rs
@@ -22,6 +22,16 @@
             && self.accelerator_count <= free.accelerator_count
     }
 
+    /// Returns how many times the amounts fit into those in `free`.
+    pub fn count_in(self, free: Self) -> u32 {
+        let counts = [
+            free.cpu_millicores.checked_div(self.cpu_millicores),
+            free.memory_mib.checked_div(self.memory_mib),
+            free.accelerator_count.checked_div(self.accelerator_count),
+        ];
+        counts.into_iter().flatten().min().unwrap_or(u32::MAX)
+    }
+
     /// Returns the sum, each amount limited to its maximum.
     #[must_use]
     pub fn saturating_add(self, other: Self) -> Self {
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -344,6 +344,28 @@
     assert!((34_000..=44_000).contains(&rate), "{rate}");
 }
 
+/// Guards against refusals while minions are free: jobs wait for one full rack, so that the wait of
+/// all looks long.
+#[test_case(34_000, true; "free for the job beside all that waits")]
+#[test_case(33_999, false; "not free for all of it")]
+fn job_is_admitted_into_free_capacity(free_millicores: u64, is_admitted: bool) {
+    let admission = Admission {
+        work_ahead_millicore_ms: 1_000_000,
+        share_millicores: 1_000,
+        free_millicores,
+        waiting_millicores: 30_000,
+        needed_millicores: 4_000,
+        slack: 96 * MS,
+        ..Admission::default()
+    };
+    assert_eq!(admission.is_admitted(), is_admitted);
+    let behind_a_full_link = Admission {
+        link_delay: 97 * MS,
+        ..admission
+    };
+    assert!(!behind_a_full_link.is_admitted());
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
