feat(dispatch): Retry-After follows from the predicted backlog

Callers refused under load were sent away for 1 to 3 s by the name of their job, whatever waited, so that most of a long burst returned into it.

A caller is now promised the time at which the backlog has drained and the work of the callers refused before it could have been placed, at the rate that admission counts on. The delay is that time in whole seconds, rounded up, 1 to 5 s, with a jitter of up to one second from the seeded generator. Once 5 s are promised, callers are spread over all seconds from the drain of the backlog on. This holds for jobs refused by admission and for those that have waited too long; other refusals keep 1 to 3 s. EntrySettings::predicts_retry_after turns the rule off.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -62,6 +62,8 @@
     pub free_millicores: u64,
     /// The CPU that all waiting tasks require, in millicores.
     pub waiting_millicores: u64,
+    /// The work of all waiting tasks, in millicores times milliseconds.
+    pub waiting_millicore_ms: u64,
     /// The CPU that the first tasks of the job require, in millicores.
     pub needed_millicores: u64,
     /// How long the link of this entry needs for what is queued ahead of the job.
@@ -89,15 +91,19 @@
         let waiting = state.jobs.waiting();
         let lane = state.confinement.lane(job);
         let counts_work_ahead = state.settings.counts_work_ahead;
+        let total_work = waiting.total_work();
         let work_ahead = if job.policy.priority == HIGHEST_PRIORITY {
             waiting.work_ahead(job)
         } else if counts_work_ahead {
             waiting.work_ahead(job) + waiting.overdue_work(job.policy.priority)
         } else {
-            waiting.total_work()
+            total_work
         };
         // Jobs that wait for a trial take no resources of the others.
         let trial_work = state.confinement.waiting_trial_work(state.jobs);
+        let work_ahead_millicore_ms = work_ahead
+            .millicore_ms
+            .saturating_sub(trial_work.millicore_ms);
         let higher_arrival_millicores = if counts_work_ahead {
             state.load.arrival_rate_above(job, now)
         } else {
@@ -114,15 +120,14 @@
             0
         };
         let is_counted = |sidecar| state.confinement.is_in_lane(lane, sidecar);
-        let free_millicores = if state.settings.admits_into_free_capacity {
-            free_millicores_for(job, state.fleet, now, is_counted)
-        } else {
-            0
-        };
+        let free_millicores =
+            if state.settings.admits_into_free_capacity && work_ahead_millicore_ms > 0 {
+                free_millicores_for(job, state.fleet, now, is_counted)
+            } else {
+                0
+            };
         Self {
-            work_ahead_millicore_ms: work_ahead
-                .millicore_ms
-                .saturating_sub(trial_work.millicore_ms),
+            work_ahead_millicore_ms,
             share_millicores: state.fleet.share_millicores_of(
                 &job.service,
                 state.spare_count,
@@ -133,7 +138,8 @@
             higher_arrival_millicores,
             lower_waiting_count,
             free_millicores,
-            waiting_millicores: waiting.total_work().millicores,
+            waiting_millicores: total_work.millicores,
+            waiting_millicore_ms: total_work.millicore_ms,
             needed_millicores: job.waiting_millicores(),
             link_delay: state.sessions.link_delay(
                 work_ahead
--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -23,7 +23,7 @@
 use super::pause::Pause;
 use super::paused_connections::PausedConnections;
 use super::placer::{Placer, Targets, stop_placements};
-use super::retry_after::retry_after;
+use super::retry_after::{Backlog, retry_after};
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
 use super::{EntrySettings, Submission, TaskPlacement};
@@ -109,7 +109,7 @@
             jobs: Jobs::default(),
             is_placement_due: false,
             placer: Placer::default(),
-            load: LoadHistory::default(),
+            load: LoadHistory::new(&settings),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             cancelled_names: CancelledNames::default(),
@@ -380,31 +380,24 @@
             return;
         };
         let job = Job::new(submission, queue, caller, now);
-        let spare_count = self.subset.spare_count(&job.service);
-        let state = AdmissionState {
-            settings: &self.settings,
-            jobs: &self.jobs,
-            fleet: &self.fleet,
-            confinement: &self.confinement,
-            sessions: &self.sessions,
-            load: &self.load,
-            spare_count,
-        };
-        let admission = Admission::new(&job, state, now);
+        let admission = Admission::new(&job, self.admission_state(&job.service), now);
         let reason = match self.confinement.lane(&job) {
             Lane::Any | Lane::Rest => admission.reason(),
             Lane::Trial => self.confinement.trial_reason(&job, &self.jobs, &self.fleet),
         };
         if !reason.is_admitted() {
+            let backlog = Backlog::new(&job, &admission);
+            let retry_after = self.load.retry_after(&job, &backlog, now);
             log::warn!(
                 job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
                 wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
                 rate_millicores = admission.rate_millicores(), reason:? = reason,
-                waiting = self.jobs.waiting().len(); "refused: expected to miss its objective"
+                retry_after_s = retry_after.as_secs(), waiting = self.jobs.waiting().len();
+                "refused: expected to miss its objective"
             );
             let answer = Answer::Refused {
                 reason: RefusalReason::Overload,
-                retry_after: retry_after(name),
+                retry_after,
             };
             self.answer(caller, answer, job.queue);
             return;
@@ -424,6 +417,19 @@
         self.place_waiting(now);
     }
 
+    /// Returns the state that the admission of a job for a service depends on.
+    fn admission_state(&self, service: &str) -> AdmissionState<'_> {
+        AdmissionState {
+            settings: &self.settings,
+            jobs: &self.jobs,
+            fleet: &self.fleet,
+            confinement: &self.confinement,
+            sessions: &self.sessions,
+            load: &self.load,
+            spare_count: self.subset.spare_count(service),
+        }
+    }
+
     /// Removes a caller that has disconnected, and stops the job if no other caller waits for it.
     pub fn caller_left(&mut self, caller: CallerId, name: JobName, now: Instant) {
         let left = self.jobs.change(name, |job| {
@@ -933,9 +939,17 @@
             return;
         };
         let answer = if job.started_count == 0 {
+            let retry_after = match reason {
+                RefusalReason::Overload | RefusalReason::Waited => {
+                    let state = self.admission_state(&job.service);
+                    let backlog = Backlog::new(job, &Admission::new(job, state, now));
+                    self.load.retry_after(job, &backlog, now)
+                }
+                _ => retry_after(name),
+            };
             Answer::Refused {
                 reason,
-                retry_after: retry_after(name),
+                retry_after,
             }
         } else {
             Answer::GivenUp
--- a/knapweedrill/src/dispatch/entry/load_history.rs
+++ b/knapweedrill/src/dispatch/entry/load_history.rs
@@ -1,11 +1,16 @@
 //! The recent load of an entry, by service.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::EntrySettings;
 use super::drain_rate::DrainRate;
 use super::job::Job;
 use super::priority_rates::PriorityRates;
+use super::retry_after::{Backlog, RetryPromises, retry_after};
 use crate::common::ServiceName;
 
 /// The recent load of one service.
@@ -14,17 +19,41 @@
     /// The work of admitted jobs.
     arrived: PriorityRates,
     drain: DrainRate,
+    retry_promises: RetryPromises,
 }
 
 /// The recent load of an entry. It is lost with the process, and a new one begins without load.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct LoadHistory {
     services: BTreeMap<ServiceName, ServiceLoad>,
     /// The work that was placed, of all services together like the queue.
     placed: PriorityRates,
+    predicts_retry_after: bool,
+    /// The source of the jitter of retry delays.
+    random: SmallRng,
 }
 
 impl LoadHistory {
+    /// Creates a history without load.
+    pub(super) fn new(settings: &EntrySettings) -> Self {
+        Self {
+            services: BTreeMap::new(),
+            placed: PriorityRates::default(),
+            predicts_retry_after: settings.predicts_retry_after,
+            random: SmallRng::seed_from_u64(settings.seed),
+        }
+    }
+
+    /// Returns the retry delay of the callers of a job that was refused because of the load.
+    pub(super) fn retry_after(&mut self, job: &Job, backlog: &Backlog, now: Instant) -> Duration {
+        if !self.predicts_retry_after {
+            return retry_after(job.name);
+        }
+        let load = self.services.entry(job.service.clone()).or_default();
+        let random = &mut self.random;
+        load.retry_promises.promise(backlog, random, now)
+    }
+
     /// Records that a job was admitted.
     pub(super) fn record_admitted(&mut self, job: &Job, now: Instant) {
         self.services
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -41,6 +41,7 @@
 pub use drain_rate::DrainRate;
 pub use fleet::{Fleet, TaskRequirements};
 pub use pause::Pause;
+pub use retry_after::{Backlog, RetryPromises};
 pub use settings::EntrySettings;
 pub use sidecar_view::SidecarView;
 pub use submission::{StepRequest, Submission};
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -44,6 +44,9 @@
     pub counts_drain_rate: bool,
     /// Whether a job is admitted that the free capacity can hold beside all waiting work.
     pub admits_into_free_capacity: bool,
+    /// Whether the retry delay of jobs that are refused because of the load follows from the predicted
+    /// time until the backlog has drained.
+    pub predicts_retry_after: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -67,6 +70,7 @@
             keeps_floors: true,
             counts_drain_rate: true,
             admits_into_free_capacity: true,
+            predicts_retry_after: true,
             seed: 1,
         }
     }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -1,14 +1,19 @@
 //! Placement, admission, health, pace and delay under typical loads and faults.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
-use knapweedrill::dispatch::entry::{Admission, DrainRate, Fleet, TaskRequirements};
+use knapweedrill::dispatch::entry::{
+    Admission, Backlog, DrainRate, Fleet, RetryPromises, TaskRequirements,
+};
 use knapweedrill::dispatch::message::{
     CrashRecord, MinionAvailability, MinionProfile, SidecarStatus,
 };
 use knapweedrill::dispatch::sidecar::{Health, Pace, RetryDelay};
 use knapweedrill::dispatch::{JobName, Resources};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use test_case::test_case;
 
 const MS: Duration = Duration::from_millis(1);
@@ -366,6 +371,61 @@
     assert!(!behind_a_full_link.is_admitted());
 }
 
+/// Returns the retry delays, in seconds, of callers that are refused at the same time.
+fn retry_delays_s(backlog: Backlog, caller_count: usize) -> Vec<u64> {
+    let now = Instant::now();
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut promises = RetryPromises::default();
+    (0..caller_count)
+        .map(|_| promises.promise(&backlog, &mut random, now).as_secs())
+        .collect()
+}
+
+/// Guards against callers that return before the backlog has drained and are refused again.
+#[test_case(0, 1..=2; "nothing waits")]
+#[test_case(900, 1..=2; "less than a second")]
+#[test_case(1_100, 2..=3; "more than a second")]
+#[test_case(4_500, 5..=5; "nearly the maximum")]
+#[test_case(60_000, 5..=5; "more than the maximum")]
+fn refused_caller_returns_after_the_backlog(wait_ms: u64, delays_s: RangeInclusive<u64>) {
+    let backlog = Backlog {
+        waiting_millicore_ms: 200_000 * wait_ms,
+        job_millicore_ms: 240_000,
+        rate_millicores: 200_000,
+    };
+    let delay_s = retry_delays_s(backlog, 1)[0];
+    assert!(delays_s.contains(&delay_s), "{delay_s}");
+}
+
+/// Guards against a second overload by callers that all return at the same time: a burst is refused
+/// at once, and only 4 s of it fit into the capacity.
+#[test]
+fn refused_callers_return_at_the_rate_of_the_capacity() {
+    let backlog = Backlog {
+        waiting_millicore_ms: 200_000 * 500,
+        job_millicore_ms: 200_000 * 10,
+        rate_millicores: 200_000,
+    };
+    let delays_s = retry_delays_s(backlog, 450);
+    for delay_s in 2..=4 {
+        let count = delays_s[..350].iter().filter(|it| **it == delay_s);
+        let count = count.count();
+        assert!(
+            (70..=130).contains(&count),
+            "{count} return after {delay_s} s"
+        );
+    }
+    // The first to be refused come first.
+    let sum = |delays: &[u64]| delays.iter().sum::<u64>();
+    assert!(sum(&delays_s[..50]) < sum(&delays_s[200..250]));
+    // Those that do not fit are spread as well.
+    for delay_s in 1..=5 {
+        let count = delays_s.iter().filter(|it| **it == delay_s).count();
+        assert!(count <= 200, "{count} return after {delay_s} s");
+    }
+    assert_eq!(delays_s, retry_delays_s(backlog, 450), "a seed repeats");
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
