fix(dispatch): a priority below its floor is not refused for the work ahead of it, and its begun jobs are placed whole

Its jobs were refused because all urgent work ahead counted at the rate of the floor, although the floor carries them before it; and those admitted were placed in part, until the placed part had used up the floor, and given up.

The predicted wait is now the lesser of that for all work ahead and that for the work of the own priority, with what it has had above its floor in the last second, at the rate of the floor. A begun job has the precedence of the floor until it is placed whole.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -57,6 +57,9 @@
     pub higher_arrival_millicores: u64,
     /// The number of lower priorities with waiting work, each of which keeps its floor.
     pub lower_waiting_count: u64,
+    /// The work that the floor of the job's priority has to carry before the job, in millicores times
+    /// milliseconds; `None` if priorities have no floors.
+    pub floor_work_millicore_ms: Option<u64>,
     /// The CPU that is free for the first tasks of the job where they would end in time, in
     /// millicores.
     pub free_millicores: u64,
@@ -137,6 +140,10 @@
             capacity_millicores: state.fleet.capacity_millicores_of(&job.service, is_counted),
             higher_arrival_millicores,
             lower_waiting_count,
+            floor_work_millicore_ms: state.settings.keeps_floors.then(|| {
+                let own_work = waiting.own_work_ahead(job).millicore_ms;
+                own_work.saturating_add(state.load.above_floor(job.policy.priority, now))
+            }),
             free_millicores,
             waiting_millicores: total_work.millicores,
             waiting_millicore_ms: total_work.millicore_ms,
@@ -172,9 +179,16 @@
 
     /// Returns the estimated queueing delay of the job: the minions and the link work at the same
     /// time.
+    ///
+    /// The minions place it after all work ahead of it, or after that of its own priority at the rate
+    /// of the floor, whichever is sooner.
     pub fn wait(&self) -> Duration {
         let wait_ms = self.work_ahead_millicore_ms / self.rate_millicores().max(1);
-        Duration::from_millis(wait_ms).max(self.link_delay)
+        let floor_millicores = floor_of(self.total_rate_millicores()).max(1);
+        let floor_wait_ms = self
+            .floor_work_millicore_ms
+            .map_or(wait_ms, |work| work / floor_millicores);
+        Duration::from_millis(wait_ms.min(floor_wait_ms)).max(self.link_delay)
     }
 
     /// Returns whether the free capacity can hold the first tasks of the job beside all waiting ones,
--- a/knapweedrill/src/dispatch/entry/load_history.rs
+++ b/knapweedrill/src/dispatch/entry/load_history.rs
@@ -10,6 +10,7 @@
 use super::drain_rate::DrainRate;
 use super::job::Job;
 use super::priority_rates::PriorityRates;
+use super::queue_floor::floor_of;
 use super::retry_after::{Backlog, RetryPromises, retry_after};
 use crate::common::ServiceName;
 
@@ -100,6 +101,13 @@
         load.map_or(0, |load| load.drain.millicores(now))
     }
 
+    /// Returns by how much the placed work of a priority recently exceeded its floor, in millicores
+    /// times milliseconds.
+    pub(super) fn above_floor(&self, priority: u8, now: Instant) -> u64 {
+        let floor = floor_of(self.placed.total_work(now));
+        self.placed.work_of(priority, now).saturating_sub(floor)
+    }
+
     /// Returns the work that was placed recently.
     pub(super) fn placed(&self) -> &PriorityRates {
         &self.placed
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -60,7 +60,7 @@
         let mut order = PlacementOrder::new(jobs.waiting(), targets.has_floors);
         while targets.sessions.has_link_room(now) {
             let placed = targets.load.placed();
-            let Some(queue_position) = order.next(jobs.waiting(), placed, now) else {
+            let Some(queue_position) = order.next(jobs, placed, now) else {
                 break;
             };
             let skipped_lane = jobs.change(queue_position.job(), |job| {
--- a/knapweedrill/src/dispatch/entry/queue.rs
+++ b/knapweedrill/src/dispatch/entry/queue.rs
@@ -117,6 +117,13 @@
         works.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
     }
 
+    /// Returns the work queued ahead of a job that has its priority.
+    pub(super) fn own_work_ahead(&self, job: &Job) -> WaitingWork {
+        let first = QueuePosition::before(job.policy.priority);
+        let works = self.work_by_position.range(first..QueuePosition::of(job));
+        works.fold(WaitingWork::default(), |sum, (_, work)| sum + *work)
+    }
+
     /// Returns the work of the overdue jobs of a priority.
     pub(super) fn overdue_work(&self, priority: u8) -> WaitingWork {
         let positions = self
--- a/knapweedrill/src/dispatch/entry/queue_floor.rs
+++ b/knapweedrill/src/dispatch/entry/queue_floor.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::jobs::Jobs;
 use super::priority_rates::PriorityRates;
 use super::queue::{QueuePosition, WaitingJobs};
 
@@ -61,15 +62,19 @@
     /// Returns the next job to visit. `placed` is the work that was placed recently.
     pub(super) fn next(
         &mut self,
-        waiting: &WaitingJobs,
+        jobs: &Jobs,
         placed: &PriorityRates,
         now: Instant,
     ) -> Option<QueuePosition> {
         let total = placed.total_work(now);
         let is_below_floor = |cursor: &Cursor| {
-            cursor.next.is_some()
-                && cursor.has_floor
-                && placed.work_of(cursor.priority, now) < floor_of(total)
+            let is_below = placed.work_of(cursor.priority, now) < floor_of(total);
+            // A job of which only a part runs is late, and that part in vain.
+            let takes_floor = |next: QueuePosition| {
+                let job = jobs.get(next.job());
+                is_below || job.is_some_and(|job| job.started_count > 0)
+            };
+            cursor.has_floor && cursor.next.is_some_and(takes_floor)
         };
         let mut chosen = None;
         // The number of lower priorities below their floors, from the least urgent one on.
@@ -87,7 +92,7 @@
         }
         let cursor = &mut self.cursors[chosen?];
         let position = cursor.next?;
-        cursor.next = waiting.after(&position);
+        cursor.next = jobs.waiting().after(&position);
         Some(position)
     }
 
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -426,6 +426,26 @@
     assert_eq!(delays_s, retry_delays_s(backlog, 450), "a seed repeats");
 }
 
+/// Guards against long jobs that are refused for all the urgent work ahead of them although their floor
+/// carries them: a sustained overload by urgent jobs.
+#[test_case(Some(20_000_000), true; "little of its own priority waits")]
+#[test_case(Some(30_000_000), false; "too much of its own priority waits")]
+#[test_case(None, false; "without floors")]
+fn job_waits_for_its_own_priority_at_the_rate_of_the_floor(
+    floor_work_millicore_ms: Option<u64>,
+    is_admitted: bool,
+) {
+    let admission = Admission {
+        work_ahead_millicore_ms: 100_000_000,
+        share_millicores: 200_000,
+        higher_arrival_millicores: 200_000,
+        floor_work_millicore_ms,
+        slack: 600 * MS,
+        ..Admission::default()
+    };
+    assert_eq!(admission.is_admitted(), is_admitted);
+}
+
 #[test]
 fn minion_is_suspect_after_failures_of_several_jobs_in_a_row() {
     let mut health = Health::default();
