fix(dispatch): a priority gives way to one below its floor as soon as it exceeds what all floors leave

The part that the floors leave to a priority counted only those lower priorities that were below their floors at the moment. Priority 0 thus kept 80 % while priorities 1 and 2 both waited, and these two shared the rest.

All lower priorities with waiting work count now.

It can be reverted alone.

--- a/knapweedrill/src/dispatch/entry/queue_floor.rs
+++ b/knapweedrill/src/dispatch/entry/queue_floor.rs
@@ -77,18 +77,20 @@
             cursor.has_floor && cursor.next.is_some_and(takes_floor)
         };
         let mut chosen = None;
-        // The number of lower priorities below their floors, from the least urgent one on.
-        let mut below_count = 0;
+        // From the least urgent priority on.
+        let mut lower_count = 0;
+        let mut has_lower_below = false;
         for (index, cursor) in self.cursors.iter().enumerate().rev() {
             if cursor.next.is_none() {
                 continue;
             }
             let is_below = is_below_floor(cursor);
-            let left = left_by_floors(total, below_count);
-            if is_below || below_count == 0 || placed.work_up_to(cursor.priority, now) <= left {
+            let left = left_by_floors(total, lower_count);
+            if is_below || !has_lower_below || placed.work_up_to(cursor.priority, now) <= left {
                 chosen = Some(index);
             }
-            below_count += u64::from(is_below);
+            lower_count += 1;
+            has_lower_below |= is_below;
         }
         let cursor = &mut self.cursors[chosen?];
         let position = cursor.next?;
