--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -26,6 +26,7 @@
 mod process_clock;
 mod response;
 mod resubmission;
+pub(crate) mod shortage;
 mod slow_traffic;
 mod step_costs;
 mod trace_digest;
@@ -136,6 +137,9 @@
     random: SmallRng,
     nodes: Vec<Node>,
     entry_count: usize,
+    entry_settings: EntrySettings,
+    /// The configuration of entries that start.
+    configuration: Configuration,
     minions: Vec<Minion>,
     /// For each minion: the due time of its next heartbeat in milliseconds, the sequence number of
     /// that heartbeat, and whether the minion is draining.
@@ -188,6 +192,18 @@
         sidecar_count: usize,
         seed: u64,
         faults: FaultSettings,
+    ) -> Self {
+        let settings = EntrySettings::default();
+        Self::with_entry_settings(entry_count, sidecar_count, seed, faults, settings)
+    }
+
+    /// Creates a simulation whose entries have these settings, but for their seeds.
+    pub(crate) fn with_entry_settings(
+        entry_count: usize,
+        sidecar_count: usize,
+        seed: u64,
+        faults: FaultSettings,
+        entry_settings: EntrySettings,
     ) -> Self {
         let epoch = Instant::now();
         let mut random = SmallRng::seed_from_u64(seed);
@@ -229,6 +245,8 @@
             random,
             nodes: Vec::new(),
             entry_count,
+            entry_settings,
+            configuration: configuration(),
             minions,
             heartbeats: vec![(1, 1, false); sidecar_count],
             hanging_minions: HashSet::new(),
@@ -1467,10 +1485,10 @@
         if is_entry {
             let settings = EntrySettings {
                 seed,
-                ..EntrySettings::default()
+                ..self.entry_settings
             };
             let mut entry = Entry::new(settings, sessions);
-            entry.configure(configuration(), "test", now);
+            entry.configure(self.configuration.clone(), "test", now);
             for other in (0..entry_count).filter(|other| *other != index) {
                 entry.add_peer(address(other), None);
             }
