--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::admission::Admission;
+use super::admission::{Admission, AdmissionState};
 use super::answer::{Answer, CallerId, RefusalReason};
 use super::answer_cache::AnswerCache;
 use super::cancel_answer::CancelAnswer;
@@ -21,11 +21,12 @@
 use super::gossip::{Gossip, LocalState};
 use super::job::{Job, Progress, TaskState};
 use super::jobs::Jobs;
+use super::load_history::LoadHistory;
 use super::pause::Pause;
 use super::paused_connections::PausedConnections;
 use super::placer::{Placer, Targets};
 use super::rack_waits::RackWaitCounts;
-use super::retry_after::retry_after;
+use super::retry_after::{Backlog, retry_after};
 use super::sidecar_subset::SidecarSubset;
 use super::unreachable_sidecars::UnreachableSidecars;
 use super::{EntrySettings, Submission, TaskPlacement};
@@ -83,6 +84,7 @@
     /// Whether an event since the last placement may allow waiting tasks to be placed.
     is_placement_due: bool,
     placer: Placer,
+    load: LoadHistory,
     confinement: Confinement,
     answer_cache: AnswerCache,
     cancelled_names: CancelledNames,
@@ -113,6 +115,7 @@
             jobs: Jobs::default(),
             is_placement_due: false,
             placer: Placer::new(settings.remote_run_factor_permille),
+            load: LoadHistory::new(&settings),
             confinement: Confinement::default(),
             answer_cache: AnswerCache::default(),
             cancelled_names: CancelledNames::default(),
@@ -420,47 +423,58 @@
             return;
         };
         let job = Job::new(submission, queue, caller, now);
-        let spare_count = self.subset.spare_count(&job.service);
-        let evacuated = self.evacuated_minions();
-        let spare_count = evacuated.in_service_count(&job.service, spare_count);
-        let admission = Admission::new(
-            &job,
-            &self.jobs,
-            &self.fleet,
-            &self.confinement,
-            &self.sessions,
-            spare_count,
-        );
-        let is_admitted = match self.confinement.lane(&job) {
-            Lane::Any | Lane::Rest => admission.is_admitted(),
-            Lane::Trial => self
-                .confinement
-                .has_trial_capacity(&job, &self.jobs, &self.fleet),
+        let admission = Admission::new(&job, self.admission_state(&job.service), now);
+        let reason = match self.confinement.lane(&job) {
+            Lane::Any | Lane::Rest => admission.reason(),
+            Lane::Trial => self.confinement.trial_reason(&job, &self.jobs, &self.fleet),
         };
-        if !is_admitted {
+        if !reason.is_admitted() {
+            let backlog = Backlog::new(&job, &admission);
+            let retry_after = self.load.retry_after(&job, &backlog, now);
             log::warn!(
-                job:% = name, queue = job.queue.as_str(), wait_ms = millis(admission.wait()),
-                slack_ms = millis(admission.slack), waiting = self.jobs.waiting().len();
+                job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
+                wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
+                rate_millicores = admission.rate_millicores(), reason:? = reason,
+                retry_after_s = retry_after.as_secs(), waiting = self.jobs.waiting().len();
                 "refused: expected to miss its objective"
             );
             let answer = Answer::Refused {
                 reason: RefusalReason::Overload,
-                retry_after: retry_after(name),
+                retry_after,
             };
             self.answer(caller, answer, job.queue);
             return;
         }
         log::info!(
-            job:% = name, queue = job.queue.as_str(), tasks = job.tasks.len(),
-            estimate_ms = millis(job.critical_path), version = self.version(); "admitted"
+            job:% = name, queue = job.queue.as_str(), priority = job.policy.priority,
+            wait_ms = millis(admission.wait()), slack_ms = millis(admission.slack),
+            rate_millicores = admission.rate_millicores(), reason:? = reason,
+            tasks = job.tasks.len(), estimate_ms = millis(job.critical_path),
+            version = self.version(); "admitted"
         );
         let (service, minions) = (job.service.clone(), job.minion_count_min());
         self.subset.require_minions(&service, minions, now);
+        self.load.record_admitted(&job, now);
         self.jobs.insert(job);
         self.is_placement_due = true;
         self.place_waiting(now);
     }
 
+    /// Returns the state that the admission of a job for a service depends on.
+    fn admission_state(&self, service: &str) -> AdmissionState<'_> {
+        let spare_count = self.subset.spare_count(service);
+        let evacuated = self.evacuated_minions();
+        AdmissionState {
+            settings: &self.settings,
+            jobs: &self.jobs,
+            fleet: &self.fleet,
+            confinement: &self.confinement,
+            sessions: &self.sessions,
+            load: &self.load,
+            spare_count: evacuated.in_service_count(service, spare_count),
+        }
+    }
+
     /// Removes a caller that has disconnected, and stops the job if no other caller waits for it.
     pub fn caller_left(&mut self, caller: CallerId, name: JobName, now: Instant) {
         let left = self.jobs.change(name, |job| {
@@ -599,6 +613,8 @@
             subset: &mut self.subset,
             sessions: &mut self.sessions,
             confinement: &self.confinement,
+            load: &mut self.load,
+            has_floors: self.settings.keeps_floors,
         };
         self.placer.place_waiting(&mut self.jobs, &mut targets, now);
     }
@@ -999,9 +1015,17 @@
             return;
         };
         let answer = if job.started_count == 0 {
+            let retry_after = match reason {
+                RefusalReason::Overload | RefusalReason::Waited => {
+                    let state = self.admission_state(&job.service);
+                    let backlog = Backlog::new(job, &Admission::new(job, state, now));
+                    self.load.retry_after(job, &backlog, now)
+                }
+                _ => retry_after(name),
+            };
             Answer::Refused {
                 reason,
-                retry_after: retry_after(name),
+                retry_after,
             }
         } else {
             Answer::GivenUp
--- a/knapweedrill/src/dispatch/entry/job.rs
+++ b/knapweedrill/src/dispatch/entry/job.rs
@@ -185,6 +185,22 @@
             .sum()
     }
 
+    /// Returns the estimated work of a task, in millicores times milliseconds.
+    pub(super) fn millicore_ms(&self, position: usize) -> u64 {
+        let millicores = u64::from(self.resources(position).cpu_millicores);
+        millicores.saturating_mul(millis(self.estimate(position)))
+    }
+
+    /// Returns the estimated work of all tasks, in millicores times milliseconds.
+    pub(super) fn total_millicore_ms(&self) -> u64 {
+        let works = self.steps.iter().map(|step| {
+            u64::from(step.resources.cpu_millicores)
+                .saturating_mul(millis(step.estimate))
+                .saturating_mul(step.task_count.into())
+        });
+        works.fold(0, u64::saturating_add)
+    }
+
     /// Returns the minimum number of minions that the job needs because its steps limit the tasks
     /// per minion.
     pub(super) fn minion_count_min(&self) -> usize {
@@ -384,6 +400,7 @@
             let millicores = u64::from(step.resources.cpu_millicores);
             WaitingWork {
                 millicore_ms: millicores.saturating_mul(millis(step.estimate)),
+                millicores,
                 order_bytes: self.spec.len() as u64 + ORDER_OVERHEAD_BYTES,
             }
         });
--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -8,7 +8,9 @@
 use super::fleet::{Fleet, TaskRequirements};
 use super::job::{Job, TaskState};
 use super::jobs::Jobs;
+use super::load_history::LoadHistory;
 use super::place_wait::PlaceDecision;
+use super::queue_floor::PlacementOrder;
 use super::rack_waits::{RackTask, RackWaitCounts, RackWaits};
 use super::sidecar_subset::{LABEL_SUBSET_SIZE, RACK_SUBSET_SIZE, SidecarSubset};
 use crate::common::Incarnation;
@@ -53,6 +55,9 @@
     pub(super) subset: &'a mut SidecarSubset,
     pub(super) sessions: &'a mut Sessions,
     pub(super) confinement: &'a Confinement,
+    pub(super) load: &'a mut LoadHistory,
+    /// Whether a priority below its floor goes first.
+    pub(super) has_floors: bool,
 }
 
 impl Placer {
@@ -85,25 +90,33 @@
     ) {
         let mut skipped_count = 0;
         self.rack_waits.begin_pass();
-        let mut next = jobs.waiting().first();
-        while let Some(queue_position) = next {
-            if !targets.sessions.has_link_room(now) {
+        let mut order = PlacementOrder::new(jobs.waiting(), targets.has_floors);
+        while targets.sessions.has_link_room(now) {
+            let placed = targets.load.placed();
+            let Some(queue_position) = order.next(jobs, placed, now) else {
                 break;
-            }
-            next = jobs.waiting().after(&queue_position);
-            let is_skipped = jobs.change(queue_position.job(), |job| {
+            };
+            let skipped_lane = jobs.change(queue_position.job(), |job| {
                 let lane = targets.confinement.lane(job);
+                if self.place_job(job, lane, targets, now) != Placing::NoRoom {
+                    return None;
+                }
+                if lane != Lane::Trial {
+                    targets.load.record_left_waiting(job);
+                }
+                Some(lane)
+            });
+            if let Some(Some(lane)) = skipped_lane {
+                order.record_skipped(&queue_position);
                 // Jobs that wait for a trial or for their rack say nothing about the resources that
                 // are free.
-                self.place_job(job, lane, targets, now) == Placing::NoRoom && lane != Lane::Trial
-            });
-            if is_skipped == Some(true) {
-                skipped_count += 1;
+                skipped_count += usize::from(lane != Lane::Trial);
             }
             if skipped_count >= SKIPPED_JOBS_MAX {
                 break;
             }
         }
+        targets.load.end_round();
         // More sidecars would not help while the link is full.
         if skipped_count > 0 && targets.sessions.has_link_room(now) {
             targets.subset.request_early_round();
@@ -122,7 +135,7 @@
         let mut placing = Placing::Placed;
         for position in waiting {
             match self.place_task(job, position, lane, targets, now) {
-                Placing::Placed => {}
+                Placing::Placed => targets.load.record_placed(job, position, now),
                 Placing::Held => placing = Placing::Held,
                 Placing::NoRoom => return Placing::NoRoom,
             }
@@ -143,6 +156,7 @@
             subset,
             sessions,
             confinement,
+            ..
         } = targets;
         if !sessions.has_link_room(now) {
             return Placing::NoRoom;
--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -38,6 +38,19 @@
     /// thousandths. Without it, such a task counts as slower by half of its estimate, and none waits
     /// for its rack.
     pub remote_run_factor_permille: Option<u32>,
+    /// Whether a job waits only for the work ahead of it in the queue, at the rate that higher
+    /// priorities leave; otherwise all waiting work counts for all but the most urgent jobs.
+    pub counts_work_ahead: bool,
+    /// Whether each priority with waiting work keeps a minimum share of what is placed.
+    pub keeps_floors: bool,
+    /// Whether admission counts on the recent rate of placement while work waited if that exceeds
+    /// this entry's share.
+    pub counts_drain_rate: bool,
+    /// Whether a job is admitted that the free capacity can hold beside all waiting work.
+    pub admits_into_free_capacity: bool,
+    /// Whether the retry delay of jobs that are refused because of the load follows from the predicted
+    /// time until the backlog has drained.
+    pub predicts_retry_after: bool,
     /// The seed of all random choices and of the ranking of sidecars.
     pub seed: u64,
 }
@@ -58,6 +71,11 @@
             cancel_answer_max: Duration::from_millis(400),
             probe_interval: Duration::from_millis(500),
             remote_run_factor_permille: None,
+            counts_work_ahead: true,
+            keeps_floors: true,
+            counts_drain_rate: true,
+            admits_into_free_capacity: true,
+            predicts_retry_after: true,
             seed: 1,
         }
     }
--- a/knapweedrill/tests/dispatch_policies.rs
+++ b/knapweedrill/tests/dispatch_policies.rs
@@ -1,14 +1,19 @@
 //! Placement, admission, health, pace and delay under typical loads and faults.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use knapweedrill::dispatch::configuration::{Configuration, Queue, QueuePolicy};
-use knapweedrill::dispatch::entry::{Admission, Fleet, TaskRequirements};
+use knapweedrill::dispatch::entry::{
+    Admission, Backlog, DrainRate, Fleet, RetryPromises, TaskRequirements,
+};
 use knapweedrill::dispatch::message::{
     CrashRecord, MinionAvailability, MinionProfile, SidecarStatus,
 };
 use knapweedrill::dispatch::sidecar::{Health, Pace, RetryDelay};
 use knapweedrill::dispatch::{JobName, Resources};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use test_case::test_case;
 
 const MS: Duration = Duration::from_millis(1);
@@ -270,6 +275,7 @@
         share_millicores: 200_000,
         link_delay: Duration::ZERO,
         slack: 180 * MS,
+        ..Admission::default()
     };
     assert!(admission(0).is_admitted());
     // The entry's share is 200 cores, so 200 cores times 180 ms of work fit ahead of the job.
@@ -284,6 +290,7 @@
         share_millicores: 0,
         link_delay: 5 * MS,
         slack: Duration::ZERO,
+        ..Admission::default()
     };
     assert!(admission.is_admitted());
 }
@@ -302,6 +309,180 @@
         share_millicores: 1_000,
         link_delay: Duration::from_millis(link_ms),
         slack: Duration::from_millis(slack_ms),
+        ..Admission::default()
+    };
+    assert_eq!(admission.is_admitted(), is_admitted);
+}
+
+/// Guards against jobs of a low priority that are admitted as if they had the whole share, while
+/// urgent jobs go on arriving ahead of them; and against none being admitted any more.
+#[test_case(0, 200_000; "no urgent load")]
+#[test_case(150_000, 50_000; "urgent load leaves a quarter")]
+#[test_case(500_000, 40_000; "urgent load exceeds the share, the floor is left")]
+fn lower_priority_counts_on_what_higher_ones_leave(higher_millicores: u64, left_millicores: u64) {
+    let admission = |work_ahead_millicore_ms| Admission {
+        work_ahead_millicore_ms,
+        share_millicores: 200_000,
+        higher_arrival_millicores: higher_millicores,
+        slack: 600 * MS,
+        ..Admission::default()
+    };
+    assert_eq!(admission(1).rate_millicores(), left_millicores);
+    assert!(admission(left_millicores * 600).is_admitted());
+    assert!(!admission(left_millicores * 602).is_admitted());
+}
+
+/// Guards against urgent jobs that are admitted to the capacity that the floors of waiting, less
+/// urgent jobs take: a burst of all kinds of jobs.
+#[test_case(0, 200_000; "nothing less urgent waits")]
+#[test_case(1, 160_000; "one lower priority waits")]
+#[test_case(2, 120_000; "two lower priorities wait")]
+#[test_case(9, 80_000; "the floors never take more than three fifths")]
+fn admission_counts_on_what_the_floors_leave(lower_waiting_count: u64, left_millicores: u64) {
+    let admission = Admission {
+        share_millicores: 200_000,
+        lower_waiting_count,
+        ..Admission::default()
+    };
+    assert_eq!(admission.rate_millicores(), left_millicores);
+}
+
+/// Guards against the refusals of a busy entry whose peers are idle: its share counts them like
+/// itself, while the sidecars give it what they leave.
+#[test_case(0, 100_000; "nothing waited recently")]
+#[test_case(60_000, 100_000; "less than the share")]
+#[test_case(350_000, 350_000; "idle entries lend their part")]
+#[test_case(900_000, 400_000; "many long tasks were placed at once")]
+fn busy_entry_counts_on_what_it_was_given(drain_millicores: u64, rate_millicores: u64) {
+    let admission = Admission {
+        share_millicores: 100_000,
+        drain_millicores,
+        capacity_millicores: 400_000,
+        ..Admission::default()
+    };
+    assert_eq!(admission.rate_millicores(), rate_millicores);
+}
+
+/// Guards against an entry that goes on counting on capacity after the demand has moved to another
+/// one, or that refuses for long after it has moved here. 40 cores are placed while work waits.
+#[test]
+fn drain_rate_follows_the_demand_within_its_window() {
+    let begin = Instant::now();
+    let mut drain = DrainRate::default();
+    let mut place = |from_ms: u32, until_ms: u32, waits: bool| {
+        for at_ms in (from_ms..until_ms).step_by(5) {
+            drain.record_placed(40_000 * 5, begin + MS * at_ms);
+            if waits {
+                drain.record_left_waiting();
+            }
+            drain.end_round();
+        }
+        drain.millicores(begin + MS * until_ms)
+    };
+    // What is placed while nothing waits only shows the demand.
+    assert_eq!(place(0, 300, false), 0);
+    let rate = place(300, 600, true);
+    assert!((34_000..=44_000).contains(&rate), "{rate}");
+    // The demand is elsewhere for a while.
+    assert!((1..34_000).contains(&place(600, 750, false)));
+    assert_eq!(place(750, 905, false), 0);
+    let rate = place(905, 1_205, true);
+    assert!((34_000..=44_000).contains(&rate), "{rate}");
+}
+
+/// Guards against refusals while minions are free: jobs wait for one full rack, so that the wait of
+/// all looks long.
+#[test_case(34_000, true; "free for the job beside all that waits")]
+#[test_case(33_999, false; "not free for all of it")]
+fn job_is_admitted_into_free_capacity(free_millicores: u64, is_admitted: bool) {
+    let admission = Admission {
+        work_ahead_millicore_ms: 1_000_000,
+        share_millicores: 1_000,
+        free_millicores,
+        waiting_millicores: 30_000,
+        needed_millicores: 4_000,
+        slack: 96 * MS,
+        ..Admission::default()
+    };
+    assert_eq!(admission.is_admitted(), is_admitted);
+    let behind_a_full_link = Admission {
+        link_delay: 97 * MS,
+        ..admission
+    };
+    assert!(!behind_a_full_link.is_admitted());
+}
+
+/// Returns the retry delays, in seconds, of callers that are refused at the same time.
+fn retry_delays_s(backlog: Backlog, caller_count: usize) -> Vec<u64> {
+    let now = Instant::now();
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut promises = RetryPromises::default();
+    (0..caller_count)
+        .map(|_| promises.promise(&backlog, &mut random, now).as_secs())
+        .collect()
+}
+
+/// Guards against callers that return before the backlog has drained and are refused again.
+#[test_case(0, 1..=2; "nothing waits")]
+#[test_case(900, 1..=2; "less than a second")]
+#[test_case(1_100, 2..=3; "more than a second")]
+#[test_case(4_500, 5..=5; "nearly the maximum")]
+#[test_case(60_000, 5..=5; "more than the maximum")]
+fn refused_caller_returns_after_the_backlog(wait_ms: u64, delays_s: RangeInclusive<u64>) {
+    let backlog = Backlog {
+        waiting_millicore_ms: 200_000 * wait_ms,
+        job_millicore_ms: 240_000,
+        rate_millicores: 200_000,
+    };
+    let delay_s = retry_delays_s(backlog, 1)[0];
+    assert!(delays_s.contains(&delay_s), "{delay_s}");
+}
+
+/// Guards against a second overload by callers that all return at the same time: a burst is refused
+/// at once, and only 4 s of it fit into the capacity.
+#[test]
+fn refused_callers_return_at_the_rate_of_the_capacity() {
+    let backlog = Backlog {
+        waiting_millicore_ms: 200_000 * 500,
+        job_millicore_ms: 200_000 * 10,
+        rate_millicores: 200_000,
+    };
+    let delays_s = retry_delays_s(backlog, 450);
+    for delay_s in 2..=4 {
+        let count = delays_s[..350].iter().filter(|it| **it == delay_s);
+        let count = count.count();
+        assert!(
+            (70..=130).contains(&count),
+            "{count} return after {delay_s} s"
+        );
+    }
+    // The first to be refused come first.
+    let sum = |delays: &[u64]| delays.iter().sum::<u64>();
+    assert!(sum(&delays_s[..50]) < sum(&delays_s[200..250]));
+    // Those that do not fit are spread as well.
+    for delay_s in 1..=5 {
+        let count = delays_s.iter().filter(|it| **it == delay_s).count();
+        assert!(count <= 200, "{count} return after {delay_s} s");
+    }
+    assert_eq!(delays_s, retry_delays_s(backlog, 450), "a seed repeats");
+}
+
+/// Guards against long jobs that are refused for all the urgent work ahead of them although their floor
+/// carries them: a sustained overload by urgent jobs.
+#[test_case(Some(20_000_000), true; "little of its own priority waits")]
+#[test_case(Some(30_000_000), false; "too much of its own priority waits")]
+#[test_case(None, false; "without floors")]
+fn job_waits_for_its_own_priority_at_the_rate_of_the_floor(
+    floor_work_millicore_ms: Option<u64>,
+    is_admitted: bool,
+) {
+    let admission = Admission {
+        work_ahead_millicore_ms: 100_000_000,
+        share_millicores: 200_000,
+        higher_arrival_millicores: 200_000,
+        floor_work_millicore_ms,
+        slack: 600 * MS,
+        ..Admission::default()
     };
     assert_eq!(admission.is_admitted(), is_admitted);
 }
--- a/knapweedrill_lab/tests/dispatch_simulation/mod.rs
+++ b/knapweedrill_lab/tests/dispatch_simulation/mod.rs
@@ -26,6 +26,7 @@
 mod process_clock;
 mod response;
 mod resubmission;
+pub(crate) mod shortage;
 mod slow_traffic;
 mod step_costs;
 mod trace_digest;
@@ -139,6 +140,9 @@
     random: SmallRng,
     nodes: Vec<Node>,
     entry_count: usize,
+    entry_settings: EntrySettings,
+    /// The configuration of entries that start.
+    configuration: Configuration,
     minions: Vec<Minion>,
     /// For each minion: the due time of its next heartbeat in milliseconds, the sequence number of
     /// that heartbeat, and whether the minion is draining.
@@ -220,7 +224,26 @@
         seed: u64,
         faults: FaultSettings,
     ) -> Self {
-        Self::with_racks(entry_count, sidecar_count, seed, faults, Racks::default())
+        let settings = EntrySettings::default();
+        Self::with_entry_settings(entry_count, sidecar_count, seed, faults, settings)
+    }
+
+    /// Creates a simulation whose entries have these settings, but for their seeds.
+    pub(crate) fn with_entry_settings(
+        entry_count: usize,
+        sidecar_count: usize,
+        seed: u64,
+        faults: FaultSettings,
+        entry_settings: EntrySettings,
+    ) -> Self {
+        let racks = Racks::default();
+        Self::with_racks_and_settings(
+            entry_count,
+            sidecar_count,
+            seed,
+            faults,
+            (entry_settings, racks),
+        )
     }
 
     /// Creates a simulation with racks of several minions, or in which a task takes longer outside of
@@ -231,6 +254,17 @@
         seed: u64,
         faults: FaultSettings,
         racks: Racks,
+    ) -> Self {
+        let settings = (EntrySettings::default(), racks);
+        Self::with_racks_and_settings(entry_count, sidecar_count, seed, faults, settings)
+    }
+
+    fn with_racks_and_settings(
+        entry_count: usize,
+        sidecar_count: usize,
+        seed: u64,
+        faults: FaultSettings,
+        (entry_settings, racks): (EntrySettings, Racks),
     ) -> Self {
         let epoch = Instant::now();
         let mut random = SmallRng::seed_from_u64(seed);
@@ -273,6 +307,8 @@
             random,
             nodes: Vec::new(),
             entry_count,
+            entry_settings,
+            configuration: configuration(),
             minions,
             heartbeats: vec![(1, 1, false); sidecar_count],
             hanging_minions: HashSet::new(),
@@ -1517,14 +1553,14 @@
             let settings = EntrySettings {
                 seed,
                 remote_run_factor_permille: self.racks.remote_run_factor_permille,
-                ..EntrySettings::default()
+                ..self.entry_settings
             };
             let mut entry = Entry::new(settings, sessions);
             if self.zones.is_used() {
                 // It reads the store or hears from a peer later.
                 self.zones.restart_reader(index);
             }
-            entry.configure(configuration(), "test", now);
+            entry.configure(self.configuration.clone(), "test", now);
             for other in (0..entry_count).filter(|other| *other != index) {
                 entry.add_peer(address(other), None);
             }
