refactor(dispatch): what an entry remembers of cancels and ends is one module

Cause: the state machine of the entry held three parts of that memory and their rules side by side.

Change: `Cancels` owns them with private state; the entry passes events along. No behaviour changes.

--- a/knapweedrill/src/dispatch/entry/core.rs
+++ b/knapweedrill/src/dispatch/entry/core.rs
@@ -9,10 +9,9 @@
 
 use super::admission::{Admission, AdmissionState};
 use super::answer::{Answer, CallerId, RefusalReason};
-use super::answer_cache::AnswerCache;
 use super::cancel_answer::CancelAnswer;
-use super::cancel_spread::{CancelSpread, NAMES_PER_NOTICE_MAX};
-use super::cancelled_names::CancelledNames;
+use super::cancel_spread::NAMES_PER_NOTICE_MAX;
+use super::cancels::Cancels;
 use super::confinement::{Confinement, Lane};
 use super::directory::{Directory, Source};
 use super::evacuated_minions::EvacuatedMinions;
@@ -86,9 +85,7 @@
     placer: Placer,
     load: LoadHistory,
     confinement: Confinement,
-    answer_cache: AnswerCache,
-    cancelled_names: CancelledNames,
-    cancel_spread: CancelSpread,
+    cancels: Cancels,
     /// Until when something that arrived during a long pause of this process may be unread.
     backlog_until: Option<Instant>,
     /// Whether requests are refused until then.
@@ -117,9 +114,7 @@
             placer: Placer::new(settings.remote_run_factor_permille),
             load: LoadHistory::new(&settings),
             confinement: Confinement::default(),
-            answer_cache: AnswerCache::default(),
-            cancelled_names: CancelledNames::default(),
-            cancel_spread: CancelSpread::new(SmallRng::seed_from_u64(settings.seed).random()),
+            cancels: Cancels::new(SmallRng::seed_from_u64(settings.seed).random()),
             backlog_until: None,
             refuses_backlog: false,
             paused_connections: None,
@@ -237,7 +232,7 @@
         let is_listed = name.is_some();
         self.gossip.add_peer(address, name);
         if self.gossip.is_peer(address) {
-            self.cancel_spread.add_receiver(address, is_listed);
+            self.cancels.add_peer(address, is_listed);
         }
     }
 
@@ -400,7 +395,7 @@
         let name = submission.name;
         let answer = match self.check_submission(&submission, now) {
             Err(answer) => Some(answer),
-            Ok(()) => self.answer_of_ended(name),
+            Ok(()) => self.cancels.answer_to(name),
         };
         if let Some(answer) = answer {
             log::info!(job:% = name, answer:? = answer, version = self.version(); "answered at once");
@@ -502,19 +497,18 @@
     /// entry has had the job, otherwise when another entry says so or all have answered.
     pub fn cancel(&mut self, caller: CallerId, name: JobName, now: Instant) {
         let outcome = self.apply_cancel(name, now);
-        let number = self.cancel_spread.tell(name, now);
+        let answer_by = now + self.settings.cancel_answer_max;
+        self.cancels.tell(caller, name, outcome, answer_by, now);
         if outcome == CancelOutcome::Stopped {
             self.answer_cancel(caller, CancelAnswer::Stopped);
             return;
         }
-        let answer_by = now + self.settings.cancel_answer_max;
-        self.cancel_spread.wait(caller, number, name, answer_by);
         self.answer_waiting_cancels(now);
     }
 
     /// Returns the number of names of cancelled jobs that this entry remembers.
     pub fn cancelled_name_count(&self) -> usize {
-        self.cancelled_names.len()
+        self.cancels.name_count()
     }
 
     /// Stops a cancelled job of this entry, remembers its name, and returns whether this entry has
@@ -526,29 +520,11 @@
             CancelOutcome::Unknown
         };
         self.end_job(name, Some(Answer::Cancelled), now);
-        // A job that ended before its cancel keeps its answer.
-        let answer = self.answer_cache.get(name).unwrap_or(Answer::Cancelled);
-        self.cancelled_names.insert(name, answer, outcome, now)
-    }
-
-    /// Returns the answer to a submission of a job that has ended or was cancelled.
-    ///
-    /// The first of both counts: the memory of cancelled names takes the answer of a job that had
-    /// ended, and a cancelled job has no other end.
-    fn answer_of_ended(&self, name: JobName) -> Option<Answer> {
-        let cancelled = self.cancelled_names.answer(name);
-        cancelled.or_else(|| self.answer_cache.get(name))
+        self.cancels.record_cancel(name, outcome, now)
     }
 
     fn answer_waiting_cancels(&mut self, now: Instant) {
-        let answers = self.cancel_spread.take_answers(now);
-        let unconfirmed =
-            |(_, answer): &&(CallerId, CancelAnswer)| *answer == CancelAnswer::Unconfirmed;
-        let unconfirmed_count = answers.iter().filter(unconfirmed).count();
-        if unconfirmed_count > 0 {
-            log::info!(cancels = unconfirmed_count; "cancels answered before all entries have confirmed them");
-        }
-        for (caller, answer) in answers {
+        for (caller, answer) in self.cancels.take_answers(now) {
             self.answer_cancel(caller, answer);
         }
     }
@@ -576,13 +552,9 @@
         now: Instant,
     ) {
         let stopped = self
-            .cancel_spread
-            .handle_acknowledgement(from, number, outcomes);
-        for name in &stopped {
-            self.cancelled_names
-                .insert(*name, Answer::Cancelled, CancelOutcome::Stopped, now);
-        }
-        for caller in self.cancel_spread.take_stopped(&stopped) {
+            .cancels
+            .handle_acknowledgement(from, number, outcomes, now);
+        for caller in stopped {
             self.answer_cancel(caller, CancelAnswer::Stopped);
         }
         self.answer_waiting_cancels(now);
@@ -632,7 +604,7 @@
             .into_iter()
             .map(|(to, envelope)| (to, Packet::Session(envelope)));
         let mut notices = self.gossip.take_outgoing();
-        notices.extend(self.cancel_spread.take_outgoing(now));
+        notices.extend(self.cancels.take_outgoing(now));
         sessions
             .chain(
                 notices
@@ -661,16 +633,15 @@
         self.give_up_evacuated(now);
         self.give_up_overdue(now);
         self.jobs.demote_overdue(now);
-        self.answer_cache
-            .evict_expired(now, self.settings.answer_retention);
-        let retention = self.settings.cancelled_name_retention;
-        self.cancelled_names.forget_expired(now, retention);
-        self.cancel_spread.forget_expired(now, retention);
-        if self.cancel_spread.receiver_count() > self.gossip.peers().len() {
-            // The store has named a new address for an entry.
-            self.cancel_spread
-                .retain_receivers(|peer| self.gossip.is_peer(peer));
-        }
+        let settings = &self.settings;
+        self.cancels.expire(
+            settings.answer_retention,
+            settings.cancelled_name_retention,
+            now,
+        );
+        // The store may have named a new address for an entry.
+        self.cancels
+            .retain_peers(self.gossip.peers().len(), |peer| self.gossip.is_peer(peer));
         self.answer_waiting_cancels(now);
         self.fleet.remove_gone();
         let mut waiting: HashMap<ServiceName, u64> = HashMap::new();
@@ -821,9 +792,9 @@
                 self.gossip
                     .handle_gossip(from, version, is_answer, own, now);
                 if self.gossip.is_peer(from) {
-                    self.cancel_spread.add_receiver(from, true);
+                    self.cancels.add_peer(from, true);
                 }
-                self.cancel_spread.record_heard(from);
+                self.cancels.record_heard(from);
                 for record in sidecars {
                     self.add_sidecar(record, Source::Entry);
                 }
@@ -850,7 +821,7 @@
                 names,
             } => {
                 if is_complete {
-                    self.cancel_spread.record_told(from);
+                    self.cancels.record_told(from);
                 }
                 self.handle_cancel(from, number, &names, now);
             }
@@ -859,7 +830,7 @@
             }
             Notice::CancelsRequest => {
                 self.add_peer(from, None);
-                self.cancel_spread.handle_request(from);
+                self.cancels.handle_request(from);
             }
             Notice::SidecarPageRequest { offset } => {
                 self.gossip.send_page(from, offset, self.subset.directory());
@@ -1057,7 +1028,7 @@
             tasks = job.tasks.len(); "answered"
         );
         if matches!(answer, Answer::Completed | Answer::Failed) {
-            self.answer_cache.insert(name, answer, now);
+            self.cancels.record_end(name, answer, now);
         }
         for caller in &job.callers {
             self.answer(*caller, answer, job.queue.clone());
--- a/knapweedrill/src/dispatch/entry/mod.rs
+++ b/knapweedrill/src/dispatch/entry/mod.rs
@@ -7,6 +7,7 @@
 mod cancel_receiver;
 mod cancel_spread;
 mod cancelled_names;
+mod cancels;
 mod confinement;
 mod core;
 mod directory;
