fix(dispatch): racks that callers make up are forgotten

Cause: an entry kept what it had seen of each rack that a job named. Callers choose these names, up to the size of a body, so that a client could fill the memory of the process.

Change: a rack is forgotten once what was seen of it no longer counts, 200 ms after the last look. Decisions are the same.

--- a/knapweedrill/src/dispatch/entry/placer.rs
+++ b/knapweedrill/src/dispatch/entry/placer.rs
@@ -89,7 +89,7 @@
         now: Instant,
     ) {
         let mut skipped_count = 0;
-        self.rack_waits.begin_pass();
+        self.rack_waits.begin_pass(now);
         let mut order = PlacementOrder::new(jobs.waiting(), targets.has_floors);
         while targets.sessions.has_link_room(now) {
             let placed = targets.load.placed();
--- a/knapweedrill/src/dispatch/entry/rack_waits.rs
+++ b/knapweedrill/src/dispatch/entry/rack_waits.rs
@@ -91,10 +91,15 @@
 }
 
 impl Rack {
+    /// Returns whether what was seen of it still counts.
+    fn is_recent(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < SIGHT_RETENTION;
+        self.seen_at.is_some_and(is_recent)
+    }
+
     /// Records whether there is room now, and returns for how long there has been none.
     fn record_sight(&mut self, has_room: bool, now: Instant) -> Duration {
-        let is_recent = |at| now.saturating_duration_since(at) < SIGHT_RETENTION;
-        if has_room || !self.seen_at.is_some_and(is_recent) {
+        if has_room || !self.is_recent(now) {
             self.full_since = None;
         }
         self.seen_at = Some(now);
@@ -144,9 +149,18 @@
     }
 
     /// Begins a pass over the waiting tasks in the order of their jobs.
-    pub fn begin_pass(&mut self) {
+    pub fn begin_pass(&mut self, now: Instant) {
         self.pass += 1;
         self.unserved.clear();
+        // Callers name the racks, so that their number and length are theirs to choose.
+        for racks in self.racks.values_mut() {
+            racks.retain(|_, rack| rack.is_recent(now));
+        }
+    }
+
+    /// Returns the number of racks of which something is known.
+    pub fn rack_count(&self) -> usize {
+        self.racks.values().map(HashMap::len).sum()
     }
 
     /// Records that a task of a job found no room.
--- a/knapweedrill/tests/dispatch_rack_waits.rs
+++ b/knapweedrill/tests/dispatch_rack_waits.rs
@@ -3,9 +3,12 @@
 
 mod rack_load;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use knapweedrill::dispatch::entry::{PlaceDecision, PlaceWait};
+use knapweedrill::dispatch::entry::{
+    Fleet, PlaceDecision, PlaceWait, RackTask, RackWaits, TaskRequirements,
+};
+use knapweedrill::dispatch::{JobName, Resources, TaskName};
 use rack_load::{Load, Outcome, Policy, RackLoad};
 use test_case::test_case;
 
@@ -255,3 +258,39 @@
         }
     }
 }
+
+/// Guards against callers that name ever new racks: what is remembered of them took the memory of the
+/// entry.
+#[test]
+fn racks_that_callers_make_up_are_forgotten() {
+    let mut now = Instant::now();
+    let fleet = Fleet::new(500 * MS, 1);
+    let mut rack_waits = RackWaits::new(Some(2_000));
+    for number in 0..2_000 {
+        now += MS;
+        rack_waits.begin_pass(now);
+        let label = format!("made-up-{number}");
+        let requirements = TaskRequirements {
+            service: "service",
+            resources: Resources::default(),
+            estimate: 60 * MS,
+            time_left: 500 * MS,
+            required_label: None,
+            preferred_label: Some(&label),
+        };
+        let task = RackTask {
+            name: TaskName {
+                job: JobName(number),
+                step: 0,
+                index: 0,
+            },
+            requirements: &requirements,
+            step_millicores: 0,
+            siblings: &[],
+            may_wait: true,
+        };
+        let decision = rack_waits.decide(task, &fleet, |_| true, now);
+        assert_eq!(decision, PlaceDecision::Elsewhere);
+        assert!(rack_waits.rack_count() <= 200, "after {number} racks");
+    }
+}
--- a/knapweedrill/tests/rack_load/mod.rs
+++ b/knapweedrill/tests/rack_load/mod.rs
@@ -632,7 +632,8 @@
 
     /// Places the waiting tasks of an entry, as its placer does.
     fn place_waiting(&mut self, entry: usize) {
-        self.entries[entry].rack_waits.begin_pass();
+        let now = self.now();
+        self.entries[entry].rack_waits.begin_pass(now);
         let mut waiting = std::mem::take(&mut self.entries[entry].waiting_jobs);
         waiting.retain(|job| {
             let tasks = &self.jobs[*job].tasks;
