refactor(dispatch): admission sums up the capacity of the subset only where it bounds a rate

Cause: each submission went over the views of all sidecars once more for a bound that only matters if the entry was given more than its share. No behaviour changes.

--- a/knapweedrill/src/dispatch/entry/admission.rs
+++ b/knapweedrill/src/dispatch/entry/admission.rs
@@ -51,7 +51,8 @@
     pub share_millicores: u64,
     /// The rate at which this entry's work was placed recently while work waited, in millicores.
     pub drain_millicores: u64,
-    /// The CPU capacity of all usable minions that this entry has sessions with, in millicores.
+    /// The CPU capacity of all usable minions that this entry has sessions with, in millicores. Bounds
+    /// `drain_millicores`; may be 0 if that does not exceed the share.
     pub capacity_millicores: u64,
     /// The rate at which work of higher priorities has been admitted recently, in millicores.
     pub higher_arrival_millicores: u64,
@@ -129,6 +130,12 @@
         } else {
             0
         };
+        // The bound on a rate beyond the share; the sum over the subset is spared without one.
+        let capacity_millicores = if drain_millicores > share_millicores {
+            state.fleet.capacity_millicores_of(&job.service, is_counted)
+        } else {
+            0
+        };
         let free_millicores =
             if state.settings.admits_into_free_capacity && work_ahead_millicore_ms > 0 {
                 free_millicores_for(job, state.fleet, now, is_counted)
@@ -139,7 +146,7 @@
             work_ahead_millicore_ms,
             share_millicores,
             drain_millicores,
-            capacity_millicores: state.fleet.capacity_millicores_of(&job.service, is_counted),
+            capacity_millicores,
             higher_arrival_millicores,
             lower_waiting_count,
             floor_work_millicore_ms: state.settings.keeps_floors.then(|| {
