fix(daemon): a process with an extreme grace period stops in order

Callers saw: an entry that was asked to stop ended at once instead of serving what it held, and their connections broke.

Cause: each turn of the event loop added the grace period to the time of the stop request. `Bounds.GraceS` may be any number, and a sum beyond the range of `Instant` panics: `overflow when adding duration to instant` in `should_exit`, status 101, both roles.

Change: the time since the stop request is compared with the grace period. Elapsed time can't overflow, whatever the grace period is, so no limit is needed.

A settings file that is read half-written is covered too: it held before, the settings in force stay.

--- a/knapweedrill_daemon/src/dispatch/process_signals.rs
+++ b/knapweedrill_daemon/src/dispatch/process_signals.rs
@@ -77,7 +77,8 @@
         let is_idle = self
             .last_busy_at
             .is_some_and(|at| now.saturating_duration_since(at) >= IDLE_BEFORE_EXIT);
-        is_idle || now >= stop_requested_at + self.grace.saturating_sub(STOP_GRACE_MARGIN)
+        let stopping_for = now.saturating_duration_since(stop_requested_at);
+        is_idle || stopping_for >= self.grace.saturating_sub(STOP_GRACE_MARGIN)
     }
 
     /// Returns whether the process was asked to reload its settings since the last call.
--- a/knapweedrill_lab/src/harness/child_process.rs
+++ b/knapweedrill_lab/src/harness/child_process.rs
@@ -116,6 +116,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// Sends `SIGHUP`, which says that the settings file has changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn reload(&mut self) -> Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Sends `SIGSTOP` and waits until all threads of the process are stopped, or it has exited.
     ///
     /// # Errors
--- a/knapweedrill_lab/src/harness/platform_site.rs
+++ b/knapweedrill_lab/src/harness/platform_site.rs
@@ -42,6 +42,9 @@
 /// One minion in four is more than twice as fast as the others, as on the sites of users.
 const RUN_TIME_PERCENTS: [u64; 4] = [55, 120, 120, 120];
 
+/// The section `Bounds` in the settings of the processes, unless a test asks for other lines.
+const BOUNDS: &str = "GraceS = 3\nHoldMaxMs = 1000\nStopTimeoutMs = 50\nRetransmitMs = 1300";
+
 /// Number of the next site in this process, which is part of its addresses.
 static NEXT_SITE: AtomicU8 = AtomicU8::new(1);
 
@@ -59,6 +62,8 @@
     sidecar_proxies: Vec<SidecarProxies>,
     /// Second and third octet of the addresses of the site.
     subnet: (u8, u8),
+    /// Lines of the section `Bounds` in the settings of the processes.
+    bounds: String,
     /// Lines of the section `Limits` in the settings of the processes.
     limits: String,
     directory: ScratchDirectory,
@@ -98,6 +103,19 @@
         Ok(site)
     }
 
+    /// Starts a site whose processes have these lines in the section `Bounds` of their settings;
+    /// entries need not be ready on return.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started.
+    pub fn start_with_bounds(entry_count: u8, minion_count: u8, bounds: &str) -> Result<Self> {
+        let mut site = Self::create(entry_count, minion_count)?;
+        bounds.clone_into(&mut site.bounds);
+        site.start_processes()?;
+        Ok(site)
+    }
+
     /// Starts a site with proxies between its processes and callers, the store, the minions and
     /// each other.
     ///
@@ -171,6 +189,7 @@
             entry_proxies: Vec::new(),
             sidecar_proxies: Vec::new(),
             subnet,
+            bounds: BOUNDS.to_owned(),
             limits: String::new(),
             directory: ScratchDirectory::create()?,
         })
@@ -438,8 +457,9 @@
             "NodeName = \"{name}\"\nIp = \"{ip}\"\nZone = \"zone-a\"\n\
              InternalPorts = [{first},{last}]\nSeeds = []\n{role_settings}\
              [Listen]\n{listen}\
-             [Bounds]\nGraceS = 3\nHoldMaxMs = 1000\nStopTimeoutMs = 50\nRetransmitMs = 1300\n\
+             [Bounds]\n{bounds}\n\
              [platform]\nAddress = \"{store}\"\n[Limits]\n{limits}\n",
+            bounds = self.bounds,
             limits = self.limits,
         );
         let file = self.directory.path().join(format!("{name}.toml"));
--- /dev/null
+++ b/knapweedrill_lab/tests/extreme_settings.rs
@@ -0,0 +1,97 @@
+//! Processes whose settings file holds extreme figures start, serve, survive the loss of a peer and
+//! stop in order.
+
+use std::fs;
+use std::time::Duration;
+
+use knapweedrill_lab::harness::{ChildProcess, PlatformSite, wait_until};
+use test_case::test_case;
+
+/// How long a process may take to stop: its readiness is noticed, it is idle, and then it exits.
+const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How long a changed settings file may take to be read.
+const RELOAD_TIMEOUT: Duration = Duration::from_secs(3);
+
+fn path(number: u64) -> String {
+    format!("/normal/{number:016x}")
+}
+
+/// Stops a process and returns its exit status.
+fn stop(process: Option<&mut ChildProcess>) -> Option<i32> {
+    let process = process.expect("the process was started");
+    process.terminate().expect("the process is signalled");
+    let status = process.wait_exit(STOP_TIMEOUT).expect("the process stops");
+    status.code()
+}
+
+/// Guards against a sum of a time and a bound that overflows and ends the process at its stop.
+#[test_case("GraceS = 9223372036854775807"; "largest whole grace period")]
+#[test_case("GraceS = 1.8e19"; "largest grace period")]
+fn process_with_an_extreme_bound_survives_a_lost_peer_and_stops_in_order(bounds: &str) {
+    let mut site = PlatformSite::start_with_bounds(1, 2, bounds).expect("the site starts");
+    site.configure(3).expect("the entry becomes ready");
+    let served = site.submit(0, &path(1), 4, 40).expect("the entry responds");
+    assert_eq!(served.status, 200);
+    let lost = site.sidecar_mut(1).expect("the sidecar was started");
+    lost.freeze().expect("the sidecar is frozen");
+    for number in 2..8 {
+        let answer = site.submit(0, &path(number), 8, 100);
+        assert!(answer.is_ok(), "no answer beside a lost peer: {answer:?}");
+    }
+    assert_eq!(
+        stop(site.entry_mut(0)),
+        Some(0),
+        "{}",
+        site.stdout_of("entry-0")
+    );
+    assert_eq!(
+        stop(site.sidecar_mut(0)),
+        Some(0),
+        "{}",
+        site.stdout_of("sidecar-0")
+    );
+}
+
+/// Guards against a settings file that changes to such a figure, or is read half-written, and ends a
+/// process that was well.
+#[test]
+fn process_survives_extreme_and_half_written_settings_that_it_reloads() {
+    let mut site = PlatformSite::start(1, 1).expect("the site starts");
+    site.configure(3).expect("the entry becomes ready");
+    for name in ["entry-0", "sidecar-0"] {
+        let file = site.directory().join(format!("{name}.toml"));
+        let settings = fs::read_to_string(&file).expect("the settings can be read");
+        let half = &settings[..settings.find("StopTimeoutMs").expect("the bound is there") + 15];
+        let extreme = settings.replace("GraceS = 3", "GraceS = 9223372036854775807");
+        let versions = [
+            (half, "settings not taken over"),
+            (extreme.as_str(), "settings taken over"),
+        ];
+        for (text, line) in versions {
+            fs::write(&file, text).expect("the settings can be written");
+            let process = match name {
+                "entry-0" => site.entry_mut(0),
+                _ => site.sidecar_mut(0),
+            };
+            let process = process.expect("the process was started");
+            process.reload().expect("the process is signalled");
+            wait_until(line, RELOAD_TIMEOUT, || site.stdout_of(name).contains(line))
+                .expect("the process reads its settings");
+        }
+    }
+    let served = site.submit(0, &path(1), 4, 40).expect("the entry responds");
+    assert_eq!(served.status, 200);
+    assert_eq!(
+        stop(site.entry_mut(0)),
+        Some(0),
+        "{}",
+        site.stdout_of("entry-0")
+    );
+    assert_eq!(
+        stop(site.sidecar_mut(0)),
+        Some(0),
+        "{}",
+        site.stdout_of("sidecar-0")
+    );
+}
