fix(dispatch): extreme bounds of runs no longer overflow sums

Callers saw: the entry ended when a sidecar was lost, and with it every request that it held got no answer.

The longest lease, the time to stop a run and the resubmission delay come from the settings without a limit, and are added to times and to each other: `now + resubmission_delay` in `unreachable_sidecars`, `since + orphan_run_max` there, `lease_end_ms + millis(run_stop_time_max)` in `minion_state`, `run_stop_time_max + MARGIN` in `RunTiming`. The last but one is unsigned: it panics in a debug build, and by reading (not run) wraps around in a release build, so that a sidecar counts runs as ended before they are.

--- a/knapweedrill/src/dispatch/entry/settings.rs
+++ b/knapweedrill/src/dispatch/entry/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::dispatch::RunTiming;
+use crate::dispatch::units::clamp_duration;
 
 /// The time-outs and limits of an entry.
 #[derive(Debug, Clone, Copy)]
@@ -57,11 +58,12 @@
 }
 
 impl EntrySettings {
-    /// Creates the settings for callers that resubmit a failed job after `resubmission_delay`.
+    /// Creates the settings for callers that resubmit a failed job after `resubmission_delay`, which
+    /// counts as a day at most.
     pub fn new(timing: RunTiming, resubmission_delay: Duration) -> Self {
         Self {
             orphan_run_max: timing.orphan_run_max(),
-            resubmission_delay,
+            resubmission_delay: clamp_duration(resubmission_delay),
             pause_max: timing.entry_silence_timeout(),
             backlog_time: Duration::from_millis(200),
             caller_lag_max: Duration::from_millis(80),
--- a/knapweedrill/src/dispatch/run_timing.rs
+++ b/knapweedrill/src/dispatch/run_timing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::units::millis;
+use super::units::{clamp_duration, millis};
 
 /// How long runs continue after the last proof that their entry was alive, unless the platform's
 /// bounds require less. Four heartbeats of a session with work.
@@ -47,7 +47,7 @@
 
 impl RunTiming {
     /// Derives the times from the longest lease that minions grant, the longest time that they take
-    /// to stop a run, and the delay before callers resubmit a job.
+    /// to stop a run, and the delay before callers resubmit a job. Each counts as a day at most.
     ///
     /// Logs an error if these bounds leave too little time, so that a job may be resubmitted while
     /// its runs for a lost entry continue.
@@ -56,6 +56,8 @@
         run_stop_time_max: Duration,
         resubmission_delay: Duration,
     ) -> Self {
+        let [lease_max, run_stop_time_max, resubmission_delay] =
+            [lease_max, run_stop_time_max, resubmission_delay].map(clamp_duration);
         let required = ENTRY_SILENCE_TIMEOUT + with_drift(LEASE);
         let available = resubmission_delay.saturating_sub(run_stop_time_max + MARGIN);
         let scale_permille = available.as_nanos() * 1_000 / required.as_nanos();
--- a/knapweedrill/src/dispatch/sidecar/settings.rs
+++ b/knapweedrill/src/dispatch/sidecar/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::dispatch::RunTiming;
+use crate::dispatch::units::clamp_duration;
 
 /// Timeouts and intervals of a sidecar.
 #[derive(Debug, Clone, Copy)]
@@ -37,11 +38,12 @@
 }
 
 impl SidecarSettings {
-    /// Creates settings for a minion that grants leases up to `lease_max`.
+    /// Creates settings for a minion that grants leases up to `lease_max`, which counts as a day at
+    /// most.
     pub fn new(timing: RunTiming, lease_max: Duration) -> Self {
         Self {
             lease: timing.lease(),
-            lease_max,
+            lease_max: clamp_duration(lease_max),
             entry_silence_timeout: timing.entry_silence_timeout(),
             hold_wait: timing.lease() / 4,
             idle_hold_wait: Duration::from_millis(1_000),
--- a/knapweedrill/src/dispatch/units.rs
+++ b/knapweedrill/src/dispatch/units.rs
@@ -11,8 +11,8 @@
 /// sums and multiples of it don't overflow.
 const RECEIVED_DURATION_MAX: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// Limits a duration received from another process or a caller, so that calculations with it don't
-/// overflow.
+/// Limits a duration received from another process, a caller or the settings, so that calculations with
+/// it don't overflow.
 pub(crate) fn clamp_duration(received: Duration) -> Duration {
     received.min(RECEIVED_DURATION_MAX)
 }
--- a/knapweedrill/tests/dispatch_timing.rs
+++ b/knapweedrill/tests/dispatch_timing.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use knapweedrill::dispatch::RunTiming;
+use knapweedrill::dispatch::entry::EntrySettings;
+use knapweedrill::dispatch::sidecar::SidecarSettings;
 use proptest::prelude::*;
+use test_case::test_case;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -21,6 +24,22 @@
     assert_eq!(timing, RunTiming::default());
 }
 
+const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Guards against a bound so long that sums with it overflow, which ends a process, or wraps around and
+/// counts runs as ended that go on.
+#[test_case(DAY + MS; "more than a day")]
+#[test_case(Duration::from_millis(u64::MAX); "more milliseconds than 64 bits")]
+#[test_case(Duration::MAX; "longest duration")]
+fn bounds_of_more_than_a_day_count_as_a_day(bound: Duration) {
+    let timing = RunTiming::new(bound, bound, bound);
+    assert_eq!(timing, RunTiming::new(DAY, DAY, DAY));
+    assert_eq!(timing.run_stop_time_max(), DAY);
+    assert!(timing.orphan_run_max() < DAY + 1_300 * MS);
+    assert_eq!(SidecarSettings::new(timing, bound).lease_max, DAY);
+    assert_eq!(EntrySettings::new(timing, bound).resubmission_delay, DAY);
+}
+
 proptest! {
     /// The runs of a lost entry end before its callers resubmit their jobs, and another entry waits
     /// for the longest time that a frozen sidecar and clock drift can delay their end.
