fix(daemon): log lines show a long grace period as it is

Change: the count saturates, in `asked to stop` and `settings taken over`. The test of reloaded settings reads it from the line. Ruled out: logging 128 bits, which the JSON layout writes as text instead of a number.

--- a/knapweedrill_daemon/src/dispatch/process.rs
+++ b/knapweedrill_daemon/src/dispatch/process.rs
@@ -95,12 +95,12 @@
             ..self.settings.clone()
         };
         let needs_restart = applied != settings;
-        log::info!(
-            needs_restart, grace_ms = settings.stop_grace.as_millis() as u64,
-            seeds = settings.seed_addresses.len(); "settings taken over"
-        );
         self.settings = applied;
         self.signals.grace = self.settings.stop_grace;
+        log::info!(
+            needs_restart, grace_ms = self.signals.grace_ms(),
+            seeds = self.settings.seed_addresses.len(); "settings taken over"
+        );
         self.seeds().collect()
     }
 
--- a/knapweedrill_daemon/src/dispatch/process_signals.rs
+++ b/knapweedrill_daemon/src/dispatch/process_signals.rs
@@ -47,12 +47,17 @@
         })
     }
 
+    /// Returns the grace period in milliseconds, at most `u64::MAX`.
+    pub(super) fn grace_ms(&self) -> u64 {
+        u64::try_from(self.grace.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns true once, at the first call after the process was asked to stop.
     pub(super) fn take_stop_request(&mut self, now: Instant) -> bool {
         if self.stop_requested_at.is_some() || !self.stop_flag.load(Ordering::Relaxed) {
             return false;
         }
-        log::info!(grace_ms = self.grace.as_millis() as u64; "asked to stop");
+        log::info!(grace_ms = self.grace_ms(); "asked to stop");
         self.stop_requested_at = Some(now);
         self.last_busy_at = Some(now);
         true
--- a/knapweedrill_lab/tests/extreme_settings.rs
+++ b/knapweedrill_lab/tests/extreme_settings.rs
@@ -60,7 +60,7 @@
 }
 
 /// Guards against a settings file that changes to such a figure, or is read half-written, and ends a
-/// process that was well.
+/// process that was well, and against a log line with another grace period than the one in force.
 #[test]
 fn process_survives_extreme_and_half_written_settings_that_it_reloads() {
     let mut site = PlatformSite::start(1, 1).expect("the site starts");
@@ -72,7 +72,7 @@
         let extreme = settings.replace("GraceS = 3", "GraceS = 9223372036854775807");
         let versions = [
             (half, "settings not taken over"),
-            (extreme.as_str(), "settings taken over"),
+            (extreme.as_str(), "\"grace_ms\":18446744073709551615"),
         ];
         for (text, line) in versions {
             fs::write(&file, text).expect("the settings can be written");
