test(platform): fractions among the bounds fail before for that reason alone

The tests of extreme figures move to `settings_figures` with it. Each test of odd bounds says in one line which failure it guards against.

--- a/knapweedrill_lab/tests/extreme_settings.rs
+++ b/knapweedrill_lab/tests/settings_figures.rs
@@ -1,5 +1,5 @@
-//! Processes whose settings file holds extreme figures start, serve, survive the loss of a peer and
-//! stop in order.
+//! Processes whose settings file holds fractions or extreme figures start, serve, survive the loss of a
+//! peer and stop in order.
 
 use std::fs;
 use std::time::Duration;
@@ -25,6 +25,23 @@
     status.code()
 }
 
+/// Guards against fractions among the bounds that keep every process from starting, with which nothing is
+/// served (review/10).
+#[test]
+fn processes_with_fractions_among_their_bounds_serve_and_stop() {
+    let bounds = "GraceS = 2.5\nHoldMaxMs = 999.5\nStopTimeoutMs = 49.5\nRetransmitMs = 1299.5";
+    let mut site = PlatformSite::start_with_bounds(2, 2, bounds).expect("the site starts");
+    site.configure(3).expect("the entries become ready");
+    for (entry, number) in [(0, 1), (1, 2)] {
+        let served = site.submit(entry, &path(number), 4, 40);
+        assert_eq!(served.expect("the entry responds").status, 200);
+    }
+    for index in 0..2 {
+        assert_eq!(stop(site.entry_mut(index)), Some(0));
+        assert_eq!(stop(site.sidecar_mut(index)), Some(0));
+    }
+}
+
 /// Guards against a sum with a bound that overflows and ends the process: at its start, at its stop, or
 /// when a peer is lost.
 #[test_case("GraceS = 9223372036854775807"; "largest whole grace period")]
