--- a/knapweedrill_lab/tests/settings_figures.rs
+++ b/knapweedrill_lab/tests/settings_figures.rs
@@ -79,7 +79,9 @@
     for name in ["entry-0", "sidecar-0"] {
         let file = site.directory().join(format!("{name}.toml"));
         let settings = fs::read_to_string(&file).expect("the settings can be read");
-        let half = &settings[..settings.find("StopTimeoutMs").expect("the bound is there") + 15];
+        let (half, _) = settings
+            .split_once("= 50")
+            .expect("the file has the stop time");
         let extreme = settings.replace("GraceS = 3", "GraceS = 9223372036854775807");
         let versions = [
             (half, "settings not taken over"),
