fix(daemon): connections that wait to be accepted fit into the memory of the machine

Callers saw: nothing yet. A process beyond `MemoryMb` is killed on the platform, and received bytes that are not read count.

Cause: the limits for clients hold from the accept on. Before it, the kernel keeps up to 1,024 connections at each port, each with the receive buffer of an accepted one; 64 KiB requested are up to 125 KiB received (measured over the loopback interface). A process that stands still or gets no processor time reaches their sum.

Evidence: three new cases of `hostile_clients` stop the process while 500 clients send.

Change: connections wait with a receive buffer of 4 KiB, which an ordinary request fits into, and their number follows from the memory (1/32 of it). The 64 KiB are set when a connection is accepted, so that the end of a connection behind unread data is noticed as before. A smaller backlog with large buffers was weighed: it would delay ordinary clients when many connect at once. `limits_fit_the_machine` counts the waiting connections now, with the bounds it had.

--- a/knapweedrill_daemon/src/dispatch/client_limits/client_gate.rs
+++ b/knapweedrill_daemon/src/dispatch/client_limits/client_gate.rs
@@ -37,6 +37,7 @@
     pub(in crate::dispatch) fn new(limits: BudgetLimits) -> Self {
         log::info!(
             connections_max = limits.connection_count_max,
+            backlog_max = limits.traffic_backlog_count,
             large_request_bytes_max = limits.large_bytes_max; "client limits"
         );
         let state = GateState {
@@ -49,9 +50,9 @@
         }
     }
 
-    /// Returns the receive buffer to request for accepted sockets, in bytes.
-    pub(in crate::dispatch) fn receive_buffer_bytes(&self) -> u32 {
-        self.limits.receive_buffer_bytes()
+    /// Returns the limits.
+    pub(in crate::dispatch) fn limits(&self) -> BudgetLimits {
+        self.limits
     }
 
     /// Registers a connection, or returns `None` if it must be closed at once. Waits for another one to
--- a/knapweedrill_daemon/src/dispatch/client_limits/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/client_limits/mod.rs
@@ -4,6 +4,7 @@
 mod client_connection;
 mod client_gate;
 mod memory_budget;
+mod port_kind;
 mod progress;
 
 pub use budget_limits::BudgetLimits;
@@ -12,3 +13,4 @@
 pub use memory_budget::{
     BudgetCounts, BudgetUsage, CloseCause, ConnectionId, Decision, MemoryBudget,
 };
+pub use port_kind::PortKind;
--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -21,7 +21,7 @@
 use knapweedrill_wire::PacketSocket;
 use tokio::sync::oneshot;
 
-use super::client_limits::{BudgetLimits, ClientGate};
+use super::client_limits::{BudgetLimits, ClientGate, PortKind};
 use super::entry_http::{CallerService, PendingRequest, PublishedState};
 use super::http::{json_response, serve, serve_connections, serve_metrics};
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
@@ -194,13 +194,16 @@
     tokio::spawn(serve_metrics(settings.ip, gate.clone(), metrics));
     let readiness = service.clone();
     if let Some(address) = settings.readiness_address {
-        tokio::spawn(serve(address, gate.clone(), move |_, request| {
-            std::future::ready(readiness.readiness(&request))
-        }));
+        tokio::spawn(serve(
+            address,
+            PortKind::Other,
+            gate.clone(),
+            move |_, request| std::future::ready(readiness.readiness(&request)),
+        ));
     }
     if let Some(address) = settings.registration_address {
         // The platform lists this VM among the seeds of others only if the address is served.
-        tokio::spawn(serve(address, gate.clone(), |_, _| {
+        tokio::spawn(serve(address, PortKind::Other, gate.clone(), |_, _| {
             std::future::ready(json_response(StatusCode::NOT_FOUND, String::new()))
         }));
     }
@@ -208,7 +211,7 @@
         eyre::eyre!("the settings have no address for callers (Listen.Front), which an entry needs")
     })?;
     let accept = move || service.on_connection(clock.now());
-    serve_connections(callers_address, gate, accept).await
+    serve_connections(callers_address, PortKind::Traffic, gate, accept).await
 }
 
 /// A caller that waits for the outcome of its job.
--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -14,10 +14,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, timeout_at};
 
-use super::client_limits::{ClientConnection, ClientGate, MemoryRefusal};
+use super::client_limits::{ClientConnection, ClientGate, MemoryRefusal, PortKind};
 use super::metrics::{METRICS_PATH, METRICS_PORT, Metrics};
 use super::shared_stream::SharedStream;
 
@@ -34,9 +35,6 @@
 /// The pause after a failed accept, in which file descriptors may be released.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The maximum number of connections that wait to be accepted.
-const BACKLOG_CONNECTION_COUNT: u32 = 1_024;
-
 /// The capacity of the buffer of a body at first, in bytes: that of an ordinary request.
 const FIRST_BODY_CAPACITY_BYTES: usize = 4_096;
 
@@ -54,6 +52,7 @@
 /// Fails if the address can't be bound.
 pub(super) async fn serve<H, F>(
     address: SocketAddr,
+    port: PortKind,
     gate: ClientGate,
     handler: H,
 ) -> eyre::Result<()>
@@ -61,7 +60,7 @@
     H: Fn(ClientConnection, Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    serve_connections(address, gate, move || handler.clone()).await
+    serve_connections(address, port, gate, move || handler.clone()).await
 }
 
 /// Serves requests at an address, within the limits of `gate`. `accept` creates the handler of each
@@ -73,6 +72,7 @@
 /// Fails if the address can't be bound.
 pub(super) async fn serve_connections<A, H, F>(
     address: SocketAddr,
+    port: PortKind,
     gate: ClientGate,
     accept: A,
 ) -> eyre::Result<()>
@@ -81,8 +81,15 @@
     H: Fn(ClientConnection, Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    let listener =
-        listen(address, &gate).wrap_err_with(|| format!("can't listen for HTTP at {address}"))?;
+    let limits = gate.limits();
+    let backlog_count = limits.backlog_count(port);
+    let listener = listen(
+        address,
+        backlog_count,
+        limits.waiting_receive_buffer_bytes(),
+    )
+    .wrap_err_with(|| format!("can't listen for HTTP at {address}"))?;
+    let receive_buffer_bytes = limits.receive_buffer_bytes() as usize;
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -98,24 +105,30 @@
         // With Nagle's algorithm the end of a response may wait for an acknowledgement. A failure
         // to disable it only delays responses.
         let _ = stream.set_nodelay(true);
+        // A failure leaves the smaller buffer, with which the client sends more slowly.
+        let _ = SockRef::from(&stream).set_recv_buffer_size(receive_buffer_bytes);
         let stream = SharedStream::new(stream, client.clone());
         let handler = accept();
         tokio::spawn(serve_connection(stream, client, handler));
     }
 }
 
-/// Listens with a bounded receive buffer for each accepted connection: what is received and not yet read
-/// is memory of this process on some machines.
-fn listen(address: SocketAddr, gate: &ClientGate) -> io::Result<TcpListener> {
+/// Listens with a bounded number of connections that wait to be accepted, and a bounded receive buffer
+/// for each: what is received and not yet read is memory of this process on some machines.
+fn listen(
+    address: SocketAddr,
+    backlog_count: u32,
+    receive_buffer_bytes: u32,
+) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    // Accepted sockets inherit it.
-    socket.set_recv_buffer_size(gate.receive_buffer_bytes())?;
+    // Connections have it until they are accepted.
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG_CONNECTION_COUNT)
+    socket.listen(backlog_count)
 }
 
 /// Serves the requests of a connection until it ends or has to be closed.
@@ -266,7 +279,7 @@
 /// Serves the metrics of a process. A failure is logged and does not stop the process.
 pub(super) async fn serve_metrics(ip: IpAddr, gate: ClientGate, metrics: Metrics) {
     let address = SocketAddr::new(ip, METRICS_PORT);
-    let served = serve(address, gate, move |_, request| {
+    let served = serve(address, PortKind::Other, gate, move |_, request| {
         let (status, body) = match request.uri().path() {
             METRICS_PATH => (StatusCode::OK, metrics.encode()),
             _ => (StatusCode::NOT_FOUND, String::new()),
--- a/knapweedrill_daemon/src/dispatch/mod.rs
+++ b/knapweedrill_daemon/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 
 pub use client_limits::{
     BudgetCounts, BudgetLimits, BudgetUsage, CloseCause, ConnectionId, Decision, MemoryBudget,
+    PortKind,
 };
 use process::Process;
 pub use process_clock::{ProcessClock, time_since_boot};
--- a/knapweedrill_daemon/src/dispatch/sidecar.rs
+++ b/knapweedrill_daemon/src/dispatch/sidecar.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 
-use super::client_limits::{BudgetLimits, ClientGate};
+use super::client_limits::{BudgetLimits, ClientGate, PortKind};
 use super::http::{serve, serve_metrics};
 use super::metrics::{GAUGE_UPDATE_INTERVAL, Metrics};
 use super::process::{
@@ -133,7 +133,7 @@
         )
     })?;
     let own_domain: Arc<str> = settings.failure_domain.into();
-    serve(address, gate, move |client, request| {
+    serve(address, PortKind::Traffic, gate, move |client, request| {
         let own_domain = Arc::clone(&own_domain);
         let minion_ip = minion_address.ip();
         handle_registration(events.clone(), minion_ip, own_domain, client, request)
--- a/knapweedrill_daemon/tests/memory_budget.rs
+++ b/knapweedrill_daemon/tests/memory_budget.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedrill_daemon::dispatch::{
-    BudgetLimits, CloseCause, ConnectionId, Decision, MemoryBudget,
+    BudgetLimits, CloseCause, ConnectionId, Decision, MemoryBudget, PortKind,
 };
 use test_case::test_case;
 
@@ -16,6 +16,9 @@
 
 const MEBIBYTE: u64 = 1 << 20;
 
+/// The HTTP ports of an entry beside that for callers.
+const OTHER_PORT_COUNT: u32 = 3;
+
 const MILLISECOND: Duration = Duration::from_millis(1);
 
 /// A budget and its clients. Connections that are told to close end at once.
@@ -43,6 +46,7 @@
         Self::new(BudgetLimits {
             connection_count_max,
             large_bytes_max,
+            ..BudgetLimits::for_machine(None, None)
         })
     }
 
@@ -130,7 +134,8 @@
 }
 
 /// Guards against limits under which a machine of the platform runs out of memory or descriptors: with all
-/// in use, 40 MB are left of the smallest entry, also if each receive buffer is full of large packets.
+/// in use, also the connections that wait to be accepted, 40 MB are left of the smallest entry, also if each
+/// receive buffer is full of large packets.
 #[test_case(Some(160), Some(4_100), 40; "small entry")]
 #[test_case(Some(512), Some(8_192), 40; "large entry")]
 #[test_case(Some(128), Some(4_096), 30; "sidecar")]
@@ -138,11 +143,17 @@
 fn limits_fit_the_machine(memory_mb: Option<u64>, descriptors: Option<u64>, left_mb: u64) {
     let limits = BudgetLimits::for_machine(memory_mb.map(|mb| mb * MEBIBYTE), descriptors);
     let connection_bytes = 28_672 + 2 * u64::from(limits.receive_buffer_bytes());
-    let used_bytes = limits.large_bytes_max + connection_bytes * limits.connection_count_max as u64;
+    let waiting_count = limits.backlog_count(PortKind::Traffic)
+        + OTHER_PORT_COUNT * limits.backlog_count(PortKind::Other);
+    let waiting_bytes = 2 * u64::from(limits.waiting_receive_buffer_bytes());
+    let used_bytes = limits.large_bytes_max
+        + connection_bytes * limits.connection_count_max as u64
+        + waiting_bytes * u64::from(waiting_count);
     assert!(used_bytes + left_mb * MEBIBYTE <= memory_mb.unwrap_or(128) * MEBIBYTE);
     assert!(limits.connection_count_max as u64 + 300 <= descriptors.unwrap_or(4_096));
     assert!(limits.connection_count_max >= 400);
     assert!(limits.large_bytes_max >= 64 * BODY_BYTES);
+    assert!(limits.backlog_count(PortKind::Traffic) >= 300);
 }
 
 /// Guards against a process with odd settings that serves nobody.
@@ -153,6 +164,9 @@
     let limits = BudgetLimits::for_machine(Some(memory_bytes), Some(descriptors));
     assert!(limits.connection_count_max >= 16);
     assert!(limits.large_bytes_max >= MEBIBYTE);
+    for port in [PortKind::Traffic, PortKind::Other] {
+        assert!((16..=1_024).contains(&limits.backlog_count(port)));
+    }
 }
 
 /// The load: 400 clients of one address send bodies of the largest size piece by piece to a small entry, nine
--- a/knapweedrill_lab/tests/hostile_clients.rs
+++ b/knapweedrill_lab/tests/hostile_clients.rs
@@ -67,6 +67,17 @@
 /// The interval at which a process is observed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a connection to a process that stands still may take. The kernel accepts it at once, or not
+/// before the process goes on.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(10);
+
+/// The number of connections of a crowd to a process that stands still: below the number that the kernel
+/// keeps waiting by default.
+const STANDING_CLIENT_COUNT: usize = 500;
+
+/// How long a process stands still while a crowd sends.
+const STANDSTILL: Duration = Duration::from_secs(2);
+
 /// How long an ordinary request is repeated until it is served.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -159,6 +170,30 @@
         clients
     }
 
+    /// Opens connections and sends while the process stands still, for `STANDSTILL`. Returns the
+    /// connections that were accepted for the process.
+    fn send_unread(&self, peaks: &mut Peaks) -> Vec<Client> {
+        let mut clients: Vec<Client> = (0..self.client_count)
+            .filter_map(|_| TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT).ok())
+            .map(|stream| {
+                stream.set_nonblocking(true).expect("the option can be set");
+                Client {
+                    stream,
+                    left: 0..self.request.len(),
+                }
+            })
+            .collect();
+        let end = Instant::now() + STANDSTILL;
+        while Instant::now() < end {
+            for client in &mut clients {
+                self.send_piece(client);
+            }
+            peaks.observe();
+            thread::sleep(OBSERVATION_INTERVAL);
+        }
+        clients
+    }
+
     /// Sends the next piece, and returns whether the process took some of it.
     fn send_piece(&self, client: &mut Client) -> bool {
         let end = client.left.end.min(client.left.start + self.piece_bytes);
@@ -251,8 +286,20 @@
     let idle_kb = memory_kb(process, "VmHWM:");
     let mut peaks = Peaks::new(process, crowd.address);
     let clients = crowd.send(&mut peaks);
+    check_serving(idle_kb, memory_mb, peaks, clients, serve);
+}
+
+/// Checks a process to which `clients` are connected.
+fn check_serving(
+    idle_kb: u64,
+    memory_mb: u64,
+    mut peaks: Peaks,
+    clients: Vec<Client>,
+    serve: impl Fn() -> bool,
+) {
     let served = wait_until("a served ordinary request", SERVE_TIMEOUT, &serve);
     peaks.observe();
+    let process = peaks.process;
     let peak_kb = memory_kb(process, "VmHWM:");
     drop(clients);
     let measured = format!("peak {peak_kb} kB, idle {idle_kb} kB, {peaks:?}, {served:?}");
@@ -265,6 +312,40 @@
     assert!(peaks.descriptor_count <= descriptor_bound, "{measured}");
 }
 
+/// Checks an entry that stands still while a crowd sends to the port that `address` returns, and then
+/// goes on.
+fn check_standing_entry(address: impl Fn(&PlatformSite) -> SocketAddr) {
+    let _guard = one_test();
+    let mut site = start_site(ENTRY_MEMORY_MB);
+    let crowd = standing_crowd(address(&site));
+    let entry = site.entry_mut(0).expect("the process was started");
+    let idle_kb = memory_kb(entry.id(), "VmHWM:");
+    let mut peaks = Peaks::new(entry.id(), crowd.address);
+    entry.freeze().expect("the process can be stopped");
+    let clients = crowd.send_unread(&mut peaks);
+    entry.thaw().expect("the process can be resumed");
+    check_serving(idle_kb, ENTRY_MEMORY_MB, peaks, clients, || {
+        site.is_ready(0) && serves_job(&site)
+    });
+}
+
+/// Checks a sidecar that stands still while a crowd sends to its port for heartbeats, and then goes on.
+fn check_standing_sidecar() {
+    let _guard = one_test();
+    let mut site = start_site(SIDECAR_MEMORY_MB);
+    let address = site.registration_address(0);
+    let crowd = standing_crowd(address);
+    let sidecar = site.sidecar_mut(0).expect("the process was started");
+    let idle_kb = memory_kb(sidecar.id(), "VmHWM:");
+    let mut peaks = Peaks::new(sidecar.id(), crowd.address);
+    sidecar.freeze().expect("the process can be stopped");
+    let clients = crowd.send_unread(&mut peaks);
+    sidecar.thaw().expect("the process can be resumed");
+    check_serving(idle_kb, SIDECAR_MEMORY_MB, peaks, clients, || {
+        serves_heartbeat(&site, address) && serves_job(&site)
+    });
+}
+
 /// Checks an entry whose port for callers the crowd that `crowd` creates uses.
 fn check_callers_port(crowd: impl Fn(SocketAddr) -> Crowd) {
     let _guard = one_test();
@@ -374,6 +455,14 @@
     move |address| crowd_of(address, &declared(body_bytes), 0, WHOLE_PIECE_BYTES)
 }
 
+/// Whole bodies of the largest legal size, to a process that stands still.
+fn standing_crowd(address: SocketAddr) -> Crowd {
+    Crowd {
+        client_count: STANDING_CLIENT_COUNT,
+        ..whole_bodies(BODY_BYTES_MAX)(address)
+    }
+}
+
 /// Bodies of the largest legal size, piece by piece; most lack their last byte.
 fn pieces_of_bodies(body_bytes: usize) -> impl Fn(SocketAddr) -> Crowd {
     move |address| crowd_of(address, &declared(body_bytes), 1, PIECE_BYTES)
@@ -477,6 +566,25 @@
     check_readiness_port(unfinished_heads);
 }
 
+/// Guards against connections that wait to be accepted and together hold more than the memory of the
+/// machine.
+#[test]
+fn whole_large_bodies_at_callers_port_of_a_standing_entry() {
+    check_standing_entry(|site| site.callers_address(0));
+}
+
+/// As above, at a port whose clients send next to nothing.
+#[test]
+fn whole_large_bodies_at_readiness_port_of_a_standing_entry() {
+    check_standing_entry(|site| site.readiness_address(0));
+}
+
+/// As above, at a sidecar.
+#[test]
+fn whole_large_bodies_at_heartbeat_port_of_a_standing_sidecar() {
+    check_standing_sidecar();
+}
+
 /// Guards against a budget that leaves too little for one request of the largest legal size.
 #[test]
 fn single_request_of_largest_size_is_served() {
