fix(daemon): a response that comes before the end of its request reaches the client

Callers saw: a reset connection in place of 413, 400, 408 or 503, so that a caller could not tell that its job had not run.

Cause: such a request is answered at once and the connection closed. Closing a socket with unread data resets the connection, and a client that still sends fails before it reads the response.

Change: after its last response a process closes its own direction only, and discards what still comes until the client closes, for up to 1 MiB and 5 s. The connection counts as idle in the memory budget and gives way to others. Reading the body to its end before the response was weighed: the refusal would come late.

--- a/knapweedrill_daemon/src/dispatch/http.rs
+++ b/knapweedrill_daemon/src/dispatch/http.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::client_limits::{ClientConnection, ClientGate, MemoryRefusal, PortKind};
 use super::metrics::{METRICS_PATH, METRICS_PORT, Metrics};
@@ -35,6 +35,12 @@
 /// The pause after a failed accept, in which file descriptors may be released.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long an answered connection is kept open for a client that still sends.
+const DISCARD_TIMEOUT: Duration = BODY_READ_TIMEOUT;
+
+/// The maximum number of bytes that are received and discarded after the last response of a connection.
+const DISCARD_BYTES_MAX: usize = 1 << 20;
+
 /// The capacity of the buffer of a body at first, in bytes: that of an ordinary request.
 const FIRST_BODY_CAPACITY_BYTES: usize = 4_096;
 
@@ -151,13 +157,42 @@
         .serve_connection(TokioIo::new(stream.clone()), service);
     // The HTTP library does not read the stream, and so does not see its end, while it has
     // bytes of the next request. What can be answered at once is answered first.
-    tokio::select! {
+    let is_answered = tokio::select! {
         biased;
-        () = client.closed() => log::debug!("connection closed for its use of memory"),
-        result = connection => if let Err(error) = result {
-            log::debug!(error:% = error; "connection ended");
+        () = client.closed() => {
+            log::debug!("connection closed for its use of memory");
+            false
+        }
+        result = connection => match result {
+            Ok(()) => true,
+            Err(error) => {
+                log::debug!(error:% = error; "connection ended");
+                // A head that is not HTTP has got a response.
+                error.is_parse()
+            }
+        },
+        () = stream.read_closed() => {
+            log::debug!("connection closed by the peer");
+            false
+        }
+    };
+    if is_answered {
+        discard_rest(&stream, &client).await;
+    }
+}
+
+/// Discards what a client still sends after its last response. Closing a connection with unread data
+/// resets it, and the client may then lose the response. Such a connection counts as idle, so it is closed
+/// when others need it.
+async fn discard_rest(stream: &SharedStream, client: &ClientConnection) {
+    client.end_answer(0);
+    tokio::select! {
+        () = client.closed() => log::debug!("connection closed while its client still sends"),
+        result = timeout(DISCARD_TIMEOUT, stream.discard(DISCARD_BYTES_MAX)) => match result {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::debug!(error:% = error; "connection ended after its last response"),
+            Err(_) => log::debug!("connection closed, as its client does not end it"),
         },
-        () = stream.read_closed() => log::debug!("connection closed by the peer"),
     }
 }
 
--- a/knapweedrill_daemon/src/dispatch/shared_stream.rs
+++ b/knapweedrill_daemon/src/dispatch/shared_stream.rs
@@ -15,6 +15,9 @@
 /// The maximum number of bytes that are read at a time.
 const READ_BYTES_MAX: usize = 16_384;
 
+/// The number of bytes that are discarded at a time.
+const DISCARD_BUFFER_BYTES: usize = 16_384;
+
 /// A TCP stream whose clones use the same socket. What is read is charged to the memory budget.
 ///
 /// The clones of a stream may be read, written and observed by one task at a time.
@@ -45,6 +48,31 @@
             }
         }
     }
+
+    /// Closes the direction to the peer, and discards what the peer still sends until it closes the
+    /// other direction. Nothing is charged to the memory budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is reset, or if the peer sends more than `bytes_max` bytes.
+    pub(super) async fn discard(&self, bytes_max: usize) -> io::Result<()> {
+        let stream = &self.0.stream;
+        // Fails if the connection has ended, which reading shows.
+        let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+        let mut discarded_bytes = 0;
+        while discarded_bytes <= bytes_max {
+            stream.readable().await?;
+            match stream.try_read(&mut [0; DISCARD_BUFFER_BYTES]) {
+                Ok(0) => return Ok(()),
+                Ok(read_bytes) => discarded_bytes += read_bytes,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Err(io::Error::other(
+            "the peer sends too much after its response",
+        ))
+    }
 }
 
 impl AsyncRead for SharedStream {
--- a/knapweedrill_lab/tests/hostile_clients.rs
+++ b/knapweedrill_lab/tests/hostile_clients.rs
@@ -516,6 +516,13 @@
     check_callers_port(unfinished_heads);
 }
 
+/// Guards against connections that are kept open after their response and together hold more than their
+/// share.
+#[test]
+fn refused_bodies_at_callers_port() {
+    check_callers_port(pieces_of_bodies(3 * BODY_BYTES_MAX));
+}
+
 #[test]
 fn whole_large_bodies_at_heartbeat_port() {
     check_heartbeat_port(whole_bodies(HEARTBEAT_BYTES_MAX));
@@ -541,6 +548,12 @@
     check_heartbeat_port(unfinished_heads);
 }
 
+/// As at the port for callers.
+#[test]
+fn refused_bodies_at_heartbeat_port() {
+    check_heartbeat_port(pieces_of_bodies(3 * HEARTBEAT_BYTES_MAX));
+}
+
 #[test]
 fn whole_large_bodies_at_readiness_port() {
     check_readiness_port(whole_bodies(BODY_BYTES_MAX));
