--- a/knapweedrill_lab/tests/early_responses.rs
+++ b/knapweedrill_lab/tests/early_responses.rs
@@ -10,6 +10,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// The path of a submission.
+const JOB_PATH: &str = "/normal/0000000000000001";
+
 /// How often each client sends its request. Whether a response is lost depends on the moment at which the
 /// process closes the connection.
 const REPEAT_COUNT: usize = 40;
@@ -42,29 +45,37 @@
     Syntax,
 }
 
-/// Returns the text of a request.
-fn request(path: &str, refusal: Refusal, body_bytes: usize) -> (String, String) {
-    let body = "x".repeat(body_bytes);
-    let head = |line: &str| format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{line}\r\n\r\n");
-    match refusal {
-        Refusal::DeclaredSize => (head(&format!("Content-Length: {body_bytes}")), body),
+/// The text of a request.
+struct Request {
+    head: String,
+    body: String,
+}
+
+/// Returns a request.
+fn request(path: &str, refusal: Refusal, body_bytes: usize) -> Request {
+    let content = "x".repeat(body_bytes);
+    let (line, body) = match refusal {
+        Refusal::DeclaredSize => (format!("Content-Length: {body_bytes}"), content),
         Refusal::ReceivedSize => {
-            let chunk = format!("{body_bytes:x}\r\n{body}\r\n0\r\n\r\n");
-            (head("Transfer-Encoding: chunked"), chunk)
+            let chunks = format!("{body_bytes:x}\r\n{content}\r\n0\r\n\r\n");
+            ("Transfer-Encoding: chunked".to_owned(), chunks)
         }
-        Refusal::Syntax => (head("no header"), body),
-    }
+        Refusal::Syntax => ("no header".to_owned(), content),
+    };
+    let head = format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{line}\r\n\r\n");
+    Request { head, body }
 }
 
 /// Sends a request whose body comes in `count` pieces, with a pause before each.
 fn send_pieces(
     stream: &mut TcpStream,
-    (head, body): &(String, String),
+    request: &Request,
     count: usize,
     pause: Duration,
 ) -> std::io::Result<()> {
-    stream.write_all(head.as_bytes())?;
-    for piece in body.as_bytes().chunks(body.len() / count) {
+    stream.write_all(request.head.as_bytes())?;
+    let body = request.body.as_bytes();
+    for piece in body.chunks(body.len() / count) {
         thread::sleep(pause);
         stream.write_all(piece)?;
     }
@@ -72,15 +83,14 @@
 }
 
 /// Sends a request to its end, and only then reads the response, as simple clients do. Returns the status.
-fn send(address: SocketAddr, request: &(String, String), sending: Sending) -> Result<u16, String> {
+fn send(address: SocketAddr, request: &Request, sending: Sending) -> Result<u16, String> {
     let text = |error: std::io::Error| error.to_string();
     let mut stream = TcpStream::connect(address).map_err(text)?;
     stream.set_read_timeout(Some(3 * SECOND)).map_err(text)?;
     stream.set_write_timeout(Some(3 * SECOND)).map_err(text)?;
-    let (head, body) = request;
     match sending {
         Sending::AtOnce => {
-            let whole = format!("{head}{body}");
+            let whole = request.head.clone() + &request.body;
             stream.write_all(whole.as_bytes()).map_err(text)?;
         }
         Sending::InPieces => {
@@ -100,7 +110,7 @@
 }
 
 /// Sends a request repeatedly, and checks that each is answered.
-fn check(address: SocketAddr, request: &(String, String), sending: Sending, status: u16) {
+fn check(address: SocketAddr, request: &Request, sending: Sending, status: u16) {
     let results: Vec<_> = (0..REPEAT_COUNT)
         .map(|_| send(address, request, sending))
         .collect();
@@ -127,7 +137,7 @@
     status: u16,
 ) {
     let site = start_site();
-    let request = request("/normal/0000000000000001", refusal, LARGE_BODY_BYTES);
+    let request = request(JOB_PATH, refusal, LARGE_BODY_BYTES);
     check(site.callers_address(0), &request, sending, status);
 }
 
@@ -141,8 +151,7 @@
         TcpStream::connect(address).is_ok()
     })
     .expect("the entry accepts requests");
-    let path = "/normal/0000000000000001";
-    let request = request(path, Refusal::DeclaredSize, LEGAL_BODY_BYTES);
+    let request = request(JOB_PATH, Refusal::DeclaredSize, LEGAL_BODY_BYTES);
     check(address, &request, sending, 503);
 }
 
@@ -150,8 +159,7 @@
 #[test]
 fn entry_answers_callers_whose_body_takes_too_long() {
     let site = start_site();
-    let path = "/normal/0000000000000001";
-    let request = request(path, Refusal::DeclaredSize, LEGAL_BODY_BYTES);
+    let request = request(JOB_PATH, Refusal::DeclaredSize, LEGAL_BODY_BYTES);
     let status = send(site.callers_address(0), &request, Sending::Slowly);
     assert_eq!(status, Ok(408));
 }
@@ -179,11 +187,7 @@
 /// Sends bytes again and again, `pause` apart, and returns how many were sent until the connection was
 /// closed; at most `SENT_BYTES_MAX` within 8 s.
 fn sent_until_closed(address: SocketAddr, piece: &[u8], pause: Duration) -> usize {
-    let (head, _) = request(
-        "/normal/0000000000000001",
-        Refusal::DeclaredSize,
-        LARGE_BODY_BYTES,
-    );
+    let head = request(JOB_PATH, Refusal::DeclaredSize, LARGE_BODY_BYTES).head;
     let mut stream = TcpStream::connect(address).expect("the process listens");
     stream
         .set_write_timeout(Some(SECOND))
