fix(daemon): an entry that ends refuses the requests that it no longer takes

Callers saw: a connection that ended without an answer after up to 150 ms, or later from a slow process, so that they did not know whether their jobs had run.

Cause: when the event loop has ended, the process waits 150 ms for the last responses to be sent. The traffic thread reads requests meanwhile and passes them to an event loop that takes none.

Evidence: a trial with lines for heads and bodies showed requests read 69 and 73 ms after `process stopped`, without an answer.

Change: the event loop refuses what waits in its queue with 503 and gives up its end of it, after which the traffic thread refuses requests by itself. Cancels that wait for other entries are answered 502 instead of not at all.

--- a/knapweedrill_daemon/src/dispatch/entry.rs
+++ b/knapweedrill_daemon/src/dispatch/entry.rs
@@ -104,7 +104,7 @@
     for address in process.seeds() {
         entry.add_peer(address, None);
     }
-    let event_loop = EventLoop {
+    let mut event_loop = EventLoop {
         own_address: address,
         entry,
         socket,
@@ -117,9 +117,25 @@
         suspended: Duration::ZERO,
     };
     event_loop.run(process, &events);
+    refuse_rest(events);
+    // The traffic thread sends the last responses meanwhile.
+    std::thread::sleep(LAST_RESPONSES_TIME);
     Ok(())
 }
 
+/// Refuses the requests that the event loop has not taken. The traffic thread refuses those that follow,
+/// as nothing receives its events any more.
+fn refuse_rest(events: Receiver<EntryEvent>) {
+    for event in events.try_iter() {
+        if let EntryEvent::Request(pending) = event {
+            // A caller that has disconnected needs no response.
+            let _ = pending
+                .response_sender
+                .send(plain_response(StatusCode::SERVICE_UNAVAILABLE, ""));
+        }
+    }
+}
+
 /// Runs the HTTP servers and clients of an entry on the traffic thread.
 async fn run_traffic(
     settings: ProcessSettings,
@@ -238,7 +254,7 @@
 }
 
 impl EventLoop {
-    fn run(mut self, mut process: Process, events: &Receiver<EntryEvent>) {
+    fn run(&mut self, mut process: Process, events: &Receiver<EntryEvent>) {
         let clock = process.clock;
         let mut next_tick = clock.now();
         let mut next_gauge_update = next_tick;
@@ -292,9 +308,9 @@
             if process.signals.should_exit(has_callers, now) {
                 self.entry.end_all_jobs(now);
                 self.flush(now);
+                // Whether these cancels are known everywhere is not known, which their callers are told.
+                self.cancelling_callers.clear();
                 log::info!("process stopped");
-                // The traffic thread sends the last responses meanwhile.
-                std::thread::sleep(LAST_RESPONSES_TIME);
                 return;
             }
         }
--- a/knapweedrill_lab/tests/platform_path.rs
+++ b/knapweedrill_lab/tests/platform_path.rs
@@ -391,6 +391,34 @@
     assert!(status.success());
 }
 
+/// Guards against requests in the last moments of an entry that get no answer.
+#[test]
+fn entry_that_ends_refuses_requests_at_once() {
+    let site = start_site(1, 1);
+    let mut stream = TcpStream::connect(site.callers_address(0)).expect("the entry listens");
+    stream.set_nodelay(true).expect("the option can be set");
+    stream
+        .set_read_timeout(Some(SECOND))
+        .expect("the timeout can be set");
+    let request = format!("GET /normal/ HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+    terminate(entry_process_id(&site));
+    let mut statuses = Vec::new();
+    // An entry without jobs ends 1.5 s after it was asked to stop.
+    let end = Instant::now() + 4 * SECOND;
+    while Instant::now() < end && stream.write_all(request.as_bytes()).is_ok() {
+        let mut response = [0; 1_024];
+        match stream.read(&mut response) {
+            Ok(length) if length >= 12 => {
+                statuses.push(String::from_utf8_lossy(&response[9..12]).into_owned());
+            }
+            _ => break,
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(statuses.contains(&"200".to_owned()), "{statuses:?}");
+    assert_eq!(statuses.last().map(String::as_str), Some("503"));
+}
+
 #[test]
 fn runs_of_a_disconnected_caller_are_stopped() {
     let site = start_site(1, 1);
