--- a/knapweedrill_lab/tests/hostile_clients.rs
+++ b/knapweedrill_lab/tests/hostile_clients.rs
@@ -14,7 +14,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use knapweedrill_lab::harness::{HOST, PlatformSite, wait_until};
+use knapweedrill_lab::harness::{ChildProcess, HOST, PlatformSite, wait_until};
 use knapweedrill_lab::stand_in::platform::{QueueConfiguration, configuration_text};
 use serde_json::{Value, json};
 
@@ -280,23 +280,36 @@
     connections.sum()
 }
 
+/// What a crowd leaves behind once it has sent.
+struct Aftermath {
+    /// The peak memory of the process before.
+    idle_kb: u64,
+    peaks: Peaks,
+    /// The connections, which are still open on the side of the crowd.
+    clients: Vec<Client>,
+}
+
 /// Sends a crowd to a process and checks the process while the crowd is connected: `serve` sends an
 /// ordinary request and returns whether it was served.
 fn check(process: u32, memory_mb: u64, crowd: &Crowd, serve: impl Fn() -> bool) {
     let idle_kb = memory_kb(process, "VmHWM:");
     let mut peaks = Peaks::new(process, crowd.address);
     let clients = crowd.send(&mut peaks);
-    check_serving(idle_kb, memory_mb, peaks, clients, serve);
+    let aftermath = Aftermath {
+        idle_kb,
+        peaks,
+        clients,
+    };
+    check_serving(memory_mb, aftermath, serve);
 }
 
-/// Checks a process to which `clients` are connected.
-fn check_serving(
-    idle_kb: u64,
-    memory_mb: u64,
-    mut peaks: Peaks,
-    clients: Vec<Client>,
-    serve: impl Fn() -> bool,
-) {
+/// Checks a process to which a crowd is still connected.
+fn check_serving(memory_mb: u64, aftermath: Aftermath, serve: impl Fn() -> bool) {
+    let Aftermath {
+        idle_kb,
+        mut peaks,
+        clients,
+    } = aftermath;
     let served = wait_until("a served ordinary request", SERVE_TIMEOUT, &serve);
     peaks.observe();
     let process = peaks.process;
@@ -312,6 +325,20 @@
     assert!(peaks.descriptor_count <= descriptor_bound, "{measured}");
 }
 
+/// Lets a process stand still while a crowd sends, and then go on.
+fn send_to_standing(process: &mut ChildProcess, crowd: &Crowd) -> Aftermath {
+    let idle_kb = memory_kb(process.id(), "VmHWM:");
+    let mut peaks = Peaks::new(process.id(), crowd.address);
+    process.freeze().expect("the process can be stopped");
+    let clients = crowd.send_unread(&mut peaks);
+    process.thaw().expect("the process can be resumed");
+    Aftermath {
+        idle_kb,
+        peaks,
+        clients,
+    }
+}
+
 /// Checks an entry that stands still while a crowd sends to the port that `address` returns, and then
 /// goes on.
 fn check_standing_entry(address: impl Fn(&PlatformSite) -> SocketAddr) {
@@ -319,12 +346,8 @@
     let mut site = start_site(ENTRY_MEMORY_MB);
     let crowd = standing_crowd(address(&site));
     let entry = site.entry_mut(0).expect("the process was started");
-    let idle_kb = memory_kb(entry.id(), "VmHWM:");
-    let mut peaks = Peaks::new(entry.id(), crowd.address);
-    entry.freeze().expect("the process can be stopped");
-    let clients = crowd.send_unread(&mut peaks);
-    entry.thaw().expect("the process can be resumed");
-    check_serving(idle_kb, ENTRY_MEMORY_MB, peaks, clients, || {
+    let aftermath = send_to_standing(entry, &crowd);
+    check_serving(ENTRY_MEMORY_MB, aftermath, || {
         site.is_ready(0) && serves_job(&site)
     });
 }
@@ -336,12 +359,8 @@
     let address = site.registration_address(0);
     let crowd = standing_crowd(address);
     let sidecar = site.sidecar_mut(0).expect("the process was started");
-    let idle_kb = memory_kb(sidecar.id(), "VmHWM:");
-    let mut peaks = Peaks::new(sidecar.id(), crowd.address);
-    sidecar.freeze().expect("the process can be stopped");
-    let clients = crowd.send_unread(&mut peaks);
-    sidecar.thaw().expect("the process can be resumed");
-    check_serving(idle_kb, SIDECAR_MEMORY_MB, peaks, clients, || {
+    let aftermath = send_to_standing(sidecar, &crowd);
+    check_serving(SIDECAR_MEMORY_MB, aftermath, || {
         serves_heartbeat(&site, address) && serves_job(&site)
     });
 }
