--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -523,6 +524,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# The descriptors that a machine of the sheet has (`MaxFds`); the clients of a script need about as many.
+DESCRIPTORS_MIN = 4100
+
 ORDINARY = {
     "Spec": "ms=60", "BestEffort": True, "Steps": [{"Count": 2, "Cpu": 1000, "MemMb": 64, "EstimateMs": 60}],
 }
@@ -695,6 +699,13 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     network = f"127.{network_tag}.{os.getpid() % 250 + 1}"
     record(f"disruption: {'yes' if has_trouble else 'no'}; addresses {network}.0/24")
+    descriptors, descriptors_max = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if 0 <= descriptors < DESCRIPTORS_MIN:
+        # Of this process and those that it starts, within what it is allowed.
+        if 0 <= descriptors_max < DESCRIPTORS_MIN:
+            print(f"could not run: {descriptors_max} descriptors allowed, {DESCRIPTORS_MIN} are needed")
+            raise SystemExit(2)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS_MIN, descriptors_max))
 
     async def main():
         site = Site(record, network)
